--- /dev/null
+++ b/src/hemlocktrestle/edge/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon in front of the users' platform: it serves callers on one VM."""
--- /dev/null
+++ b/src/hemlocktrestle/edge/__main__.py
@@ -0,0 +1,67 @@
+"""Command line of the edge daemon."""
+
+import argparse
+import gc
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import trio
+
+from hemlocktrestle import __version__
+from hemlocktrestle.edge._daemon import EdgeDaemon
+from hemlocktrestle.edge._logs import configure_edge_logs
+from hemlocktrestle.errors import RequestError
+from hemlocktrestle.platform import read_settings, settings_path
+
+EXIT_SETTINGS = 2
+"""Exit code when the settings are wrong; nothing was started."""
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="hemlocktrestle-edge",
+        description="Serve callers on this VM of the users' platform.",
+    )
+    parser.add_argument(
+        "--settings",
+        type=Path,
+        default=settings_path(),
+        help="settings file of the platform, in TOML",
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    return parser
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the edge daemon.
+
+    Args:
+        arguments: the command line, or ``None`` for the process's own.
+
+    Returns:
+        The exit code: 0 after a graceful shutdown or a clean check, 2 for wrong
+        settings.
+    """
+    options = build_parser().parse_args(arguments)
+    try:
+        settings = read_settings(options.settings)
+    except RequestError as error:
+        print(error.message, file=sys.stderr)
+        return EXIT_SETTINGS
+    if options.check:
+        print(f"{options.settings}: settings are valid")
+        return 0
+    configure_edge_logs(settings.vm)
+    # What was imported lives as long as the process.
+    gc.freeze()
+    trio.run(EdgeDaemon(settings, options.settings).run)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -0,0 +1,199 @@
+"""The edge daemon: it builds its parts, joins them, and runs them until told to end."""
+
+import logging
+import random
+import secrets
+import signal
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import trio
+
+from hemlocktrestle.edge._followers import (
+    ConfigurationFollower,
+    ReplicaFollower,
+    StoreHealth,
+    VmEntry,
+    VmRegistrar,
+)
+from hemlocktrestle.edge._job import Job
+from hemlocktrestle.edge._listeners import (
+    DESCRIPTORS_KEPT,
+    CallerListener,
+    listen,
+    serve_answers,
+)
+from hemlocktrestle.edge._local_scheduler import LocalScheduler
+from hemlocktrestle.edge._place import Place
+from hemlocktrestle.edge._serve import EdgeServer, Served
+from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.errors import RequestError
+from hemlocktrestle.gateway import Fleet
+from hemlocktrestle.platform import PlatformSettings, PlatformStore, read_settings
+from hemlocktrestle.quarantine import QuarantineBook
+
+log = logging.getLogger(__name__)
+
+NOTICE_S = 3.0
+"""Time for the balancer to see that this VM takes no more callers, in seconds.
+
+The balancer asks once a second and takes a VM out after two misses.
+"""
+
+FINISH_SHARE = 0.96
+"""Share of the grace time after which what still runs is cut."""
+
+DESCRIPTORS_PER_CALLER = 2
+"""Descriptors that one caller needs: its connection and one to a replica."""
+
+RESERVED_DESCRIPTORS = 200
+"""Descriptors that the platform reserves for files."""
+
+
+class EdgeDaemon:
+    """All parts of one VM's edge daemon.
+
+    Args:
+        settings: the settings of the process.
+        path: the settings file, which is read again when it is said to have changed.
+    """
+
+    def __init__(self, settings: PlatformSettings, path: Path) -> None:
+        self._settings = settings
+        self._path = path
+        self._boot_id = secrets.token_hex(8)
+        self._vms: dict[str, VmEntry] = {}
+        self._stop = trio.Event()
+        self.state = EdgeState(settings, fleet=self._fleet)
+        self._store = PlatformStore(settings.store_address)
+        self._health = StoreHealth(self.state)
+        self._quarantine = QuarantineBook()
+        self._scheduler = LocalScheduler(
+            self.state, jitter=random.Random(self._boot_id)
+        )
+        self._server = EdgeServer(
+            self.state,
+            self._scheduler,
+            quarantine=self._quarantine,
+            on_served=self._served,
+            on_crash=self._crashed,
+        )
+        descriptors = (
+            settings.descriptors_max - RESERVED_DESCRIPTORS - DESCRIPTORS_KEPT
+        )
+        self._callers = CallerListener(
+            self.state,
+            self._server.serve,
+            connections_max=descriptors // DESCRIPTORS_PER_CALLER,
+        )
+        entry = VmEntry(
+            settings.vm,
+            settings.zone,
+            settings.region,
+            f"{settings.ip}:{settings.peer_port}",
+            self._boot_id,
+        )
+        self._registrar = VmRegistrar(
+            entry, self._store, self._health, on_vms=self._take_vms
+        )
+
+    async def run(self) -> None:
+        """Serve until a graceful shutdown is done."""
+        settings = self._settings
+        async with AsyncExitStack() as stack:
+            await stack.enter_async_context(self._store)
+            callers = listen(settings.callers_address)
+            ready = listen(settings.ready_address)
+            nursery = await stack.enter_async_context(trio.open_nursery())
+            signals = stack.enter_context(
+                trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP)
+            )
+            nursery.start_soon(self._await_signals, signals)
+            nursery.start_soon(
+                ConfigurationFollower(self.state, self._store, self._health).run
+            )
+            replicas = ReplicaFollower(
+                self.state, self._store, self._health, on_change=lambda: None
+            )
+            nursery.start_soon(replicas.run)
+            nursery.start_soon(replicas.settle)
+            nursery.start_soon(self._registrar.run)
+            nursery.start_soon(serve_answers, ready, {b"/ready": self._ready})
+            nursery.start_soon(self._callers.run, callers)
+            log.info("started", extra={"vm": settings.vm, "boot_id": self._boot_id})
+            await self._stop.wait()
+            await self._finish()
+            nursery.cancel_scope.cancel()
+        log.info("stopped", extra={"vm": settings.vm})
+
+    async def _finish(self) -> None:
+        """End gracefully: no new callers, then no open connections, then stop."""
+        self.state.is_draining = True
+        grace_s = self._settings.bounds.grace_ms / 1000
+        with trio.move_on_after(grace_s * FINISH_SHARE):
+            await self._registrar.leave()
+            await trio.sleep(NOTICE_S)
+            while self._callers.connection_count:
+                self._callers.close_idle()
+                await trio.sleep(0.05)
+
+    async def _await_signals(self, signals: AsyncIterator[int]) -> None:
+        async for number in signals:
+            log.info("signal_received", extra={"signal": number})
+            if number == signal.SIGTERM:
+                self._stop.set()
+            else:
+                self._reload()
+
+    def _reload(self) -> None:
+        """Read the settings file again; what cannot be changed stays as it was."""
+        try:
+            settings = read_settings(self._path)
+        except RequestError as error:
+            log.error("settings_refused", extra={"reason": error.message})
+            return
+        self.state.settings = settings
+        log.info("settings_reloaded", extra={"vm": settings.vm})
+
+    def _ready(self) -> tuple[int, bytes, bytes]:
+        return (200 if self.state.is_ready else 503), b"text/plain", b""
+
+    def _take_vms(self, entries: list[VmEntry]) -> None:
+        self._vms = {entry.vm: entry for entry in entries}
+
+    def _fleet(self) -> Fleet:
+        return Fleet(max(1, len(self._vms)), 1, {})
+
+    def _served(self, served: Served) -> None:
+        job, progress = served.job, served.progress
+        log.info(
+            "request_ended",
+            extra={
+                "request": job.facts.request_id if job else "",
+                "route": job.route.name if job else "",
+                "outcome": served.outcome,
+                "status": served.status,
+                "first_ms": round(progress.first_ms),
+                "events": progress.event_count,
+                "replicas": progress.replicas,
+                "total_ms": round(now_ms() - job.request.arrived_ms) if job else 0,
+            },
+        )
+
+    def _crashed(self, job: Job, place: Place) -> None:
+        entry = self._quarantine.suspect(
+            job.service.name,
+            job.fingerprint,
+            upstream=place.replica_id,
+            request_id=job.facts.request_id,
+            now_ms=now_ms(),
+        )
+        log.warning(
+            "replica_broke_off",
+            extra={
+                "request": job.facts.request_id,
+                "replica": place.replica_id,
+                "crash_count": len(entry.upstreams),
+            },
+        )
--- /dev/null
+++ b/src/hemlocktrestle/edge/_followers.py
@@ -0,0 +1,319 @@
+"""Tasks that follow the platform's store."""
+
+import json
+import logging
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+import trio
+
+from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.errors import RequestError
+from hemlocktrestle.gateway import ReplicaRecord
+from hemlocktrestle.platform import (
+    CONFIGURATION_KEY,
+    REGISTRATIONS_PREFIX,
+    Item,
+    PlatformStore,
+    Removed,
+    StoreError,
+    StoreErrorKind,
+    decode_configuration,
+    decode_registration,
+)
+
+log = logging.getLogger(__name__)
+
+WATCH_MS = 20_000
+"""How long a watch may wait at the store, in milliseconds; the store allows 30 s."""
+
+GATHER_S = 0.8
+"""Pause before registrations are watched again, in seconds.
+
+Each watch that returns is paid for; changes gather for this long, well within the
+time in which a leaving replica must be known.
+"""
+
+RETRY_S_MIN = 0.2
+RETRY_S_MAX = 0.8
+"""Pause before a failed call to the store is repeated, in seconds.
+
+News must be in force a few seconds after the store's return, and calls to a store
+that is down are paid for too.
+"""
+
+
+class StoreHealth:
+    """Whether the store answers; tells the replica book of its loss and return.
+
+    Args:
+        state: what the process believes.
+    """
+
+    def __init__(self, state: EdgeState) -> None:
+        self._state = state
+        self.is_lost = False
+        self.lost_count = 0
+
+    def failed(self, caller: str, error: StoreError) -> None:
+        """Note a call that brought no result."""
+        if not self.is_lost:
+            self.is_lost = True
+            self.lost_count += 1
+            log.warning("store_lost", extra={"caller": caller, "reason": str(error)})
+        self._state.replicas.store_lost()
+
+    def answered(self, caller: str) -> None:
+        """Note a call that was answered."""
+        if self.is_lost:
+            self.is_lost = False
+            log.info("store_back", extra={"caller": caller})
+        self._state.replicas.store_returned(now_ms())
+
+
+class _Follower:
+    """Repeats a task whenever the store fails it."""
+
+    name = ""
+
+    def __init__(self, store: PlatformStore, health: StoreHealth) -> None:
+        self._store = store
+        self._health = health
+        self._jitter = random.Random()
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            try:
+                await self._follow()
+            except StoreError as error:
+                if error.kind is StoreErrorKind.HISTORY_LOST:
+                    log.info("store_history_lost", extra={"caller": self.name})
+                    continue
+                self._health.failed(self.name, error)
+                await trio.sleep(self._jitter.uniform(RETRY_S_MIN, RETRY_S_MAX))
+
+    async def _follow(self) -> None:
+        raise NotImplementedError
+
+
+class ConfigurationFollower(_Follower):
+    """Keeps the newest configuration in force; never goes back.
+
+    Args:
+        state: what the process believes.
+        store: the platform's store.
+        health: told whether the store answers.
+    """
+
+    name = "configuration"
+
+    def __init__(
+        self, state: EdgeState, store: PlatformStore, health: StoreHealth
+    ) -> None:
+        super().__init__(store, health)
+        self._state = state
+
+    async def _follow(self) -> None:
+        item, revision = await self._store.get(CONFIGURATION_KEY)
+        self._health.answered(self.name)
+        if item is not None:
+            self._take(item)
+        while True:
+            watched = await self._store.watch(
+                CONFIGURATION_KEY, after=revision, wait_ms=WATCH_MS
+            )
+            self._health.answered(self.name)
+            revision = watched.revision
+            for event in watched.events:
+                if isinstance(event, Item) and event.key == CONFIGURATION_KEY:
+                    self._take(event)
+
+    def _take(self, item: Item) -> None:
+        try:
+            configuration = decode_configuration(item.value)
+        except RequestError as error:
+            log.error(
+                "configuration_refused",
+                extra={"reason": error.message, "store_revision": item.revision},
+            )
+            return
+        known = self._state.configuration
+        if known is not None and configuration.version <= known.version:
+            return
+        self._state.configuration = configuration
+        log.info(
+            "configuration_taken",
+            extra={
+                "version": configuration.version,
+                "store_revision": item.revision,
+                "route_count": len(configuration.routes),
+                "customer_count": len(configuration.customers),
+            },
+        )
+
+
+class ReplicaFollower(_Follower):
+    """Keeps the book of replicas.
+
+    Args:
+        state: what the process believes.
+        store: the platform's store.
+        health: told whether the store answers.
+        on_change: called after the book has changed.
+    """
+
+    name = "replicas"
+
+    def __init__(
+        self,
+        state: EdgeState,
+        store: PlatformStore,
+        health: StoreHealth,
+        *,
+        on_change: Callable[[], None],
+    ) -> None:
+        super().__init__(store, health)
+        self._state = state
+        self._on_change = on_change
+        self._told_count = -1
+
+    async def settle(self) -> None:
+        """Drop entries that did not come back, until cancelled."""
+        while True:
+            await trio.sleep(GATHER_S / 2)
+            self._state.replicas.settle(now_ms())
+            self._tell()
+
+    async def _follow(self) -> None:
+        page = await self._store.list(REGISTRATIONS_PREFIX)
+        self._health.answered(self.name)
+        book = self._state.replicas
+        book.listed(
+            [(item.key, item.revision, _record(item)) for item in page.items], now_ms()
+        )
+        self._state.has_replicas = True
+        self._tell()
+        revision = page.revision
+        while True:
+            watched = await self._store.watch(
+                REGISTRATIONS_PREFIX, after=revision, wait_ms=WATCH_MS
+            )
+            self._health.answered(self.name)
+            revision = watched.revision
+            for event in watched.events:
+                if isinstance(event, Removed):
+                    book.removed(event.key, event.revision, now_ms())
+                else:
+                    book.put(event.key, event.revision, _record(event))
+            self._tell()
+            await trio.sleep(GATHER_S)
+
+    def _tell(self) -> None:
+        book = self._state.replicas
+        if book.changed_count == self._told_count:
+            return
+        self._told_count = book.changed_count
+        records = book.replicas()
+        log.info(
+            "replicas_changed",
+            extra={
+                "change": book.changed_count,
+                "ready": [r.replica_id for r in records if not r.is_draining],
+                "draining": [r.replica_id for r in records if r.is_draining],
+            },
+        )
+        self._on_change()
+
+
+def _record(item: Item) -> ReplicaRecord | None:
+    replica_id = item.key.removeprefix(REGISTRATIONS_PREFIX)
+    try:
+        return decode_registration(replica_id, item.value)
+    except RequestError as error:
+        log.warning(
+            "registration_refused",
+            extra={"reason": error.message, "store_revision": item.revision},
+        )
+        return None
+
+
+VM_PREFIX = "hemlocktrestle/vms/"
+"""Start of the keys under which the VMs of the system register."""
+
+VM_LEASE_MS = 10_000
+"""Life of a VM's entry without renewal, in milliseconds."""
+
+VM_RENEW_S = 3.0
+"""Time between renewals of a VM's entry, in seconds: three tries fit its life."""
+
+
+class VmEntry(NamedTuple):
+    """One VM as it registered itself."""
+
+    vm: str
+    zone: str
+    region: str
+    address: str
+    boot_id: str
+
+
+class VmRegistrar(_Follower):
+    """Registers this VM in the store and reads who else is there.
+
+    Args:
+        entry: this VM.
+        store: the platform's store.
+        health: told whether the store answers.
+        on_vms: called with all VMs that are registered.
+    """
+
+    name = "vms"
+
+    def __init__(
+        self,
+        entry: VmEntry,
+        store: PlatformStore,
+        health: StoreHealth,
+        *,
+        on_vms: Callable[[list[VmEntry]], None],
+    ) -> None:
+        super().__init__(store, health)
+        self._entry = entry
+        self._on_vms = on_vms
+        self._lease = 0
+
+    async def leave(self) -> None:
+        """Remove this VM's entry."""
+        try:
+            await self._store.end_lease(self._lease)
+        except StoreError as error:
+            # The entry goes by itself when its lease runs out.
+            log.info("vm_entry_left", extra={"reason": str(error)})
+
+    async def _follow(self) -> None:
+        self._lease = await self._store.grant_lease(VM_LEASE_MS)
+        value = json.dumps(self._entry._asdict()).encode()
+        await self._store.put(VM_PREFIX + self._entry.vm, value, lease=self._lease)
+        # The first look must show this VM, so that none counts itself alone.
+        await self._look(is_stale_fine=False)
+        while True:
+            await trio.sleep(self._jitter.uniform(0.8, 1.2) * VM_RENEW_S)
+            await self._store.renew_lease(self._lease)
+            await self._look(is_stale_fine=True)
+
+    async def _look(self, *, is_stale_fine: bool) -> None:
+        page = await self._store.list(VM_PREFIX, is_stale_fine=is_stale_fine)
+        self._health.answered(self.name)
+        entries = []
+        for item in page.items:
+            try:
+                entries.append(VmEntry(**json.loads(item.value)))
+            except (ValueError, TypeError) as error:
+                log.warning(
+                    "vm_entry_refused", extra={"key": item.key, "reason": str(error)}
+                )
+        self._on_vms(entries)
+
+
--- /dev/null
+++ b/src/hemlocktrestle/edge/_job.py
@@ -0,0 +1,35 @@
+"""A request on its way through the edge."""
+
+from typing import NamedTuple
+
+from hemlocktrestle.relay import CallerRequest
+from hemlocktrestle.gateway import Customer, RequestFacts, Route, Service
+
+
+class Job(NamedTuple):
+    """One request with all that decides how it is served.
+
+    Args:
+        request: the caller's request.
+        facts: what its head says.
+        route: its route.
+        service: the service that was chosen for it.
+        customer: the customer of its key, or ``None`` on a public route.
+        rank: urgency, 0 the highest.
+        fingerprint: digest by which the same request is known when it comes again.
+        deadline_at_ms: when it must be answered, by the clock of the process.
+    """
+
+    request: CallerRequest
+    facts: RequestFacts
+    route: Route
+    service: Service
+    customer: Customer | None
+    rank: int
+    fingerprint: str
+    deadline_at_ms: float
+
+    @property
+    def customer_name(self) -> str:
+        """Name of the customer, empty if there is none."""
+        return self.customer.name if self.customer is not None else ""
--- /dev/null
+++ b/src/hemlocktrestle/edge/_logs.py
@@ -0,0 +1,89 @@
+"""Structured logs on standard output that never hold the process up."""
+
+import logging
+import os
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+LINES_PER_S_MAX = 400
+"""Lines that are written a second at most; the rest is counted and said."""
+
+PIPE_FULL = BlockingIOError
+
+
+class BoundedHandler(logging.Handler):
+    """Writes lines to a descriptor without waiting; drops and counts the rest.
+
+    Args:
+        descriptor: where lines go; it is made non-blocking.
+        lines_per_s_max: lines that are written a second at most.
+    """
+
+    def __init__(
+        self, descriptor: int, *, lines_per_s_max: int = LINES_PER_S_MAX
+    ) -> None:
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._lines_per_s_max = lines_per_s_max
+        self._second = 0
+        self._line_count = 0
+        self._rest = b""
+        self.dropped_count = 0
+        self._dropped_since = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line, or count it as dropped."""
+        second = int(record.created)
+        if second != self._second:
+            self._second, self._line_count = second, 0
+        self._line_count += 1
+        if self._line_count > self._lines_per_s_max and record.levelno < logging.ERROR:
+            self._drop()
+            return
+        if self._dropped_since:
+            record.dropped_lines = self._dropped_since
+        self._write(self.format(record).encode() + b"\n")
+
+    def _write(self, line: bytes) -> None:
+        data = self._rest + line
+        try:
+            written = os.write(self._descriptor, data)
+        except PIPE_FULL:
+            self._drop()
+            return
+        # A line that was cut is finished first, so that lines stay whole.
+        self._rest = data[written:]
+        self._dropped_since = 0
+
+    def _drop(self) -> None:
+        self.dropped_count += 1
+        self._dropped_since += 1
+
+
+def configure_edge_logs(vm: str, *, level: str = "INFO") -> BoundedHandler:
+    """Send one JSON object a line for each log event to standard output.
+
+    Args:
+        vm: name of the VM, which each line carries.
+        level: least level that is written.
+
+    Returns:
+        The handler, which counts what it drops.
+    """
+    handler = BoundedHandler(sys.stdout.fileno())
+    handler.setFormatter(
+        JsonFormatter(
+            "%(levelname)s %(message)s",
+            rename_fields={"levelname": "level", "message": "event"},
+            static_fields={"vm": vm},
+            timestamp=True,
+        )
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+    for noisy in ("httpcore", "h11"):
+        logging.getLogger(noisy).setLevel(logging.WARNING)
+    return handler
--- /dev/null
+++ b/src/hemlocktrestle/edge/_serve.py
@@ -0,0 +1,231 @@
+"""Serving one caller's request, from its head to the end of its answer."""
+
+import logging
+from collections.abc import Callable
+from typing import NamedTuple
+
+import trio
+import xxhash
+
+from hemlocktrestle.relay import CallerConnection, CallerRequest
+from hemlocktrestle.edge._answer import error_answer
+from hemlocktrestle.edge._attempt import Attempt, Progress, Sealed
+from hemlocktrestle.edge._job import Job
+from hemlocktrestle.edge._place import AttemptEnd, AttemptReport, Place, Scheduler
+from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.gateway import choose_service
+from hemlocktrestle.quarantine import QuarantineBook
+
+log = logging.getLogger(__name__)
+
+SENDS_MAX = 3
+"""Replicas that one request is offered to at most, refusals by replicas included."""
+
+CONNECTS_MAX = 4
+"""Replicas that a connection is tried to for one request."""
+
+DEADLINE_DEFAULT_MS = 60_000.0
+"""Time that a caller is taken to wait if it does not say, in milliseconds."""
+
+QUOTA_RETRY_MS_MAX = 3_000.0
+"""Longest pause that a caller over its quota is asked for, in milliseconds."""
+
+
+class Served(NamedTuple):
+    """How a request ended, for logs and metrics."""
+
+    job: Job | None
+    outcome: str
+    status: int
+    progress: Progress
+
+
+class EdgeServer:
+    """Serves callers' requests.
+
+    Args:
+        state: what the process believes.
+        scheduler: chooses when and where requests run.
+        quarantine: requests that crash the replicas that run them.
+        on_served: told of each request at its end.
+        on_crash: told of a request whose replica broke off, and of the replica.
+    """
+
+    def __init__(
+        self,
+        state: EdgeState,
+        scheduler: Scheduler,
+        *,
+        quarantine: QuarantineBook,
+        on_served: Callable[[Served], None],
+        on_crash: Callable[[Job, Place], None],
+    ) -> None:
+        self._state = state
+        self._scheduler = scheduler
+        self._quarantine = quarantine
+        self._on_served = on_served
+        self._on_crash = on_crash
+        self.running_count = 0
+
+    async def serve(
+        self, request: CallerRequest, connection: CallerConnection
+    ) -> None:
+        """Answer one request; cancelled if the caller goes away."""
+        progress = Progress()
+        job: Job | None = None
+        outcome, status = "caller_gone", 0
+        self.running_count += 1
+        try:
+            job = self._admit(request)
+            with trio.move_on_at(job.deadline_at_ms / 1000) as scope:
+                status = await self._run(job, connection, progress)
+                outcome = "answered"
+            if scope.cancelled_caught:
+                raise _too_late(progress)
+        except RequestError as error:
+            outcome = error.kind.value
+            answer = error_answer(error, bytes_left=progress.bytes_left)
+            status = answer.status
+            if not connection.is_answer_started:
+                await connection.whole(status, answer.headers, answer.body)
+        finally:
+            self.running_count -= 1
+            self._on_served(Served(job, outcome, status, progress))
+
+    def _admit(self, request: CallerRequest) -> Job:
+        """Find route, customer and service of a request, and check its quota."""
+        configuration = self._state.configuration
+        if configuration is None:
+            raise RequestError(
+                ErrorKind.SETTINGS_UNREADY, "no configuration is known yet"
+            )
+        target = request.target.decode("latin-1")
+        facts = self._state.dialect.request_facts(target, request.headers)
+        route = configuration.route(facts.host, facts.path)
+        if route is None:
+            raise RequestError(ErrorKind.UNKNOWN_ROUTE, "no route for host and path")
+        customer = None
+        if configuration.customers and not route.is_public:
+            customer = configuration.customer_of(facts.key)
+            if customer is None:
+                raise RequestError(ErrorKind.UNKNOWN_TOKEN, "key is not known")
+        name = choose_service(route, facts.request_id)
+        service = configuration.services.get(name)
+        if service is None:
+            raise RequestError(ErrorKind.NO_UPSTREAM, "service is not configured")
+        own_rank = customer.rank if customer is not None else None
+        waits_ms = facts.deadline_ms or DEADLINE_DEFAULT_MS
+        job = Job(
+            request=request,
+            facts=facts,
+            route=route,
+            service=service,
+            customer=customer,
+            rank=route.rank if own_rank is None else own_rank,
+            fingerprint=_fingerprint(request, facts.key),
+            deadline_at_ms=request.arrived_ms + min(waits_ms, route.timeout_ms),
+        )
+        entry = self._quarantine.find(job.fingerprint, now_ms())
+        if entry is not None and entry.is_quarantined:
+            raise RequestError(
+                ErrorKind.QUARANTINED, "requests like this one crash replicas"
+            )
+        self._spend_quota(job)
+        self._state.budget(service.name).note_request(now_ms())
+        return job
+
+    def _spend_quota(self, job: Job) -> None:
+        customer = job.customer
+        if customer is None or customer.rate_per_s <= 0:
+            return
+        wait_ms = self._state.quotas.admit(
+            customer.name,
+            rate_per_s=customer.rate_per_s,
+            burst=customer.burst,
+            amount=_quota_amount(job),
+            fleet=self._state.fleet(),
+            now_ms=now_ms(),
+        )
+        if wait_ms is not None:
+            raise RequestError(
+                ErrorKind.RATE_LIMITED,
+                "customer is over its quota",
+                retry_after_ms=min(wait_ms, QUOTA_RETRY_MS_MAX),
+            )
+
+    async def _run(
+        self, job: Job, connection: CallerConnection, progress: Progress
+    ) -> int:
+        """Send a request to replicas until one answers or none may be tried."""
+        excluded: set[str] = set()
+        failure = RequestError(ErrorKind.NO_UPSTREAM, "no replica takes this work")
+        sealed: Sealed | None = None
+        while self._may_send(job, progress):
+            try:
+                place = await self._scheduler.obtain(job, excluded=frozenset(excluded))
+            except RequestError as error:
+                if progress.bytes_left:
+                    break
+                raise error
+            excluded.add(place.replica_id)
+            attempt = Attempt(self._state, job, place, connection, progress)
+            report = AttemptReport(AttemptEnd.ABANDONED, 0.0, 0.0, 0)
+            try:
+                report = await attempt.run()
+            finally:
+                if report.end is AttemptEnd.ABANDONED:
+                    report = attempt.report(AttemptEnd.ABANDONED)
+                self._scheduler.release(job, place, report)
+            self._note_crash(job, place, report)
+            if report.end is AttemptEnd.RELAYED:
+                return attempt.status
+            failure = attempt.failure or failure
+            sealed = attempt.sealed or sealed
+        if connection.is_answer_started:
+            raise failure
+        if sealed is not None:
+            await connection.whole(sealed.status, sealed.headers, sealed.body)
+            return sealed.status
+        raise failure
+
+    def _may_send(self, job: Job, progress: Progress) -> bool:
+        """Tell whether a request may go to one more replica."""
+        if not progress.send_count:
+            return progress.connect_count < CONNECTS_MAX
+        if progress.runs_count >= job.route.attempts:
+            return False
+        if progress.runs_count and not job.route.may_repeat:
+            return False
+        if progress.send_count >= SENDS_MAX or progress.connect_count > CONNECTS_MAX:
+            return False
+        budget = self._state.budget(job.service.name)
+        return budget.take(self._state.fleet().vm_count, now_ms())
+
+    def _note_crash(self, job: Job, place: Place, report: AttemptReport) -> None:
+        if report.end is AttemptEnd.BROKEN:
+            self._on_crash(job, place)
+        elif report.end is AttemptEnd.RELAYED:
+            self._quarantine.clear(job.fingerprint)
+
+
+
+
+def _quota_amount(job: Job) -> float:
+    customer = job.customer
+    assert customer is not None
+    if not customer.counts_tokens:
+        return 1.0
+    return job.facts.tokens if job.facts.states_tokens else customer.plain_tokens
+
+
+def _fingerprint(request: CallerRequest, key: str) -> str:
+    digest = xxhash.xxh3_128(request.body)
+    digest.update(b"\0".join((request.method, request.target, key.encode("latin-1"))))
+    return digest.hexdigest()
+
+
+def _too_late(progress: Progress) -> RequestError:
+    if progress.bytes_left:
+        return RequestError(ErrorKind.DEADLINE_RUNNING, "no answer in time")
+    return RequestError(ErrorKind.DEADLINE_IN_QUEUE, "no replica was free in time")
--- /dev/null
+++ b/src/hemlocktrestle/edge/_state.py
@@ -0,0 +1,76 @@
+"""What one edge process believes and holds."""
+
+import time
+from collections.abc import Callable
+
+import trio
+
+from hemlocktrestle.gateway import (
+    CallerLimits,
+    Configuration,
+    Fleet,
+    QuotaBook,
+    ReplicaBook,
+    RetryBudget,
+)
+from hemlocktrestle.platform import Dialect, PlatformSettings
+
+
+def now_ms() -> float:
+    """Return the time of the process in milliseconds; it never goes back."""
+    return trio.current_time() * 1000
+
+
+def wall_ms() -> int:
+    """Return the time in milliseconds since the epoch; it may jump."""
+    return time.time_ns() // 1_000_000
+
+
+class EdgeState:
+    """State that the tasks of one process share.
+
+    Args:
+        settings: the settings of the process.
+        fleet: returns what is known of the other VMs.
+    """
+
+    def __init__(
+        self, settings: PlatformSettings, *, fleet: Callable[[], Fleet]
+    ) -> None:
+        self.settings = settings
+        self.fleet = fleet
+        self.dialect = Dialect()
+        self.configuration: Configuration | None = None
+        self.replicas = ReplicaBook()
+        self.has_replicas = False
+        self.quotas = QuotaBook()
+        self.is_draining = False
+        self._budgets: dict[str, RetryBudget] = {}
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Limits on callers that are in force."""
+        if self.configuration is None:
+            return CallerLimits()
+        return self.configuration.limits
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return (
+            self.configuration is not None
+            and self.has_replicas
+            and not self.is_draining
+        )
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return this VM's budget for repeats to a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self.settings.bounds
+            budget = self._budgets[service] = RetryBudget(
+                ratio=bounds.repeat_ratio,
+                slack=bounds.repeat_slack,
+                window_ms=bounds.repeat_window_ms,
+            )
+        return budget
--- a/src/hemlocktrestle/errors/_kinds.py
+++ b/src/hemlocktrestle/errors/_kinds.py
@@ -143,12 +143,17 @@
     Args:
         kind: the kind, which decides status and outcome.
         message: text for the caller; never holds prompt text or secrets.
+        retry_after_ms: when the caller may come again, in milliseconds, or ``None``
+            for what the table says.
     """
 
-    def __init__(self, kind: ErrorKind, message: str) -> None:
+    def __init__(
+        self, kind: ErrorKind, message: str, *, retry_after_ms: float | None = None
+    ) -> None:
         super().__init__(message)
         self.kind = kind
         self.message = message
+        self.retry_after_ms = retry_after_ms
 
 
 def outcome_of(kind: ErrorKind, *, bytes_left: bool) -> Outcome:
--- /dev/null
+++ b/src/hemlocktrestle/gateway/__init__.py
@@ -0,0 +1,49 @@
+"""What the gateway knows and decides, without input, output or a clock."""
+
+from hemlocktrestle.gateway._configuration import (
+    CallerLimits,
+    Configuration,
+    Customer,
+    EngineLimits,
+    RequestKind,
+    Route,
+    Service,
+    Target,
+    choose_service,
+)
+from hemlocktrestle.gateway._events import EventCutter, StreamEvent
+from hemlocktrestle.gateway._quota import Demand, Fleet, QuotaBook, share_per_s
+from hemlocktrestle.gateway._replicas import RETURN_MS, ReplicaBook, ReplicaRecord
+from hemlocktrestle.gateway._request import (
+    AnswerFacts,
+    Headers,
+    PromptPart,
+    RequestFacts,
+)
+from hemlocktrestle.gateway._retry_budget import RetryBudget
+
+__all__ = [
+    "RETURN_MS",
+    "AnswerFacts",
+    "CallerLimits",
+    "Configuration",
+    "Customer",
+    "Demand",
+    "EngineLimits",
+    "EventCutter",
+    "Fleet",
+    "Headers",
+    "PromptPart",
+    "QuotaBook",
+    "ReplicaBook",
+    "ReplicaRecord",
+    "RequestFacts",
+    "RequestKind",
+    "RetryBudget",
+    "Route",
+    "Service",
+    "StreamEvent",
+    "Target",
+    "choose_service",
+    "share_per_s",
+]
--- /dev/null
+++ b/src/hemlocktrestle/platform/__init__.py
@@ -0,0 +1,43 @@
+"""The users' platform: its names, formats and calls, translated and nothing more."""
+
+from hemlocktrestle.platform._configuration import decode_configuration
+from hemlocktrestle.platform._dialect import Dialect
+from hemlocktrestle.platform._registrations import decode_registration
+from hemlocktrestle.platform._settings import (
+    Bounds,
+    PlatformSettings,
+    decode_settings,
+    read_settings,
+    settings_path,
+)
+from hemlocktrestle.platform._store import (
+    CONFIGURATION_KEY,
+    REGISTRATIONS_PREFIX,
+    Item,
+    Page,
+    PlatformStore,
+    Removed,
+    StoreError,
+    StoreErrorKind,
+    Watched,
+)
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "REGISTRATIONS_PREFIX",
+    "Bounds",
+    "Dialect",
+    "Item",
+    "Page",
+    "PlatformSettings",
+    "PlatformStore",
+    "Removed",
+    "StoreError",
+    "StoreErrorKind",
+    "Watched",
+    "decode_configuration",
+    "decode_registration",
+    "decode_settings",
+    "read_settings",
+    "settings_path",
+]
--- /dev/null
+++ b/src/hemlocktrestle/platform/_settings.py
@@ -0,0 +1,204 @@
+"""The settings file that the platform writes for each process."""
+
+import os
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Annotated, Any, NamedTuple
+
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError, with_config
+from typing_extensions import TypedDict
+
+from hemlocktrestle.errors import ErrorKind, RequestError
+
+SETTINGS_VARIABLE = "HEMLOCKTRESTLE_SETTINGS"
+"""Environment variable that holds the path of the settings file."""
+
+SETTINGS_PATH_DEFAULT = "/etc/hemlocktrestle/settings.toml"
+"""Path of the settings file if the variable is not set."""
+
+# The platform adds fields over time, so unknown ones are passed over.
+_OPEN = ConfigDict(extra="ignore")
+_Address = Annotated[str, Field(pattern=r"^[^\s:]+:\d{1,5}$")]
+_Positive = Annotated[float, Field(gt=0)]
+_Amount = Annotated[float, Field(ge=0)]
+
+
+@with_config(_OPEN)
+class _Listen(TypedDict):
+    front: _Address
+    readyAddr: _Address
+
+
+@with_config(_OPEN)
+class _Limits(TypedDict):
+    cpuShare: _Positive
+    cores: _Positive
+    memoryMb: _Positive
+    maxFds: Annotated[int, Field(gt=200)]
+    linkMbps: _Positive
+
+
+@with_config(_OPEN)
+class _Bounds(TypedDict):
+    contactMs: _Amount
+    drainMs: _Amount
+    graceS: _Positive
+    configApplyMs: _Amount
+    budgetRatio: _Amount
+    budgetWindowS: _Positive
+    budgetSlack: _Amount
+
+
+@with_config(_OPEN)
+class _Store(TypedDict):
+    address: _Address
+
+
+@with_config(_OPEN)
+class _Settings(TypedDict):
+    nodeName: Annotated[str, Field(min_length=1)]
+    ipAddr: Annotated[str, Field(min_length=1)]
+    zone: Annotated[str, Field(min_length=1)]
+    region: Annotated[str, Field(min_length=1)]
+    internalPorts: Annotated[list[int], Field(min_length=2, max_length=2)]
+    zones: dict[str, str]
+    heartbeatMs: _Positive
+    listen: _Listen
+    limits: _Limits
+    contractBounds: _Bounds
+    platformSettings: _Store
+
+
+_ADAPTER: TypeAdapter[Any] = TypeAdapter(_Settings)
+
+
+class Bounds(NamedTuple):
+    """Limits in time and number that the platform holds the system to.
+
+    Args:
+        contact_ms: undisturbed time after which a VM counts as in touch.
+        drain_ms: time after which a leaving replica must get no more work.
+        grace_ms: time between the order to stop and the kill.
+        configuration_ms: time in which a configuration must be in force.
+        repeat_ratio: repeats allowed for each request to a service.
+        repeat_window_ms: window over which repeats are counted.
+        repeat_slack: repeats allowed beyond the ratio.
+    """
+
+    contact_ms: float
+    drain_ms: float
+    grace_ms: float
+    configuration_ms: float
+    repeat_ratio: float
+    repeat_window_ms: float
+    repeat_slack: float
+
+
+class PlatformSettings(NamedTuple):
+    """What one process learns from the platform.
+
+    Args:
+        vm: name of the VM.
+        zone: its availability zone.
+        region: its region.
+        ip: its address.
+        callers_address: where callers connect.
+        ready_address: where the balancer asks whether the VM takes callers.
+        peer_port: first port that is free for links between VMs.
+        metrics_port: last port that is free, for metrics.
+        region_of_zone: region by availability zone, of the whole system.
+        store_address: the platform's store.
+        replica_heartbeat_ms: time between a replica's registrations.
+        memory_mb: memory above which the process is killed.
+        descriptors_max: descriptors that the process may hold.
+        bounds: the platform's limits in time and number.
+    """
+
+    vm: str
+    zone: str
+    region: str
+    ip: str
+    callers_address: str
+    ready_address: str
+    peer_port: int
+    metrics_port: int
+    region_of_zone: dict[str, str]
+    store_address: str
+    replica_heartbeat_ms: float
+    memory_mb: float
+    descriptors_max: int
+    bounds: Bounds
+
+
+def settings_path(environment: Mapping[str, str] = os.environ) -> Path:
+    """Return the path of the settings file."""
+    return Path(environment.get(SETTINGS_VARIABLE, SETTINGS_PATH_DEFAULT))
+
+
+def read_settings(path: Path) -> PlatformSettings:
+    """Read and check a settings file.
+
+    Args:
+        path: the file, in TOML.
+
+    Returns:
+        The settings.
+
+    Raises:
+        RequestError: of kind ``SETTINGS_INVALID``; the message names the field.
+    """
+    try:
+        document = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise RequestError(ErrorKind.SETTINGS_INVALID, f"{path}: {error}") from error
+    return decode_settings(document, source=str(path))
+
+
+def decode_settings(document: dict[str, Any], *, source: str) -> PlatformSettings:
+    """Check a settings document and translate it.
+
+    Args:
+        document: the parsed file.
+        source: what error messages call it.
+
+    Returns:
+        The settings.
+
+    Raises:
+        RequestError: of kind ``SETTINGS_INVALID``; the message names the field.
+    """
+    try:
+        raw = _ADAPTER.validate_python(document)
+    except ValidationError as error:
+        first = error.errors()[0]
+        field = ".".join(str(part) for part in first["loc"])
+        reason = first["msg"]
+        raise RequestError(
+            ErrorKind.SETTINGS_INVALID, f"{source}: {field}: {reason}"
+        ) from error
+    bounds = raw["contractBounds"]
+    return PlatformSettings(
+        vm=raw["nodeName"],
+        zone=raw["zone"],
+        region=raw["region"],
+        ip=raw["ipAddr"],
+        callers_address=raw["listen"]["front"],
+        ready_address=raw["listen"]["readyAddr"],
+        peer_port=raw["internalPorts"][0],
+        metrics_port=raw["internalPorts"][1],
+        region_of_zone=dict(raw["zones"]),
+        store_address=raw["platformSettings"]["address"],
+        replica_heartbeat_ms=raw["heartbeatMs"],
+        memory_mb=raw["limits"]["memoryMb"],
+        descriptors_max=raw["limits"]["maxFds"],
+        bounds=Bounds(
+            contact_ms=bounds["contactMs"],
+            drain_ms=bounds["drainMs"],
+            grace_ms=bounds["graceS"] * 1000,
+            configuration_ms=bounds["configApplyMs"],
+            repeat_ratio=bounds["budgetRatio"],
+            repeat_window_ms=bounds["budgetWindowS"] * 1000,
+            repeat_slack=bounds["budgetSlack"],
+        ),
+    )
--- /dev/null
+++ b/src/hemlocktrestle/relay/_client.py
@@ -0,0 +1,169 @@
+"""One request to one replica over a connection of its own.
+
+A connection serves one request, so an answer can only belong to that request, a
+connection that went silent while idle is never used, and closing it tells the
+replica to stop.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import NamedTuple
+
+import h11
+import trio
+
+from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.gateway import Headers
+
+CONNECT_S = 0.5
+"""Longest time to open a connection to a replica, in seconds.
+
+A round trip between regions takes 40 ms; a lost opening packet is sent again
+after a second, and by then another replica is the better choice.
+"""
+
+RECEIVE_BYTES = 65_536
+"""Bytes read from a connection at a time."""
+
+HEAD_BYTES_MAX = 65_536
+"""Largest head of an answer, in bytes."""
+
+
+class ReplicaRequest(NamedTuple):
+    """A request as it goes to a replica."""
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class ReplicaAnswer:
+    """The head of an answer, and its body as it comes.
+
+    Args:
+        status: the status code.
+        headers: header lines, names in lower case.
+        exchange: the connection that the body comes on.
+    """
+
+    def __init__(self, status: int, headers: Headers, exchange: "_Exchange") -> None:
+        self.status = status
+        self.headers = headers
+        self._exchange = exchange
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """Yield the body in pieces.
+
+        Raises:
+            RequestError: of kind ``UPSTREAM_BROKEN`` if it ends early.
+        """
+        while True:
+            event = await self._exchange.next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+
+
+class _Exchange:
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.stream = stream
+        self.machine = h11.Connection(
+            our_role=h11.CLIENT, max_incomplete_event_size=HEAD_BYTES_MAX
+        )
+
+    async def next_event(self) -> h11.Event:
+        try:
+            while True:
+                event = self.machine.next_event()
+                if isinstance(event, h11.InformationalResponse):
+                    continue
+                if event is h11.NEED_DATA:
+                    data = await self.stream.receive_some(RECEIVE_BYTES)
+                    self.machine.receive_data(data)
+                    continue
+                if isinstance(event, h11.Event) and not isinstance(
+                    event, h11.ConnectionClosed
+                ):
+                    return event
+                raise RequestError(
+                    ErrorKind.UPSTREAM_BROKEN, "replica closed the connection"
+                )
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise RequestError(
+                ErrorKind.UPSTREAM_BROKEN, "connection to replica broke"
+            ) from error
+        except h11.RemoteProtocolError as error:
+            raise RequestError(
+                ErrorKind.UPSTREAM_BROKEN, f"replica sent no valid answer: {error}"
+            ) from error
+
+    async def send(self, request: ReplicaRequest) -> None:
+        """Send a request; a break shows to the reader, who may find an answer."""
+        head = self.machine.send(
+            h11.Request(
+                method=request.method, target=request.target, headers=request.headers
+            )
+        )
+        body = self.machine.send(h11.Data(data=request.body)) if request.body else b""
+        end = self.machine.send(h11.EndOfMessage())
+        try:
+            await self.stream.send_all((head or b"") + (body or b"") + (end or b""))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # An early answer may stand before the break; the reader decides.
+            return
+
+
+async def open_connection(address: str) -> trio.SocketStream:
+    """Open a connection to a replica.
+
+    Args:
+        address: address and port.
+
+    Raises:
+        RequestError: of kind ``UPSTREAM_UNREACHABLE``; nothing was sent.
+    """
+    host, _, port = address.rpartition(":")
+    sock = trio.socket.socket()
+    try:
+        sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+        with trio.fail_after(CONNECT_S):
+            await sock.connect((host, int(port)))
+    except (OSError, trio.TooSlowError) as error:
+        sock.close()
+        raise RequestError(
+            ErrorKind.UPSTREAM_UNREACHABLE, "replica could not be reached"
+        ) from error
+    except BaseException:
+        sock.close()
+        raise
+    return trio.SocketStream(sock)
+
+
+@asynccontextmanager
+async def exchange(
+    stream: trio.SocketStream, request: ReplicaRequest
+) -> AsyncIterator[ReplicaAnswer]:
+    """Send a request on a fresh connection and yield its answer.
+
+    The connection is closed at the end, whatever was read of the answer.
+
+    Args:
+        stream: the connection.
+        request: the request.
+
+    Raises:
+        RequestError: of kind ``UPSTREAM_BROKEN`` if no valid answer came.
+    """
+    async with AsyncExitStack() as stack:
+        stack.push_async_callback(trio.aclose_forcefully, stream)
+        connection = _Exchange(stream)
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        stack.callback(nursery.cancel_scope.cancel)
+        # The answer may come before the whole request is read.
+        nursery.start_soon(connection.send, request)
+        head = await connection.next_event()
+        if not isinstance(head, h11.Response):
+            raise RequestError(ErrorKind.UPSTREAM_BROKEN, "replica sent no answer")
+        yield ReplicaAnswer(head.status_code, tuple(head.headers), connection)
