--- a/bench/capacity/_control.py
+++ b/bench/capacity/_control.py
@@ -20,10 +20,11 @@
     measurement,
     point,
 )
-from hemlocktrestle.adapters import Link, LinkEvents, listing_from_targets
-from hemlocktrestle.daemon._asker import Asker, _Held
+from hemlocktrestle.adapters import listing_from_targets
 from hemlocktrestle.keeper import PoolKeeper
 from hemlocktrestle.membership import Listing, Membership, UpstreamRecord, VmRecord
+from hemlocktrestle.peers import Link, LinkEvents
+from hemlocktrestle.peers._asker import Asker, _Held
 from hemlocktrestle.wire import (
     PROTOCOL_VERSION,
     Ask,
--- a/src/hemlocktrestle/adapters/__init__.py
+++ b/src/hemlocktrestle/adapters/__init__.py
@@ -10,7 +10,6 @@
     serve_lifespan,
 )
 from hemlocktrestle.adapters._metrics import Metrics, Sources
-from hemlocktrestle.adapters._peer_link import Link, LinkEvents, accept, dial
 from hemlocktrestle.adapters._platform_list import (
     HttpPlatformList,
     listing_from_targets,
@@ -30,16 +29,12 @@
     "HttpPlatformList",
     "HttpUpstreamClient",
     "Latencies",
-    "Link",
-    "LinkEvents",
     "Metrics",
     "Responder",
     "Sources",
     "TlsContexts",
     "TlsFiles",
-    "accept",
     "configure_logs",
-    "dial",
     "listing_from_targets",
     "make_tracer",
     "names_vouched_for",
--- a/src/hemlocktrestle/daemon/_daemon.py
+++ b/src/hemlocktrestle/daemon/_daemon.py
@@ -27,14 +27,11 @@
 )
 from hemlocktrestle.claims import ClaimBook, TicketTable
 from hemlocktrestle.daemon import _quarantine_routes  # noqa: F401 fills the routes
-from hemlocktrestle.daemon._asker import Asker
 from hemlocktrestle.daemon._crash_watch import CrashWatch
 from hemlocktrestle.daemon._drain import FINISH_MS_DEFAULT, ClosingApp, Drain
 from hemlocktrestle.daemon._entry import Entry
-from hemlocktrestle.daemon._keeper_task import KeeperTask
 from hemlocktrestle.daemon._list_follower import ListFollower
 from hemlocktrestle.daemon._listeners import Listeners, address_of
-from hemlocktrestle.daemon._network import PeerNetwork
 from hemlocktrestle.daemon._operators import OperatorsApp
 from hemlocktrestle.daemon._secure import Security
 from hemlocktrestle.daemon._status import StatusSources, status_of
@@ -44,6 +41,9 @@
 from hemlocktrestle.daemon._vm_settings import VmSettings, read_secret
 from hemlocktrestle.keeper import POLICY_DEFAULT
 from hemlocktrestle.membership import Membership, VmRecord
+from hemlocktrestle.peers._asker import Asker
+from hemlocktrestle.peers._keeper_task import KeeperTask
+from hemlocktrestle.peers._network import PeerNetwork
 from hemlocktrestle.wire import (
     PROTOCOL_VERSION,
     Ask,
--- a/src/hemlocktrestle/daemon/_dispatch.py
+++ b/src/hemlocktrestle/daemon/_dispatch.py
@@ -10,7 +10,6 @@
 from opentelemetry.trace import Tracer
 
 from hemlocktrestle.adapters import Responder
-from hemlocktrestle.daemon._asker import Asker, HeldPermit
 from hemlocktrestle.daemon._continued import ContinuedStream
 from hemlocktrestle.daemon._crash_watch import CrashWatch
 from hemlocktrestle.daemon._relay import (
@@ -23,6 +22,7 @@
 from hemlocktrestle.entry import ZoneLoad, order_zones
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.membership import Membership
+from hemlocktrestle.peers._asker import Asker, HeldPermit
 from hemlocktrestle.ports import UpstreamAnswer, UpstreamCall, UpstreamClient
 from hemlocktrestle.wire import Release
 
--- a/src/hemlocktrestle/daemon/_entry.py
+++ b/src/hemlocktrestle/daemon/_entry.py
@@ -17,7 +17,6 @@
     RecordedAnswer,
     is_ticket,
 )
-from hemlocktrestle.daemon._asker import Asker
 from hemlocktrestle.daemon._claimed import KeyedWork
 from hemlocktrestle.daemon._crash_watch import CrashWatch
 from hemlocktrestle.daemon._dispatch import Dispatcher, Progress
@@ -41,6 +40,7 @@
     outcome_of,
 )
 from hemlocktrestle.membership import Membership
+from hemlocktrestle.peers._asker import Asker
 from hemlocktrestle.ports import UpstreamClient
 from hemlocktrestle.tree import TIERS, Identity, TreeState
 
--- a/src/hemlocktrestle/daemon/_status.py
+++ b/src/hemlocktrestle/daemon/_status.py
@@ -5,11 +5,11 @@
 
 from hemlocktrestle.adapters import Latencies
 from hemlocktrestle.daemon._entry import Entry
-from hemlocktrestle.daemon._keeper_task import KeeperTask
 from hemlocktrestle.daemon._list_follower import ListFollower
 from hemlocktrestle.daemon._tree_service import TreeService
 from hemlocktrestle.daemon._vm_settings import SecuritySection
 from hemlocktrestle.membership import Membership
+from hemlocktrestle.peers._keeper_task import KeeperTask
 
 
 class StatusSources(NamedTuple):
--- a/src/hemlocktrestle/edge/_attempt.py
+++ b/src/hemlocktrestle/edge/_attempt.py
@@ -1,23 +1,23 @@
 """One attempt to have a request answered by one replica."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from contextlib import aclosing
 from typing import NamedTuple
 
 import trio
 
+from hemlocktrestle.edge._job import Job
+from hemlocktrestle.edge._place import AttemptEnd, AttemptReport, Place
+from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.gateway import EventCutter, RequestKind
 from hemlocktrestle.relay import (
+    CallerConnection,
     ReplicaAnswer,
     ReplicaRequest,
     exchange,
     open_connection,
 )
-from hemlocktrestle.relay import CallerConnection
-from hemlocktrestle.edge._job import Job
-from hemlocktrestle.edge._place import AttemptEnd, AttemptReport, Place
-from hemlocktrestle.edge._state import EdgeState, now_ms
-from hemlocktrestle.errors import ErrorKind, RequestError
-from hemlocktrestle.gateway import EventCutter, RequestKind
 
 ANSWER_BYTES_MAX = 16 * 1024 * 1024
 """Largest whole answer that is held, in bytes."""
@@ -230,7 +230,7 @@
 
 async def _timed(
     answer: ReplicaAnswer, scope: trio.CancelScope, gap_s: float
-) -> AsyncIterator[bytes]:
+) -> AsyncGenerator[bytes, None]:
     """Yield an answer's pieces, and bound the pause before each next one."""
     async for piece in answer.pieces():
         scope.deadline = float("inf")
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -6,10 +6,12 @@
 import signal
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
+from functools import partial
 from pathlib import Path
 
 import trio
 
+from hemlocktrestle.edge._fleet import EdgeFleet
 from hemlocktrestle.edge._followers import (
     ConfigurationFollower,
     ReplicaFollower,
@@ -25,13 +27,27 @@
     serve_answers,
 )
 from hemlocktrestle.edge._local_scheduler import LocalScheduler
+from hemlocktrestle.edge._permit_scheduler import ANSWER_MS, PermitScheduler
 from hemlocktrestle.edge._place import Place
 from hemlocktrestle.edge._serve import EdgeServer, Served
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.gateway import Fleet
+from hemlocktrestle.peers import Asker, KeeperTask, PeerNetwork
 from hemlocktrestle.platform import PlatformSettings, PlatformStore, read_settings
 from hemlocktrestle.quarantine import QuarantineBook
+from hemlocktrestle.wire import (
+    PROTOCOL_VERSION,
+    Ask,
+    Heartbeat,
+    Hello,
+    Permit,
+    Queued,
+    Refusal,
+    Release,
+    Running,
+    Withdraw,
+)
 
 log = logging.getLogger(__name__)
 
@@ -41,6 +57,12 @@
 The balancer asks once a second and takes a VM out after two misses.
 """
 
+POLICY = "objective"
+"""Name of the policy by which keepers decide."""
+
+ROLE_CHECK_S = 0.25
+"""Time between checks whether pools have another keeper, in seconds."""
+
 FINISH_SHARE = 0.96
 """Share of the grace time after which what still runs is cut."""
 
@@ -63,14 +85,50 @@
         self._settings = settings
         self._path = path
         self._boot_id = secrets.token_hex(8)
-        self._vms: dict[str, VmEntry] = {}
         self._stop = trio.Event()
         self.state = EdgeState(settings, fleet=self._fleet)
         self._store = PlatformStore(settings.store_address)
         self._health = StoreHealth(self.state)
         self._quarantine = QuarantineBook()
-        self._scheduler = LocalScheduler(
-            self.state, jitter=random.Random(self._boot_id)
+        jitter = random.Random(self._boot_id)
+        entry = VmEntry(
+            settings.vm,
+            settings.zone,
+            settings.region,
+            f"{settings.ip}:{settings.peer_port}",
+            self._boot_id,
+        )
+        self._peers = EdgeFleet(self.state, entry)
+        membership = self._peers.membership
+        self._network = PeerNetwork(
+            hello=Hello(
+                PROTOCOL_VERSION,
+                settings.vm,
+                settings.zone,
+                settings.region,
+                self._boot_id,
+            ),
+            heartbeat=self._peers.heartbeat,
+            peer_names=lambda stream: None,
+        )
+        self._peers.network = self._network
+        self._keeper = KeeperTask(
+            membership,
+            reply=self._network.reply,
+            now_ms=now_ms,
+            policy=lambda: POLICY,
+            acknowledges=True,
+        )
+        self._peers.keeper = self._keeper
+        self._asker = Asker(
+            membership,
+            send=self._network.send,
+            now_ms=now_ms,
+            jitter=jitter,
+            answer_ms=ANSWER_MS,
+        )
+        self._scheduler = PermitScheduler(
+            self._asker, self._peers, LocalScheduler(self.state, jitter=jitter)
         )
         self._server = EdgeServer(
             self.state,
@@ -79,24 +137,16 @@
             on_served=self._served,
             on_crash=self._crashed,
         )
-        descriptors = (
-            settings.descriptors_max - RESERVED_DESCRIPTORS - DESCRIPTORS_KEPT
-        )
+        descriptors = settings.descriptors_max - RESERVED_DESCRIPTORS - DESCRIPTORS_KEPT
         self._callers = CallerListener(
             self.state,
             self._server.serve,
             connections_max=descriptors // DESCRIPTORS_PER_CALLER,
         )
-        entry = VmEntry(
-            settings.vm,
-            settings.zone,
-            settings.region,
-            f"{settings.ip}:{settings.peer_port}",
-            self._boot_id,
-        )
         self._registrar = VmRegistrar(
-            entry, self._store, self._health, on_vms=self._take_vms
+            entry, self._store, self._health, on_vms=self._peers.take_vms
         )
+        self._route()
 
     async def run(self) -> None:
         """Serve until a graceful shutdown is done."""
@@ -114,8 +164,16 @@
                 ConfigurationFollower(self.state, self._store, self._health).run
             )
             replicas = ReplicaFollower(
-                self.state, self._store, self._health, on_change=lambda: None
+                self.state, self._store, self._health, on_change=self._peers.sync
+            )
+            peers = listen(f"{settings.ip}:{settings.peer_port}")
+            nursery.start_soon(self._network.run)
+            nursery.start_soon(
+                partial(trio.serve_listeners, self._network.accept, [peers])
             )
+            nursery.start_soon(self._keeper.run)
+            nursery.start_soon(self._peers.probe)
+            nursery.start_soon(self._tell_keepers)
             nursery.start_soon(replicas.run)
             nursery.start_soon(replicas.settle)
             nursery.start_soon(self._registrar.run)
@@ -130,6 +188,9 @@
     async def _finish(self) -> None:
         """End gracefully: no new callers, then no open connections, then stop."""
         self.state.is_draining = True
+        self._peers.membership.is_draining = True
+        self._keeper.hand_over()
+        self._network.beat()
         grace_s = self._settings.bounds.grace_ms / 1000
         with trio.move_on_after(grace_s * FINISH_SHARE):
             await self._registrar.leave()
@@ -159,11 +220,25 @@
     def _ready(self) -> tuple[int, bytes, bytes]:
         return (200 if self.state.is_ready else 503), b"text/plain", b""
 
-    def _take_vms(self, entries: list[VmEntry]) -> None:
-        self._vms = {entry.vm: entry for entry in entries}
-
     def _fleet(self) -> Fleet:
-        return Fleet(max(1, len(self._vms)), 1, {})
+        return self._peers.fleet()
+
+    def _route(self) -> None:
+        """Lead messages and ends of links to those that they concern."""
+        network = self._network
+        for asked in (Ask, Release, Withdraw, Running):
+            network.route(asked, self._keeper.received)
+        for answered in (Permit, Refusal, Queued):
+            network.route(answered, self._asker.received)
+        network.route(Heartbeat, self._peers.heard)
+        network.on_dialled_closed(self._asker.link_closed)
+        network.on_dialled_closed(self._peers.membership.lost)
+        network.on_accepted_closed(self._keeper.holder_lost)
+
+    async def _tell_keepers(self) -> None:
+        while True:
+            await trio.sleep(ROLE_CHECK_S)
+            self._asker.tell_keepers()
 
     def _served(self, served: Served) -> None:
         job, progress = served.job, served.progress
--- /dev/null
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -0,0 +1,178 @@
+"""The other VMs: who they are, what they ask for, and links to the keepers."""
+
+import logging
+
+import trio
+
+from hemlocktrestle.edge._followers import VmEntry
+from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.errors import RequestError
+from hemlocktrestle.gateway import Demand, Fleet, FleetDemand
+from hemlocktrestle.membership import (
+    Listing,
+    Membership,
+    Probe,
+    UpstreamRecord,
+    VmRecord,
+    region_of,
+)
+from hemlocktrestle.peers import KeeperTask, PeerNetwork
+from hemlocktrestle.relay import open_connection
+from hemlocktrestle.wire import CustomerDemand, Heartbeat, Message, PoolSummary
+
+log = logging.getLogger(__name__)
+
+KEEPER_ROLE = "keeper"
+"""What the VMs of a region are ranked for."""
+
+CANDIDATE_COUNT = 2
+"""VMs of a region that may keep its pools: one, and one to take over at once."""
+
+PROBE_CHECK_S = 0.25
+"""Time between looks for replicas to probe, in seconds."""
+
+
+class EdgeFleet:
+    """Joins the registered VMs and replicas with what links tell.
+
+    Args:
+        state: what the process believes.
+        entry: this VM.
+    """
+
+    def __init__(self, state: EdgeState, entry: VmEntry) -> None:
+        self._state = state
+        self._entry = entry
+        self._vms: dict[str, VmEntry] = {entry.vm: entry}
+        self.membership = Membership(
+            _vm_record(entry), area_of=region_of, role_key=KEEPER_ROLE
+        )
+        self.demand = FleetDemand(entry.vm, entry.region)
+        self.network: PeerNetwork | None = None
+        self.keeper: KeeperTask | None = None
+
+    def take_vms(self, entries: list[VmEntry]) -> None:
+        """Take in which VMs are registered."""
+        known = self._vms
+        self._vms = {entry.vm: entry for entry in entries}
+        self._vms[self._entry.vm] = self._entry
+        if known.keys() != self._vms.keys():
+            log.info("vms_changed", extra={"vms": sorted(self._vms)})
+        self.sync()
+
+    def sync(self) -> None:
+        """Bring membership and links to what is registered."""
+        region_of_zone = self._state.settings.region_of_zone
+        services = (
+            self._state.configuration.services if self._state.configuration else {}
+        )
+        upstreams = tuple(
+            UpstreamRecord(
+                name=record.replica_id,
+                zone=record.zone,
+                region=region_of_zone.get(record.zone, record.zone),
+                address=record.address,
+                kind="engine" if _is_engine(services, record.service) else "plain",
+                pools=(record.service,),
+                generation="",
+                is_leaving=record.is_draining,
+                slots=record.slots,
+            )
+            for record in self._state.replicas.replicas()
+        )
+        vms = tuple(_vm_record(entry) for entry in self._vms.values())
+        self.membership.listed(Listing(vms, upstreams))
+        if self.network is not None:
+            self.network.sync_peers(self._dialled())
+
+    def fleet(self) -> Fleet:
+        """Return what is known of the other VMs' demand."""
+        membership = self.membership
+        now = now_ms()
+        keeper = membership.keeper_of("", membership.area, now)
+        return self.demand.fleet(
+            self._state.quotas.demands(now),
+            is_keeper=keeper == self._entry.vm,
+            vm_count=len(self._vms),
+            now_ms=now,
+        )
+
+    def heartbeat(self) -> Heartbeat:
+        """Return what other VMs need to know of this one."""
+        now = now_ms()
+        pools: tuple[PoolSummary, ...] = ()
+        if self.keeper is not None:
+            pools = self.keeper.summaries()
+        self.membership.note_pools(self._entry.vm, pools)
+        own = self._state.quotas.demands(now)
+        vm_count, total = self.demand.area_total(own, now)
+        is_keeper = self.membership.keeper_of("", self.membership.area, now)
+        return Heartbeat(
+            0,
+            "",
+            0,
+            self._state.is_draining,
+            pools,
+            self.membership.refusals(),
+            tuple(CustomerDemand(*demand) for demand in own),
+            tuple(CustomerDemand(*demand) for demand in total),
+            vm_count if is_keeper == self._entry.vm else 0,
+        )
+
+    def heard(self, vm: str, message: Message) -> None:
+        """Take in another VM's heartbeat."""
+        if not isinstance(message, Heartbeat):
+            return
+        now = now_ms()
+        self.membership.heard(
+            vm,
+            now,
+            is_draining=message.draining,
+            refusals=message.refusals,
+            pools=message.pools,
+        )
+        entry = self._vms.get(vm)
+        if entry is None:
+            return
+        if entry.region == self._entry.region:
+            own = (Demand(*demand) for demand in message.demands)
+            self.demand.heard_vm(vm, own, now)
+        if message.area_vm_count:
+            total = (Demand(*demand) for demand in message.area_demands)
+            self.demand.heard_area(entry.region, message.area_vm_count, total, now)
+
+    async def probe(self) -> None:
+        """Try replicas that could not be reached, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                for record in self.membership.probes_due(now_ms()):
+                    nursery.start_soon(self._probe, record)
+                await trio.sleep(PROBE_CHECK_S)
+
+    async def _probe(self, record: UpstreamRecord) -> None:
+        told = Probe.WELL
+        try:
+            stream = await open_connection(record.address)
+            await trio.aclose_forcefully(stream)
+        except RequestError:
+            told = Probe.REFUSING
+        self.membership.probed(record, told, now_ms())
+        log.info("replica_probed", extra={"replica": record.name, "told": told.value})
+
+    def _dialled(self) -> tuple[VmRecord, ...]:
+        """Return the VMs to keep links to: those that may keep a region's pools."""
+        found: dict[str, VmRecord] = {}
+        for area in self.membership.areas():
+            for record in self.membership.candidates(area, CANDIDATE_COUNT):
+                found[record.name] = record
+        found.pop(self._entry.vm, None)
+        return tuple(found.values())
+
+
+def _vm_record(entry: VmEntry) -> VmRecord:
+    return VmRecord(entry.vm, entry.zone, entry.region, entry.address, False)
+
+
+def _is_engine(services: object, service: str) -> bool:
+    found = services.get(service) if isinstance(services, dict) else None
+    return found is not None and found.engine is not None
--- a/src/hemlocktrestle/edge/_followers.py
+++ b/src/hemlocktrestle/edge/_followers.py
@@ -315,5 +315,3 @@
                     "vm_entry_refused", extra={"key": item.key, "reason": str(error)}
                 )
         self._on_vms(entries)
-
-
--- a/src/hemlocktrestle/edge/_job.py
+++ b/src/hemlocktrestle/edge/_job.py
@@ -2,8 +2,8 @@
 
 from typing import NamedTuple
 
-from hemlocktrestle.relay import CallerRequest
 from hemlocktrestle.gateway import Customer, RequestFacts, Route, Service
+from hemlocktrestle.relay import CallerRequest
 
 
 class Job(NamedTuple):
--- a/src/hemlocktrestle/edge/_listeners.py
+++ b/src/hemlocktrestle/edge/_listeners.py
@@ -2,14 +2,15 @@
 
 import errno
 import logging
+import socket
 from collections.abc import Awaitable, Callable
 from functools import partial
 
 import h11
 import trio
 
-from hemlocktrestle.relay import CallerConnection, CallerRequest
 from hemlocktrestle.edge._state import EdgeState
+from hemlocktrestle.relay import CallerConnection, CallerRequest
 
 log = logging.getLogger(__name__)
 
@@ -29,12 +30,12 @@
 def listen(address: str) -> trio.SocketListener:
     """Return a listener on an address and port."""
     host, _, port = address.rpartition(":")
-    sock = trio.socket.socket()
-    sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
-    # Binding with a number never looks a name up.
-    sock._sock.bind((host, int(port)))
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, int(port)))
     sock.listen(BACKLOG)
-    return trio.SocketListener(sock)
+    sock.setblocking(False)
+    return trio.SocketListener(trio.socket.from_stdlib_socket(sock))
 
 
 class CallerListener:
--- /dev/null
+++ b/src/hemlocktrestle/edge/_permit_scheduler.py
@@ -0,0 +1,192 @@
+"""Places by permit: the keeper of a region decides whose turn it is, and where."""
+
+import logging
+
+from hemlocktrestle.edge._fleet import EdgeFleet
+from hemlocktrestle.edge._job import Job
+from hemlocktrestle.edge._local_scheduler import LocalScheduler
+from hemlocktrestle.edge._place import AttemptEnd, AttemptReport, Place
+from hemlocktrestle.edge._state import now_ms
+from hemlocktrestle.entry import ZoneLoad, order_zones
+from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.peers import Asker, HeldPermit
+from hemlocktrestle.wire import Ask, Release
+
+log = logging.getLogger(__name__)
+
+HOLD_OBJECTIVES = 1.5
+"""Objectives for which a request may wait for its turn.
+
+Callers give a stream up after some objectives without an event, and a request that
+is held for long and then refused serves nobody.
+"""
+
+COMES_BACK_SHARE = 0.3
+"""Share of its remaining time after which a refused caller is asked to come again.
+
+Callers follow a pause of up to a third of what they have left.
+"""
+
+PLAIN_TOKENS = 1
+"""Tokens that stand for a plain service's answer in the keeper's estimates."""
+
+FAILURES = {
+    AttemptEnd.RELAYED: "",
+    AttemptEnd.NOT_RUN: ErrorKind.UPSTREAM_BROKEN.value,
+    AttemptEnd.UNREACHABLE: ErrorKind.UPSTREAM_REFUSED.value,
+    AttemptEnd.REFUSED_AS_FAILED: ErrorKind.UPSTREAM_BROKEN.value,
+    AttemptEnd.BROKEN: ErrorKind.UPSTREAM_BROKEN.value,
+    AttemptEnd.SILENT: ErrorKind.UPSTREAM_SILENT.value,
+    AttemptEnd.ABANDONED: ErrorKind.CALLER_GONE.value,
+}
+"""What the keeper is told of an attempt, by its end."""
+
+_ALONE = frozenset({ErrorKind.KEEPER_GONE, ErrorKind.NO_UPSTREAM})
+"""Refusals after which this VM chooses alone, from what it sees itself."""
+
+
+class PermitScheduler:
+    """Asks keepers for permits; chooses alone while none answers.
+
+    Args:
+        asker: asks keepers.
+        fleet: who keeps what.
+        alone: chooses from what this VM sees alone.
+        deadlines: longest time that callers of a route were seen to wait.
+    """
+
+    def __init__(self, asker: Asker, fleet: EdgeFleet, alone: LocalScheduler) -> None:
+        self._asker = asker
+        self._fleet = fleet
+        self._alone = alone
+        self._held: dict[str, HeldPermit] = {}
+        self._longest_ms: dict[str, float] = {}
+        self._count = 0
+
+    async def obtain(self, job: Job, *, excluded: frozenset[str]) -> Place:
+        """Return a place for a request as soon as it is its turn."""
+        started_ms = now_ms()
+        ask = self._ask(job, excluded)
+        try:
+            held = await self._asker.obtain(
+                ask,
+                zones=self._areas(job, excluded),
+                deadline_at_ms=min(job.deadline_at_ms, started_ms + ask.deadline_ms),
+            )
+        except RequestError as error:
+            if error.kind in _ALONE:
+                place = self._alone.choose(job, excluded=excluded)
+                log.info(
+                    "chosen_alone",
+                    extra={
+                        "request": job.facts.request_id,
+                        "replica": place.replica_id,
+                        "reason": error.kind.value,
+                    },
+                )
+                return place
+            left_ms = job.deadline_at_ms - now_ms()
+            error.retry_after_ms = max(0.0, left_ms) * COMES_BACK_SHARE
+            raise
+        permit = held.permit
+        self._held[permit.ask_id] = held
+        return Place(
+            permit.ask_id,
+            permit.upstream,
+            permit.address,
+            held.keeper_vm,
+            now_ms() - started_ms,
+        )
+
+    def release(self, job: Job, place: Place, report: AttemptReport) -> None:
+        """Give a place back, with what was seen."""
+        held = self._held.pop(place.permit_id, None)
+        if held is None:
+            self._alone.release(job, place, report)
+            return
+        engine = job.service.engine
+        tokens = PLAIN_TOKENS
+        if engine is not None:
+            tokens = max(1, report.event_count * engine.tokens_per_event)
+        release = Release(
+            place.permit_id,
+            job.service.name,
+            place.replica_id,
+            report.end is not AttemptEnd.UNREACHABLE,
+            FAILURES[report.end],
+            int(report.first_ms),
+            int(report.total_ms),
+            job.facts.prompt_tokens,
+            tokens,
+        )
+        self._asker.release(held, release)
+
+    def _ask(self, job: Job, excluded: frozenset[str]) -> Ask:
+        self._count += 1
+        facts, route = job.facts, job.route
+        is_engine = job.service.engine is not None
+        aim_ms = self._aim_ms(job)
+        left_ms = job.deadline_at_ms - now_ms()
+        return Ask(
+            ask_id=f"{self._fleet.membership.vm.name}/{self._count}",
+            pool=job.service.name,
+            customer=job.customer_name,
+            tier=job.rank,
+            weight=1.0,
+            prompt_tokens=facts.prompt_tokens,
+            output_tokens=facts.expected_output_tokens if is_engine else PLAIN_TOKENS,
+            prefix_digest=0,
+            deadline_ms=int(min(left_ms, route.objective_ms * HOLD_OBJECTIVES)),
+            excluded=tuple(sorted(excluded)),
+            aim_ms=int(max(0.0, aim_ms)),
+            route=route.name,
+        )
+
+    def _aim_ms(self, job: Job) -> float:
+        """Return the time left until the answer is late for its caller.
+
+        Callers count from their first try; one that comes again has less time left
+        than those of its route have at first.
+        """
+        stated_ms = job.facts.deadline_ms or 0.0
+        longest_ms = max(self._longest_ms.get(job.route.name, 0.0), stated_ms)
+        self._longest_ms[job.route.name] = longest_ms
+        spent_ms = longest_ms - stated_ms + now_ms() - job.request.arrived_ms
+        return job.route.objective_ms - spent_ms
+
+    def _areas(self, job: Job, excluded: frozenset[str]) -> tuple[str, ...]:
+        """Return the regions whose keepers may be asked, the shortest wait first.
+
+        A region beyond the own one is asked if it has places free, or if the own
+        one has no replica to offer.
+        """
+        membership = self._fleet.membership
+        now = now_ms()
+        pool = job.service.name
+        loads: dict[str, ZoneLoad] = {}
+        for record in membership.all_upstreams():
+            if pool not in record.pools or record.is_leaving:
+                continue
+            if record.name in excluded or record.region in loads:
+                continue
+            summary = membership.pool_summary(pool, record.region, now)
+            is_own = record.region == membership.area
+            if is_own or (summary is not None and summary.free_slots > 0):
+                loads[record.region] = ZoneLoad(
+                    record.region, is_own, not is_own, summary
+                )
+        if not loads:
+            regions = {
+                record.region
+                for record in membership.all_upstreams()
+                if pool in record.pools and record.name not in excluded
+            }
+            return tuple(sorted(regions))
+        return order_zones(loads.values(), tier=job.rank)
+
+
+ANSWER_MS = 200.0
+"""How long a keeper may take to say that it holds an ask, in milliseconds.
+
+Two ways between regions take 40 ms; the rest covers a busy keeper.
+"""
--- a/src/hemlocktrestle/edge/_place.py
+++ b/src/hemlocktrestle/edge/_place.py
@@ -43,13 +43,13 @@
         end: how it ended.
         first_ms: time to the first event or the whole answer, 0 if none came.
         total_ms: time to its end.
-        output_tokens: tokens that came, estimated.
+        event_count: events of a stream that came.
     """
 
     end: AttemptEnd
     first_ms: float
     total_ms: float
-    output_tokens: int
+    event_count: int
 
 
 class Scheduler(Protocol):
--- a/src/hemlocktrestle/edge/_serve.py
+++ b/src/hemlocktrestle/edge/_serve.py
@@ -7,7 +7,6 @@
 import trio
 import xxhash
 
-from hemlocktrestle.relay import CallerConnection, CallerRequest
 from hemlocktrestle.edge._answer import error_answer
 from hemlocktrestle.edge._attempt import Attempt, Progress, Sealed
 from hemlocktrestle.edge._job import Job
@@ -16,6 +15,7 @@
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import choose_service
 from hemlocktrestle.quarantine import QuarantineBook
+from hemlocktrestle.relay import CallerConnection, CallerRequest
 
 log = logging.getLogger(__name__)
 
@@ -68,9 +68,7 @@
         self._on_crash = on_crash
         self.running_count = 0
 
-    async def serve(
-        self, request: CallerRequest, connection: CallerConnection
-    ) -> None:
+    async def serve(self, request: CallerRequest, connection: CallerConnection) -> None:
         """Answer one request; cancelled if the caller goes away."""
         progress = Progress()
         job: Job | None = None
@@ -209,8 +207,6 @@
             self._quarantine.clear(job.fingerprint)
 
 
-
-
 def _quota_amount(job: Job) -> float:
     customer = job.customer
     assert customer is not None
--- a/src/hemlocktrestle/gateway/__init__.py
+++ b/src/hemlocktrestle/gateway/__init__.py
@@ -12,6 +12,7 @@
     choose_service,
 )
 from hemlocktrestle.gateway._events import EventCutter, StreamEvent
+from hemlocktrestle.gateway._fleet_demand import FleetDemand
 from hemlocktrestle.gateway._quota import Demand, Fleet, QuotaBook, share_per_s
 from hemlocktrestle.gateway._replicas import RETURN_MS, ReplicaBook, ReplicaRecord
 from hemlocktrestle.gateway._request import (
@@ -32,6 +33,7 @@
     "EngineLimits",
     "EventCutter",
     "Fleet",
+    "FleetDemand",
     "Headers",
     "PromptPart",
     "QuotaBook",
--- a/src/hemlocktrestle/gateway/_configuration.py
+++ b/src/hemlocktrestle/gateway/_configuration.py
@@ -60,10 +60,11 @@
 
 
 class EngineLimits(NamedTuple):
-    """What a service's engines hold at most."""
+    """What a service's engines hold at most, and what one event of them holds."""
 
     slots: int
     cache_tokens: int
+    tokens_per_event: int
 
 
 class Service(NamedTuple):
--- /dev/null
+++ b/src/hemlocktrestle/gateway/_fleet_demand.py
@@ -0,0 +1,103 @@
+"""What the VMs of the fleet ask for, as far as this VM has heard."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from hemlocktrestle.gateway._quota import Demand, Fleet
+
+HEARD_MS = 2_000.0
+"""Time after which what a VM said of its demand no longer counts, in milliseconds.
+
+Four heartbeats; a VM that is silent for longer keeps its part by head instead.
+"""
+
+
+class _Heard(NamedTuple):
+    area: str
+    vm_count: int
+    demands: dict[str, float]
+    heard_ms: float
+
+
+class FleetDemand:
+    """Sums up demand by area: VMs tell their keeper, keepers tell everybody.
+
+    Args:
+        vm: this VM.
+        area: the area whose keeper this VM talks to.
+    """
+
+    def __init__(self, vm: str, area: str) -> None:
+        self._vm = vm
+        self._area = area
+        self._vms: dict[str, _Heard] = {}
+        self._areas: dict[str, _Heard] = {}
+
+    def heard_vm(self, vm: str, demands: Iterable[Demand], now_ms: float) -> None:
+        """Take in what one VM of the own area asks for."""
+        self._vms[vm] = _Heard(self._area, 1, _by_customer(demands), now_ms)
+
+    def heard_area(
+        self, area: str, vm_count: int, demands: Iterable[Demand], now_ms: float
+    ) -> None:
+        """Take in what a keeper says of all VMs of its area."""
+        known = self._areas.get(area)
+        is_fresh = known is not None and now_ms - known.heard_ms < HEARD_MS / 2
+        # Two VMs may take themselves for the keeper; the one that hears more is.
+        if is_fresh and known is not None and known.vm_count > vm_count:
+            return
+        self._areas[area] = _Heard(area, vm_count, _by_customer(demands), now_ms)
+
+    def area_total(
+        self, own: Iterable[Demand], now_ms: float
+    ) -> tuple[int, tuple[Demand, ...]]:
+        """Return how many VMs of the own area were heard, and what they ask for."""
+        heard = [item for item in self._vms.values() if _is_fresh(item, now_ms)]
+        total = _by_customer(own)
+        for item in heard:
+            _add(total, item.demands)
+        return 1 + len(heard), tuple(Demand(*pair) for pair in total.items())
+
+    def fleet(
+        self, own: Iterable[Demand], *, is_keeper: bool, vm_count: int, now_ms: float
+    ) -> Fleet:
+        """Return what is known of the other VMs.
+
+        Args:
+            own: this VM's own demand.
+            is_keeper: whether this VM sums up its area itself.
+            vm_count: VMs that are registered.
+            now_ms: time of the process in milliseconds.
+        """
+        own_demands = _by_customer(own)
+        others: dict[str, float] = {}
+        heard_count = 1
+        keeper = self._areas.get(self._area)
+        if is_keeper or keeper is None or not _is_fresh(keeper, now_ms):
+            for item in self._vms.values():
+                if _is_fresh(item, now_ms):
+                    heard_count += 1
+                    _add(others, item.demands)
+        else:
+            heard_count = max(1, keeper.vm_count)
+            _add(others, keeper.demands)
+            for customer, per_s in own_demands.items():
+                others[customer] = max(0.0, others.get(customer, 0.0) - per_s)
+        for area, item in self._areas.items():
+            if area != self._area and _is_fresh(item, now_ms):
+                heard_count += item.vm_count
+                _add(others, item.demands)
+        return Fleet(max(vm_count, heard_count), heard_count, others)
+
+
+def _is_fresh(item: _Heard, now_ms: float) -> bool:
+    return now_ms - item.heard_ms <= HEARD_MS
+
+
+def _by_customer(demands: Iterable[Demand]) -> dict[str, float]:
+    return {demand.customer: demand.per_s for demand in demands}
+
+
+def _add(total: dict[str, float], demands: dict[str, float]) -> None:
+    for customer, per_s in demands.items():
+        total[customer] = total.get(customer, 0.0) + per_s
--- a/src/hemlocktrestle/gateway/_quota.py
+++ b/src/hemlocktrestle/gateway/_quota.py
@@ -30,7 +30,9 @@
     demands: dict[str, float]
 
 
-def share_per_s(rate_per_s: float, own_per_s: float, others_per_s: float, fleet: Fleet):
+def share_per_s(
+    rate_per_s: float, own_per_s: float, others_per_s: float, fleet: Fleet
+) -> float:
     """Return the share of a quota that one VM may spend, a second.
 
     The VMs that hear each other divide the part of the quota that falls to them by
--- a/src/hemlocktrestle/gateway/_replicas.py
+++ b/src/hemlocktrestle/gateway/_replicas.py
@@ -107,9 +107,7 @@
 
     def _gone(self, key: str, now_ms: float) -> None:
         if self._is_store_lost or now_ms < self._trusted_from_ms:
-            self._doubted_until_ms.setdefault(
-                key, max(now_ms, self._trusted_from_ms)
-            )
+            self._doubted_until_ms.setdefault(key, max(now_ms, self._trusted_from_ms))
         else:
             self._forget(key)
 
--- a/src/hemlocktrestle/keeper/__init__.py
+++ b/src/hemlocktrestle/keeper/__init__.py
@@ -1,6 +1,7 @@
 """The keeper: one queue and one set of permits in front of each pool of a zone."""
 
 from hemlocktrestle.keeper import _fair_queue as _fair_queue
+from hemlocktrestle.keeper import _objective_queue as _objective_queue
 from hemlocktrestle.keeper._chooser import CHOOSERS, Chooser, chooser
 from hemlocktrestle.keeper._core import PERMIT_VALID_MS, Outgoing, PoolKeeper
 from hemlocktrestle.keeper._early_refusal import (
--- a/src/hemlocktrestle/keeper/_core.py
+++ b/src/hemlocktrestle/keeper/_core.py
@@ -1,5 +1,6 @@
 """The keeper of pools: it queues asks and hands out permits.  No I/O, no clock."""
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -13,6 +14,7 @@
 from hemlocktrestle.keeper._upstream_set import UpstreamSet
 from hemlocktrestle.membership import UpstreamRecord
 from hemlocktrestle.wire import (
+    NO_AIM,
     Ask,
     Message,
     Permit,
@@ -68,6 +70,7 @@
         self._looked_ms = float("-inf")
         self._granted_ms = 0.0
         self._gap_ms = 0.0
+        self._routes: dict[str, str] = {}
 
     def set_upstreams(
         self, records: Iterable[UpstreamRecord], now_ms: float
@@ -92,10 +95,13 @@
         if not self._upstreams.serves(ask.excluded):
             refusal = Refusal(ask.ask_id, ErrorKind.NO_UPSTREAM.value)
             return [Outgoing(vm, refusal)]
-        waiting = Waiting(ask, vm, now_ms, now_ms + ask.deadline_ms)
+        aim_at_ms = math.inf if ask.aim_ms == NO_AIM else now_ms + ask.aim_ms
+        waiting = Waiting(ask, vm, now_ms, now_ms + ask.deadline_ms, aim_at_ms)
         self._queue.push(waiting)
         self._deadlines.push((waiting.deadline_ms, ask.ask_id))
         outgoing = self._grant(now_ms)
+        if self.policy.refuses_late_arrivals:
+            outgoing += self._refuse_if_late(ask.ask_id)
         while len(self._queue) > self.policy.queued_count_max:
             outgoing += self._shed_last()
         return outgoing
@@ -103,12 +109,16 @@
     def withdraw(self, withdraw: Withdraw, now_ms: float) -> list[Outgoing]:
         """Forget an ask that its holder gave up, and its permit."""
         self._queue.remove(withdraw.ask_id)
+        self._routes.pop(withdraw.ask_id, None)
         self._upstreams.drop(withdraw.ask_id)
         return self._grant(now_ms)
 
     def release(self, release: Release, now_ms: float) -> list[Outgoing]:
         """Take a permit back and learn from what its holder saw."""
         self._upstreams.give_back(release, now_ms)
+        route = self._routes.pop(release.ask_id, None)
+        if route is not None and release.sent and not release.failure:
+            self._queue.learn(route, release.first_token_ms, release.total_ms)
         return self._grant(now_ms)
 
     def running(self, vm: str, running: Running, now_ms: float) -> None:
@@ -162,6 +172,10 @@
         """Return the asks that wait, in no order."""
         return self._queue.waiting()
 
+    def holds(self, ask_id: str) -> bool:
+        """Tell whether an ask waits."""
+        return self._queue.get(ask_id) is not None
+
     def models(self) -> list[UpstreamModel]:
         """Return the models of the upstreams that take work."""
         return list(self._upstreams)
@@ -169,6 +183,7 @@
     def _grant(self, now_ms: float) -> list[Outgoing]:
         outgoing = []
         self._upstreams.advance(now_ms)
+        self._queue.advance(now_ms)
         while (waiting := self._queue.peek(self._upstreams.is_open)) is not None:
             ask = waiting.ask
             model = self._choose(ask, self._upstreams.candidates(ask), now_ms)
@@ -183,9 +198,23 @@
             self._queue.take(ask.ask_id)
             self._note_gap(waiting, now_ms)
             self._upstreams.take(model, ask, waiting.vm, now_ms)
+            self._routes[ask.ask_id] = ask.route
             outgoing.append(Outgoing(waiting.vm, self._permit(waiting, model, now_ms)))
         return outgoing
 
+    def _refuse_if_late(self, ask_id: str) -> list[Outgoing]:
+        """Refuse an ask that has just come and would miss its aim by waiting."""
+        waiting = self._queue.get(ask_id)
+        slots = sum(model.slots for model in self._upstreams)
+        if waiting is None or not slots:
+            return []
+        wait_ms = self._queue.ahead_ms(waiting) / slots
+        if self._queue.is_late_after(waiting, 0.0):
+            return []
+        if not self._queue.is_late_after(waiting, wait_ms):
+            return []
+        return [self._refuse(waiting, ErrorKind.DEADLINE_UNMEETABLE)]
+
     def _permit(self, waiting: Waiting, model: UpstreamModel, now_ms: float) -> Permit:
         return Permit(
             waiting.ask.ask_id,
--- a/src/hemlocktrestle/keeper/_policy.py
+++ b/src/hemlocktrestle/keeper/_policy.py
@@ -19,6 +19,7 @@
     queued_count_max: int = QUEUED_COUNT_MAX
     uses_prefixes: bool = True
     detects_stragglers: bool = True
+    refuses_late_arrivals: bool = False
 
 
 POLICIES: dict[str, Callable[[], PoolPolicy]] = {}
@@ -54,6 +55,15 @@
     return PoolPolicy(tier_shares=(1.0, 0.85, 0.7))
 
 
+@policy("objective")
+def objective_policy() -> PoolPolicy:
+    """Serve what can still be in time, and refuse at once what cannot.
+
+    For engines that state their places and whose callers state when they are late.
+    """
+    return PoolPolicy(queue="objective", prefill_share=1.0, refuses_late_arrivals=True)
+
+
 def policy_named(name: str) -> PoolPolicy:
     """Return a policy by name; the default one if the name is not known."""
     return POLICIES.get(name, POLICIES[POLICY_DEFAULT])()
--- a/src/hemlocktrestle/keeper/_queue.py
+++ b/src/hemlocktrestle/keeper/_queue.py
@@ -1,5 +1,6 @@
 """Queues of asks in front of one pool, chosen from a registry by name."""
 
+import math
 from collections.abc import Callable
 from typing import NamedTuple, Protocol, TypeVar
 
@@ -22,12 +23,16 @@
 
 
 class Waiting(NamedTuple):
-    """An ask that waits: who holds the request, and since when, by when."""
+    """An ask that waits: who holds the request, and since when, by when.
+
+    ``aim_at_ms`` is when the first part of the answer is late.
+    """
 
     ask: Ask
     vm: str
     arrived_ms: float
     deadline_ms: float
+    aim_at_ms: float = math.inf
 
 
 class AskQueue(Protocol):
@@ -65,6 +70,22 @@
         """Return all that wait, in no order."""
         ...
 
+    def advance(self, now_ms: float) -> None:
+        """Take in the time."""
+        ...
+
+    def learn(self, route: str, first_ms: float, total_ms: float) -> None:
+        """Take in what a request of a route took: to its first part, and in all."""
+        ...
+
+    def ahead_ms(self, waiting: Waiting) -> float:
+        """Return the replica time that goes to asks before this one."""
+        ...
+
+    def is_late_after(self, waiting: Waiting, wait_ms: float) -> bool:
+        """Tell whether an ask would miss its aim after a wait from now."""
+        ...
+
 
 _QueueType = TypeVar("_QueueType", bound=type)
 
@@ -114,6 +135,20 @@
         """Return all that wait, in no order."""
         return [entry.waiting for entry in self._present.values()]
 
+    def advance(self, now_ms: float) -> None:
+        """Take in the time, on which the order does not depend."""
+
+    def learn(self, route: str, first_ms: float, total_ms: float) -> None:
+        """Take in what a request took, on which the order does not depend."""
+
+    def ahead_ms(self, waiting: Waiting) -> float:
+        """Return 0: nothing is known of how long asks take."""
+        return 0.0
+
+    def is_late_after(self, waiting: Waiting, wait_ms: float) -> bool:
+        """Return ``False``: aims do not count."""
+        return False
+
     def _number(self, waiting: Waiting) -> int:
         self._count += 1
         self._present[waiting.ask.ask_id] = Numbered(self._count, waiting)
--- a/src/hemlocktrestle/keeper/_upstream.py
+++ b/src/hemlocktrestle/keeper/_upstream.py
@@ -33,6 +33,20 @@
 PROBE_TIER = 2
 """Rank of the tier whose requests probe a straggler."""
 
+FAILURE_SMOOTHING = 0.1
+"""Share of a new end in the share of requests that fail."""
+
+FAILURE_WEIGHT = 20.0
+"""How much longer an upstream seems to take if all its requests fail."""
+
+_FAILURES = frozenset(
+    {
+        ErrorKind.UPSTREAM_BROKEN.value,
+        ErrorKind.UPSTREAM_SILENT.value,
+        ErrorKind.UPSTREAM_REFUSED.value,
+    }
+)
+
 NOMINAL_PROMPT_TOKENS = 500
 NOMINAL_OUTPUT_TOKENS = 100
 
@@ -87,6 +101,7 @@
         self.is_straggler = False
         self.change_count = 0
         self.learned_count = 0
+        self.failure_share = 0.0
         self._bound = SLOT_BOUNDS[slot_bound]()
         self._tier_shares = tier_shares
         self._prefill_share = prefill_share
@@ -94,10 +109,15 @@
         self.paced_until_ms = 0.0
         self._prefill_until_ms = 0.0
 
+    @property
+    def slots(self) -> int:
+        """How many requests it may have in hand: as listed, else as learned."""
+        return self.record.slots or self._bound.slots
+
     @property
     def free_slots(self) -> int:
         """How many more requests of the highest tier it may be given."""
-        return max(0, self._bound.slots - len(self.in_hand))
+        return max(0, self.slots - len(self.in_hand))
 
     def has_room(self, tier: int) -> bool:
         """Tell whether it may be given a request of a tier.
@@ -107,7 +127,7 @@
         if self.is_straggler:
             return tier >= PROBE_TIER and not self.in_hand
         share = self._tier_shares[min(tier, len(self._tier_shares) - 1)]
-        return len(self.in_hand) < max(1, int(self._bound.slots * share))
+        return len(self.in_hand) < max(1, int(self.slots * share))
 
     def take(self, ask: Ask, vm: str, now_ms: float) -> int | None:
         """Count an ask as in hand.
@@ -157,6 +177,9 @@
         item = self.in_hand.get(release.ask_id)
         if item is None:
             return False
+        if release.sent:
+            is_failure = release.failure in _FAILURES
+            self.failure_share += FAILURE_SMOOTHING * (is_failure - self.failure_share)
         if release.failure == ErrorKind.DEADLINE_RUNNING.value:
             self._learn_late(item, release, now_ms)
         elif release.sent and not release.failure and release.first_token_ms:
@@ -168,6 +191,7 @@
         first_ms = self._first_ms(self._prefill_tokens(ask, now_ms), now_ms)
         decode_ms = ask.output_tokens * self._decode_ms(ask)
         total_ms = (first_ms + decode_ms) * self.slowdown.factor(now_ms)
+        total_ms *= 1 + FAILURE_WEIGHT * self.failure_share
         is_untried = self.learned_count < LEARNED_COUNT and not self.in_hand
         return total_ms * UNTRIED_FACTOR if is_untried else total_ms
 
--- a/src/hemlocktrestle/membership/__init__.py
+++ b/src/hemlocktrestle/membership/__init__.py
@@ -13,6 +13,7 @@
     PEER_SILENCE_MS,
     Membership,
     highest_ranked,
+    region_of,
 )
 
 __all__ = [
@@ -28,4 +29,5 @@
     "UpstreamRecord",
     "VmRecord",
     "highest_ranked",
+    "region_of",
 ]
--- a/src/hemlocktrestle/membership/_records.py
+++ b/src/hemlocktrestle/membership/_records.py
@@ -19,7 +19,8 @@
     """One upstream, as the platform lists it.
 
     ``pools`` names the models or the plain service that it serves;
-    ``generation`` names its hardware generation.
+    ``generation`` names its hardware generation; ``slots`` is how many requests it
+    works on at once, 0 if the platform does not say.
     """
 
     name: str
@@ -30,6 +31,7 @@
     pools: tuple[str, ...]
     generation: str
     is_leaving: bool
+    slots: int = 0
 
 
 class Listing(NamedTuple):
--- a/src/hemlocktrestle/membership/_table.py
+++ b/src/hemlocktrestle/membership/_table.py
@@ -1,6 +1,6 @@
 """Who is live in the zone, which upstreams take work, and who keeps which pool."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import xxhash
 
@@ -24,15 +24,36 @@
 """What the relays are ranked for."""
 
 
+def zone_of(record: VmRecord | UpstreamRecord) -> str:
+    """Return the zone of a record: pools are kept by zone unless told otherwise."""
+    return record.zone
+
+
+def region_of(record: VmRecord | UpstreamRecord) -> str:
+    """Return the region of a record, for pools that are kept by region."""
+    return record.region
+
+
 class Membership:
     """Joins the platform's lagging list with what the VM sees itself.
 
     Args:
         vm: the VM's own record.
+        area_of: returns the area of a record; each area keeps its own pools.
+        role_key: if set, one VM of an area keeps all pools, ranked by this key.
     """
 
-    def __init__(self, vm: VmRecord) -> None:
+    def __init__(
+        self,
+        vm: VmRecord,
+        *,
+        area_of: Callable[[VmRecord | UpstreamRecord], str] = zone_of,
+        role_key: str = "",
+    ) -> None:
         self.vm = vm
+        self.area = area_of(vm)
+        self._area_of = area_of
+        self._role_key = role_key
         self.is_draining = False
         self._vms: dict[str, VmRecord] = {vm.name: vm}
         self._upstreams: dict[str, UpstreamRecord] = {}
@@ -108,8 +129,8 @@
         return [
             record
             for record in due
-            if record.zone == self.vm.zone
-            and self.keeper_of(record.name, record.zone, now_ms) == self.vm.name
+            if self._area_of(record) == self.area
+            and self.keeper_of(record.name, self.area, now_ms) == self.vm.name
         ]
 
     def probed(self, record: UpstreamRecord, told: Probe, now_ms: float) -> None:
@@ -131,7 +152,7 @@
         return sorted(
             record.name
             for record in self._vms.values()
-            if record.zone == zone and self._can_take_role(record, now_ms)
+            if self._area_of(record) == zone and self._can_take_role(record, now_ms)
         )
 
     def keeper_of(self, pool: str, zone: str, now_ms: float) -> str | None:
@@ -141,7 +162,20 @@
         they have accepted is still to be served.
         """
         names = self.live_vms(zone, now_ms) or self._leaving_vms(zone, now_ms)
-        return highest_ranked(pool, names)
+        return highest_ranked(self._role_key or pool, names)
+
+    def candidates(self, area: str, count: int) -> list[VmRecord]:
+        """Return the listed VMs of an area that rank first for its pools."""
+        records = {
+            record.name: record
+            for record in self._vms.values()
+            if self._area_of(record) == area and not record.is_leaving
+        }
+        return [records[name] for name in ranked(self._role_key, records)[:count]]
+
+    def areas(self) -> set[str]:
+        """Return every area that has a VM."""
+        return {self._area_of(record) for record in self._vms.values()}
 
     def relays(self, zone: str, now_ms: float) -> list[str]:
         """Return the VMs of a zone that watch the store for the others."""
@@ -153,7 +187,7 @@
         return sorted(
             record.name
             for record in self._vms.values()
-            if record.zone == self.vm.zone
+            if self._area_of(record) == self.area
             and record.name != self.vm.name
             and not record.is_leaving
             and record.name not in self._ever_heard
@@ -167,7 +201,7 @@
             record
             for record in self._upstreams.values()
             if pool in record.pools
-            and record.zone == zone
+            and self._area_of(record) == zone
             and not record.is_leaving
             and not self._refusals.is_refusing(record.name, record.address)
         )
@@ -189,7 +223,7 @@
         return sorted(
             record.name
             for record in self._vms.values()
-            if record.zone == zone
+            if self._area_of(record) == zone
             and (record.name == self.vm.name or self._is_heard(record.name, now_ms))
         )
 
--- /dev/null
+++ b/src/hemlocktrestle/peers/__init__.py
@@ -0,0 +1,18 @@
+"""What VMs say to each other: links, asks for permits, and the keeper's task."""
+
+from hemlocktrestle.peers._asker import Asker, HeldPermit
+from hemlocktrestle.peers._keeper_task import INBOX_COUNT, KeeperTask
+from hemlocktrestle.peers._link import Link, LinkEvents, accept, dial
+from hemlocktrestle.peers._network import PeerNetwork
+
+__all__ = [
+    "INBOX_COUNT",
+    "Asker",
+    "HeldPermit",
+    "KeeperTask",
+    "Link",
+    "LinkEvents",
+    "PeerNetwork",
+    "accept",
+    "dial",
+]
--- a/src/hemlocktrestle/daemon/_asker.py
+++ b/src/hemlocktrestle/peers/_asker.py
@@ -1,5 +1,6 @@
 """The holder's side of permits: it asks keepers and watches over its permits."""
 
+import math
 import random
 from collections.abc import Callable
 from typing import NamedTuple
@@ -12,6 +13,7 @@
     Ask,
     Message,
     Permit,
+    Queued,
     Refusal,
     Release,
     Running,
@@ -43,6 +45,9 @@
 
 _KEEPER_GONE = ErrorKind.KEEPER_GONE.value
 
+Reply = Permit | Refusal | Queued
+"""What a keeper says to an ask."""
+
 SendMessage = Callable[[str, Message], bool]
 
 
@@ -54,6 +59,8 @@
         send: sends a message to a VM; ``False`` if it cannot.
         now_ms: returns the time of the process in milliseconds.
         jitter: source of the pauses between attempts.
+        answer_ms: how long a keeper may take to say that it holds an ask, or
+            ``None`` if keepers do not say so.
     """
 
     def __init__(
@@ -63,14 +70,14 @@
         send: SendMessage,
         now_ms: Callable[[], float],
         jitter: random.Random,
+        answer_ms: float | None = None,
     ) -> None:
         self._membership = membership
+        self._answer_ms = answer_ms
         self._send = send
         self._now_ms = now_ms
         self._jitter = jitter
-        self._pending: dict[
-            str, tuple[str, trio.MemorySendChannel[Permit | Refusal]]
-        ] = {}
+        self._pending: dict[str, tuple[str, trio.MemorySendChannel[Reply]]] = {}
         self._held: dict[str, _Held] = {}
 
     async def obtain(
@@ -120,6 +127,10 @@
 
     def received(self, vm: str, message: Message) -> None:
         """Take in a permit or a refusal."""
+        if isinstance(message, Queued):
+            if message.ask_id in self._pending:
+                self._pending[message.ask_id][1].send_nowait(message)
+            return
         if not isinstance(message, Permit | Refusal):
             return
         if isinstance(message, Refusal) and message.kind == _KEEPER_GONE:
@@ -175,14 +186,13 @@
         keeper_vm = self._membership.keeper_of(ask.pool, zone, asked_ms)
         if keeper_vm is None:
             raise RequestError(ErrorKind.NO_UPSTREAM, "no keeper in reach")
-        sender, receiver = trio.open_memory_channel[Permit | Refusal](1)
+        sender, receiver = trio.open_memory_channel[Reply](2)
         self._pending[ask.ask_id] = (keeper_vm, sender)
         reply: Permit | Refusal | None = None
         try:
             if not self._send(keeper_vm, ask):
                 raise RequestError(ErrorKind.KEEPER_GONE, "keeper not in reach")
-            with trio.move_on_after(self._remaining_ms(deadline_at_ms) / 1000):
-                reply = await receiver.receive()
+            reply = await self._reply(ask, keeper_vm, receiver, deadline_at_ms)
         finally:
             if reply is None:
                 # Withdrawing also frees a permit that came but was not read.
@@ -194,6 +204,31 @@
             )
         return self._judge(ask, zone, keeper_vm, reply, asked_ms)
 
+    async def _reply(
+        self,
+        ask: Ask,
+        keeper_vm: str,
+        receiver: trio.MemoryReceiveChannel[Reply],
+        deadline_at_ms: float,
+    ) -> Permit | Refusal | None:
+        """Wait for a keeper's reply until the deadline.
+
+        Raises:
+            RequestError: of kind ``KEEPER_GONE`` if the keeper does not even say
+                that it holds the ask.
+        """
+        reply: Reply | None = None
+        with trio.move_on_after(self._remaining_ms(deadline_at_ms) / 1000):
+            with trio.move_on_after((self._answer_ms or math.inf) / 1000):
+                reply = await receiver.receive()
+            if reply is None:
+                # It stays passed over until it is heard again.
+                self._membership.leaves(keeper_vm)
+                raise RequestError(ErrorKind.KEEPER_GONE, "keeper is silent")
+            if isinstance(reply, Queued):
+                reply = await receiver.receive()
+        return None if isinstance(reply, Queued) else reply
+
     def _judge(
         self,
         ask: Ask,
@@ -203,7 +238,11 @@
         asked_ms: float,
     ) -> HeldPermit:
         if isinstance(reply, Refusal):
-            raise RequestError(ErrorKind(reply.kind), "no permit was given")
+            raise RequestError(
+                ErrorKind(reply.kind),
+                "no permit was given",
+                retry_after_ms=reply.retry_after_ms or None,
+            )
         elsewhere_ms = self._now_ms() - asked_ms - reply.waited_ms
         if elsewhere_ms > reply.valid_ms:
             self._send(keeper_vm, _unused(reply))
--- a/src/hemlocktrestle/daemon/_keeper_task.py
+++ b/src/hemlocktrestle/peers/_keeper_task.py
@@ -14,6 +14,7 @@
     Message,
     Permit,
     PoolSummary,
+    Queued,
     Refusal,
     Release,
     Running,
@@ -50,6 +51,7 @@
         reply: answers a holder; ``False`` if it is gone.
         now_ms: returns the time of the process in milliseconds.
         policy: returns the name of the policy for keepers made from now on.
+        acknowledges: whether holders are told that their asks wait.
     """
 
     def __init__(
@@ -59,7 +61,9 @@
         reply: Callable[[str, Message], bool],
         now_ms: Callable[[], float],
         policy: Callable[[], str] = lambda: POLICY_DEFAULT,
+        acknowledges: bool = False,
     ) -> None:
+        self._acknowledges = acknowledges
         self._membership = membership
         self._reply = reply
         self._now_ms = now_ms
@@ -140,6 +144,8 @@
             return
         keeper = self._keeper(ask.pool)
         self._send(keeper, keeper.ask(vm, ask, self._now_ms()))
+        if self._acknowledges and keeper.holds(ask.ask_id):
+            self._reply(vm, Queued(ask.ask_id))
 
     def _release(self, vm: str, release: Release) -> None:
         if release.failure == ErrorKind.UPSTREAM_REFUSED.value:
@@ -164,8 +170,8 @@
         membership = self._membership
         if not membership.is_draining:
             return True
-        zone = membership.vm.zone
-        return membership.keeper_of(pool, zone, self._now_ms()) == membership.vm.name
+        area = membership.area
+        return membership.keeper_of(pool, area, self._now_ms()) == membership.vm.name
 
     def _keeper(self, pool: str) -> PoolKeeper:
         keeper = self._pools.get(pool)
@@ -178,7 +184,7 @@
     def _refresh(self, pool: str) -> None:
         now_ms = self._now_ms()
         keeper = self._keeper(pool)
-        records = self._membership.upstreams(pool, self._membership.vm.zone, now_ms)
+        records = self._membership.upstreams(pool, self._membership.area, now_ms)
         self._send(keeper, keeper.set_upstreams(records, now_ms))
 
     async def _tick(self) -> None:
@@ -200,7 +206,8 @@
         """
         now_ms = self._now_ms()
         own = self._membership.vm
-        if self._membership.keeper_of(pool, own.zone, now_ms) == own.name:
+        area = self._membership.area
+        if self._membership.keeper_of(pool, area, now_ms) == own.name:
             self._lost_ms.pop(pool, None)
         elif now_ms - self._lost_ms.setdefault(pool, now_ms) >= HAND_BACK_MS:
             self._send(keeper, keeper.hand_back(now_ms - HAND_BACK_MS))
--- a/src/hemlocktrestle/daemon/_network.py
+++ b/src/hemlocktrestle/peers/_network.py
@@ -7,9 +7,9 @@
 
 import trio
 
-from hemlocktrestle.adapters import Link, LinkEvents, accept, dial
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.membership import Backoff, VmRecord
+from hemlocktrestle.peers._link import Link, LinkEvents, accept, dial
 from hemlocktrestle.wire import Heartbeat, Hello, Message
 
 log = logging.getLogger(__name__)
--- a/src/hemlocktrestle/platform/_configuration.py
+++ b/src/hemlocktrestle/platform/_configuration.py
@@ -1,10 +1,10 @@
 """The operator's configuration as the platform's store holds it."""
 
 import json
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, Literal, NotRequired
 
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError, with_config
-from typing_extensions import NotRequired, TypedDict
+from typing_extensions import TypedDict
 
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import (
@@ -50,6 +50,8 @@
 class _Engine(TypedDict):
     slots: Annotated[int, Field(gt=0)]
     kvCapacityTokens: NotRequired[float]
+    # Tokens that one event of a stream holds.
+    stride: NotRequired[int]
 
 
 @with_config(_OPEN)
@@ -166,7 +168,11 @@
         health_path=raw.get("healthPath", "/health"),
         connections_max=raw.get("maxConns", 0),
         engine=engine
-        and EngineLimits(engine["slots"], int(engine.get("kvCapacityTokens", 0))),
+        and EngineLimits(
+            engine["slots"],
+            int(engine.get("kvCapacityTokens", 0)),
+            engine.get("stride", 1),
+        ),
     )
 
 
--- a/src/hemlocktrestle/platform/_registrations.py
+++ b/src/hemlocktrestle/platform/_registrations.py
@@ -2,10 +2,10 @@
 
 import json
 import re
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, Literal, NotRequired
 
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError, with_config
-from typing_extensions import NotRequired, TypedDict
+from typing_extensions import TypedDict
 
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import ReplicaRecord
--- a/src/hemlocktrestle/platform/_store.py
+++ b/src/hemlocktrestle/platform/_store.py
@@ -193,9 +193,7 @@
         limit_s = wait_ms / 1000 + WATCH_GRACE_S
         _, body = await self._call("GET", "/kv-watch", query, limit_s=limit_s)
         events = tuple(
-            Removed(raw["key"], raw["revision"])
-            if raw.get("tombstone")
-            else _item(raw)
+            Removed(raw["key"], raw["revision"]) if raw.get("tombstone") else _item(raw)
             for raw in body["events"]
         )
         return Watched(events, int(body["currentRev"]))
--- a/src/hemlocktrestle/relay/__init__.py
+++ b/src/hemlocktrestle/relay/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 with control over each connection: callers on one side, replicas on the other."""
+"""HTTP/1.1 towards callers and replicas, with control over each connection."""
 
 from hemlocktrestle.relay._client import (
     ReplicaAnswer,
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -6,6 +6,9 @@
 PROTOCOL_VERSION = 1
 """Version sent in :class:`Hello`; a peer with another major version is refused."""
 
+NO_AIM = -1
+"""Aim of an ask for which no time is too late before its deadline."""
+
 _Record = TypeVar("_Record", bound=type)
 
 MESSAGE_TYPES: dict[str, type] = {}
@@ -58,9 +61,20 @@
     is_refusing: bool
 
 
+class CustomerDemand(NamedTuple):
+    """What a customer asks for, a second, in what its quota counts."""
+
+    customer: str
+    per_s: float
+
+
 @message("heartbeat")
 class Heartbeat(NamedTuple):
-    """Sign of life; ``tree_age_ms`` is the time since the revision was confirmed."""
+    """Sign of life; ``tree_age_ms`` is the time since the revision was confirmed.
+
+    ``demands`` are the sender's own; ``area_demands`` are what it has heard of all
+    VMs of its area, ``area_vm_count`` of them, itself included.
+    """
 
     tree_revision: int
     tree_lineage: str
@@ -68,6 +82,9 @@
     draining: bool
     pools: tuple[PoolSummary, ...] = ()
     refusals: tuple[UpstreamRefusal, ...] = ()
+    demands: tuple[CustomerDemand, ...] = ()
+    area_demands: tuple[CustomerDemand, ...] = ()
+    area_vm_count: int = 0
 
 
 @message("ask")
@@ -75,7 +92,9 @@
     """A holder asks a pool's keeper for a permit to dispatch one request.
 
     ``tier`` is a rank, 0 the most valuable; ``deadline_ms`` is what remains when
-    the ask is sent; ``excluded`` names upstreams that the holder will not use.
+    the ask is sent; ``excluded`` names upstreams that the holder will not use;
+    ``aim_ms`` is what remains until the first part of the answer is late, or
+    ``NO_AIM``; asks of one ``route`` are alike in what they take.
     """
 
     ask_id: str
@@ -88,6 +107,15 @@
     prefix_digest: int
     deadline_ms: int
     excluded: tuple[str, ...] = ()
+    aim_ms: int = NO_AIM
+    route: str = ""
+
+
+@message("queued")
+class Queued(NamedTuple):
+    """A keeper's word that it holds an ask, and will permit or refuse it."""
+
+    ask_id: str
 
 
 @message("permit")
@@ -230,4 +258,5 @@
     | TicketVerdict
     | TicketClose
     | Suspicion
+    | Queued
 )
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -19,6 +19,7 @@
     ticketVerdict @11 :TicketVerdict;
     ticketClose @12 :TicketClose;
     suspicion @13 :Suspicion;
+    queued @14 :Queued;
   }
 }
 
@@ -44,6 +45,14 @@
   draining @3 :Bool;
   pools @4 :List(PoolSummary);
   refusals @5 :List(UpstreamRefusal);
+  demands @6 :List(CustomerDemand);
+  areaDemands @7 :List(CustomerDemand);
+  areaVmCount @8 :UInt32;
+}
+
+struct CustomerDemand {
+  customer @0 :Text;
+  perS @1 :Float64;
 }
 
 struct UpstreamRefusal {
@@ -64,6 +73,12 @@
   prefixDigest @7 :UInt64;
   deadlineMs @8 :UInt64;
   excluded @9 :List(Text);
+  aimMs @10 :Int64 = -1;
+  route @11 :Text;
+}
+
+struct Queued {
+  askId @0 :Text;
 }
 
 struct Permit {
--- a/tests/daemon/test_promise_2_zone.py
+++ b/tests/daemon/test_promise_2_zone.py
@@ -4,9 +4,9 @@
 
 import trio
 
-from hemlocktrestle.daemon import _keeper_task
-from hemlocktrestle.daemon._keeper_task import INBOX_COUNT
 from hemlocktrestle.errors import ErrorKind
+from hemlocktrestle.peers import _keeper_task
+from hemlocktrestle.peers._keeper_task import INBOX_COUNT
 from hemlocktrestle.wire import Ask, Message, Refusal
 from tests.keeper.naive import TEST_POLICY, CheckedKeeper, upstream
 from tests.support import TrioTestCase, World
--- a/tests/mutants/answers.py
+++ b/tests/mutants/answers.py
@@ -5,8 +5,9 @@
 import httpcore
 
 from hemlocktrestle.adapters import Responder, _http_client, _http_server
-from hemlocktrestle.daemon import _asker, _continued, _relay
+from hemlocktrestle.daemon import _continued, _relay
 from hemlocktrestle.errors import ANSWERS, ErrorKind, Outcome, _kinds
+from hemlocktrestle.peers import _asker
 from hemlocktrestle.wire import Message, Permit, Refusal
 from tests.mutants import mutant
 
--- a/tests/mutants/drain.py
+++ b/tests/mutants/drain.py
@@ -3,7 +3,7 @@
 import trio
 
 from hemlocktrestle.daemon._drain import ClosingApp, Drain
-from hemlocktrestle.daemon._keeper_task import KeeperTask
+from hemlocktrestle.peers._keeper_task import KeeperTask
 from tests.mutants import mutant
 
 USUAL_WAIT_S = 3.0
--- a/tests/mutants/policy.py
+++ b/tests/mutants/policy.py
@@ -1,11 +1,11 @@
 """Mutants of the keeper's decisions."""
 
-from hemlocktrestle.daemon._keeper_task import KeeperTask
 from hemlocktrestle.errors import ErrorKind
 from hemlocktrestle.keeper._core import PoolKeeper
 from hemlocktrestle.keeper._fair_queue import TieredFairQueue
 from hemlocktrestle.keeper._queue import IsOpen, Waiting, class_of
 from hemlocktrestle.keeper._upstream_set import UpstreamSet
+from hemlocktrestle.peers._keeper_task import KeeperTask
 from hemlocktrestle.wire import Ask, Message, Refusal
 from tests.mutants import mutant
 
--- /dev/null
+++ b/tests/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the peers package."""
--- a/tests/adapters/test_peer_link.py
+++ b/tests/peers/test_link.py
@@ -5,9 +5,9 @@
 import trio
 from trio.testing import memory_stream_pair
 
-from hemlocktrestle.adapters import LinkEvents, accept
-from hemlocktrestle.adapters._peer_link import SILENCE_S
 from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.peers import LinkEvents, accept
+from hemlocktrestle.peers._link import SILENCE_S
 from hemlocktrestle.wire import (
     FRAME_BYTES_MAX,
     PROTOCOL_VERSION,
--- a/tests/support/_world.py
+++ b/tests/support/_world.py
@@ -12,14 +12,14 @@
 
 from hemlocktrestle.adapters import Latencies, Responder
 from hemlocktrestle.claims import ClaimBook, TicketTable
-from hemlocktrestle.daemon._asker import Asker
 from hemlocktrestle.daemon._crash_watch import CrashWatch
 from hemlocktrestle.daemon._entry import Entry
-from hemlocktrestle.daemon._keeper_task import KeeperTask
 from hemlocktrestle.daemon._tickets import TicketDesk
 from hemlocktrestle.daemon._upstream_prober import UpstreamProber
 from hemlocktrestle.entry import CallerRequest
 from hemlocktrestle.membership import Listing, Membership, UpstreamRecord, VmRecord
+from hemlocktrestle.peers._asker import Asker
+from hemlocktrestle.peers._keeper_task import KeeperTask
 from hemlocktrestle.ports import UpstreamClient
 from hemlocktrestle.tree import EMPTY_TREE, TreeState, token_digest, with_documents
 from hemlocktrestle.wire import (
