Count quotas by window, and queue by what can still be in time

Cause: buckets by head refused most of what was within the quotas, and the early refusal took the hold for the time of the whole answer.

--- a/src/hemlocktrestle/edge/__main__.py
+++ b/src/hemlocktrestle/edge/__main__.py
@@ -9,7 +9,7 @@
 import trio
 
 from hemlocktrestle import __version__
-from hemlocktrestle.edge._daemon import EdgeDaemon
+from hemlocktrestle.edge._daemon import run_edge
 from hemlocktrestle.edge._logs import configure_edge_logs
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.platform import read_settings, settings_path
@@ -59,7 +59,7 @@
     configure_edge_logs(settings.vm)
     # What was imported lives as long as the process.
     gc.freeze()
-    trio.run(EdgeDaemon(settings, options.settings).run)
+    trio.run(run_edge, settings, options.settings)
     return 0
 
 
--- a/src/hemlocktrestle/edge/_attempt.py
+++ b/src/hemlocktrestle/edge/_attempt.py
@@ -39,6 +39,8 @@
     """How far a request has come, over all its attempts."""
 
     def __init__(self) -> None:
+        self.request_id = ""
+        self.route = ""
         self.connect_count = 0
         self.send_count = 0
         self.runs_count = 0
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -245,8 +245,8 @@
         log.info(
             "request_ended",
             extra={
-                "request": job.facts.request_id if job else "",
-                "route": job.route.name if job else "",
+                "request": progress.request_id,
+                "route": progress.route,
                 "outcome": served.outcome,
                 "status": served.status,
                 "first_ms": round(progress.first_ms),
@@ -272,3 +272,16 @@
                 "crash_count": len(entry.upstreams),
             },
         )
+
+
+async def run_edge(settings: PlatformSettings, path: Path) -> None:
+    """Run an edge daemon until a graceful shutdown is done.
+
+    Args:
+        settings: the settings of the process, checked.
+        path: the settings file.
+
+    Raises:
+        OSError: if an address cannot be listened on.
+    """
+    await EdgeDaemon(settings, path).run()
--- a/src/hemlocktrestle/edge/_serve.py
+++ b/src/hemlocktrestle/edge/_serve.py
@@ -13,7 +13,7 @@
 from hemlocktrestle.edge._place import AttemptEnd, AttemptReport, Place, Scheduler
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.errors import ErrorKind, RequestError
-from hemlocktrestle.gateway import choose_service
+from hemlocktrestle.gateway import Quota, choose_service
 from hemlocktrestle.quarantine import QuarantineBook
 from hemlocktrestle.relay import CallerConnection, CallerRequest
 
@@ -75,7 +75,7 @@
         outcome, status = "caller_gone", 0
         self.running_count += 1
         try:
-            job = self._admit(request)
+            job = self._admit(request, progress)
             with trio.move_on_at(job.deadline_at_ms / 1000) as scope:
                 status = await self._run(job, connection, progress)
                 outcome = "answered"
@@ -91,7 +91,7 @@
             self.running_count -= 1
             self._on_served(Served(job, outcome, status, progress))
 
-    def _admit(self, request: CallerRequest) -> Job:
+    def _admit(self, request: CallerRequest, progress: Progress) -> Job:
         """Find route, customer and service of a request, and check its quota."""
         configuration = self._state.configuration
         if configuration is None:
@@ -100,9 +100,11 @@
             )
         target = request.target.decode("latin-1")
         facts = self._state.dialect.request_facts(target, request.headers)
+        progress.request_id = facts.request_id
         route = configuration.route(facts.host, facts.path)
         if route is None:
             raise RequestError(ErrorKind.UNKNOWN_ROUTE, "no route for host and path")
+        progress.route = route.name
         customer = None
         if configuration.customers and not route.is_public:
             customer = configuration.customer_of(facts.key)
@@ -137,15 +139,35 @@
         customer = job.customer
         if customer is None or customer.rate_per_s <= 0:
             return
+        bounds = self._state.settings.bounds
         wait_ms = self._state.quotas.admit(
             customer.name,
-            rate_per_s=customer.rate_per_s,
-            burst=customer.burst,
+            Quota(
+                customer.rate_per_s,
+                customer.burst,
+                bounds.quota_window_ms,
+                bounds.quota_over,
+                bounds.quota_slack,
+            ),
             amount=_quota_amount(job),
             fleet=self._state.fleet(),
             now_ms=now_ms(),
         )
         if wait_ms is not None:
+            fleet = self._state.fleet()
+            log.info(
+                "quota_spent",
+                extra={
+                    "request": job.facts.request_id,
+                    "customer": customer.name,
+                    "rate_per_s": customer.rate_per_s,
+                    "amount": _quota_amount(job),
+                    "vm_count": fleet.vm_count,
+                    "heard_count": fleet.heard_count,
+                    "others": fleet.demands.get(customer.name),
+                    **self._state.quotas.explain(customer.name, now_ms()),
+                },
+            )
             raise RequestError(
                 ErrorKind.RATE_LIMITED,
                 "customer is over its quota",
--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -43,7 +43,7 @@
         self.configuration: Configuration | None = None
         self.replicas = ReplicaBook()
         self.has_replicas = False
-        self.quotas = QuotaBook()
+        self.quotas = QuotaBook(now_ms())
         self.is_draining = False
         self._budgets: dict[str, RetryBudget] = {}
 
--- a/src/hemlocktrestle/gateway/__init__.py
+++ b/src/hemlocktrestle/gateway/__init__.py
@@ -13,7 +13,7 @@
 )
 from hemlocktrestle.gateway._events import EventCutter, StreamEvent
 from hemlocktrestle.gateway._fleet_demand import FleetDemand
-from hemlocktrestle.gateway._quota import Demand, Fleet, QuotaBook, share_per_s
+from hemlocktrestle.gateway._quota import Demand, Fleet, Quota, QuotaBook
 from hemlocktrestle.gateway._replicas import RETURN_MS, ReplicaBook, ReplicaRecord
 from hemlocktrestle.gateway._request import (
     AnswerFacts,
@@ -36,6 +36,7 @@
     "FleetDemand",
     "Headers",
     "PromptPart",
+    "Quota",
     "QuotaBook",
     "ReplicaBook",
     "ReplicaRecord",
@@ -47,5 +48,4 @@
     "StreamEvent",
     "Target",
     "choose_service",
-    "share_per_s",
 ]
--- a/src/hemlocktrestle/gateway/_fleet_demand.py
+++ b/src/hemlocktrestle/gateway/_fleet_demand.py
@@ -15,7 +15,7 @@
 class _Heard(NamedTuple):
     area: str
     vm_count: int
-    demands: dict[str, float]
+    demands: dict[str, Demand]
     heard_ms: float
 
 
@@ -32,15 +32,18 @@
         self._area = area
         self._vms: dict[str, _Heard] = {}
         self._areas: dict[str, _Heard] = {}
+        self._news_count = 0
 
     def heard_vm(self, vm: str, demands: Iterable[Demand], now_ms: float) -> None:
         """Take in what one VM of the own area asks for."""
+        self._news_count += 1
         self._vms[vm] = _Heard(self._area, 1, _by_customer(demands), now_ms)
 
     def heard_area(
         self, area: str, vm_count: int, demands: Iterable[Demand], now_ms: float
     ) -> None:
         """Take in what a keeper says of all VMs of its area."""
+        self._news_count += 1
         known = self._areas.get(area)
         is_fresh = known is not None and now_ms - known.heard_ms < HEARD_MS / 2
         # Two VMs may take themselves for the keeper; the one that hears more is.
@@ -56,7 +59,7 @@
         total = _by_customer(own)
         for item in heard:
             _add(total, item.demands)
-        return 1 + len(heard), tuple(Demand(*pair) for pair in total.items())
+        return 1 + len(heard), tuple(total.values())
 
     def fleet(
         self, own: Iterable[Demand], *, is_keeper: bool, vm_count: int, now_ms: float
@@ -70,7 +73,7 @@
             now_ms: time of the process in milliseconds.
         """
         own_demands = _by_customer(own)
-        others: dict[str, float] = {}
+        others: dict[str, Demand] = {}
         heard_count = 1
         keeper = self._areas.get(self._area)
         if is_keeper or keeper is None or not _is_fresh(keeper, now_ms):
@@ -81,23 +84,38 @@
         else:
             heard_count = max(1, keeper.vm_count)
             _add(others, keeper.demands)
-            for customer, per_s in own_demands.items():
-                others[customer] = max(0.0, others.get(customer, 0.0) - per_s)
+            _take(others, own_demands)
         for area, item in self._areas.items():
             if area != self._area and _is_fresh(item, now_ms):
                 heard_count += item.vm_count
                 _add(others, item.demands)
-        return Fleet(max(vm_count, heard_count), heard_count, others)
+        return Fleet(max(vm_count, heard_count), heard_count, others, self._news_count)
 
 
 def _is_fresh(item: _Heard, now_ms: float) -> bool:
     return now_ms - item.heard_ms <= HEARD_MS
 
 
-def _by_customer(demands: Iterable[Demand]) -> dict[str, float]:
-    return {demand.customer: demand.per_s for demand in demands}
+def _by_customer(demands: Iterable[Demand]) -> dict[str, Demand]:
+    return {demand.customer: demand for demand in demands}
 
 
-def _add(total: dict[str, float], demands: dict[str, float]) -> None:
-    for customer, per_s in demands.items():
-        total[customer] = total.get(customer, 0.0) + per_s
+def _add(total: dict[str, Demand], demands: dict[str, Demand]) -> None:
+    for customer, demand in demands.items():
+        known = total.get(customer, Demand(customer, 0.0, 0.0))
+        total[customer] = Demand(
+            customer,
+            known.asked_per_s + demand.asked_per_s,
+            known.spent + demand.spent,
+        )
+
+
+def _take(total: dict[str, Demand], demands: dict[str, Demand]) -> None:
+    for customer, demand in demands.items():
+        known = total.get(customer)
+        if known is not None:
+            total[customer] = Demand(
+                customer,
+                max(0.0, known.asked_per_s - demand.asked_per_s),
+                max(0.0, known.spent - demand.spent),
+            )
--- a/src/hemlocktrestle/gateway/_quota.py
+++ b/src/hemlocktrestle/gateway/_quota.py
@@ -1,132 +1,224 @@
-"""Quotas of customers, shared by all VMs without a count in the store."""
+"""Quotas of customers over all VMs, kept without a count in the store.
 
+A quota bounds what a customer spends in any window.  Each VM counts what it spends
+itself and hears from the others what they spent.  Between two pieces of news it
+spends at most its part of what was left, in proportion to what it is asked for, so
+that all VMs together never spend the same rest twice.
+"""
+
+import math
+from collections import deque
 from typing import NamedTuple
 
-DEMAND_WINDOW_MS = 1_500.0
-"""Time over which a customer's demand is averaged, in milliseconds."""
+ASKED_WINDOW_MS = 2_000.0
+"""Time over which asking is averaged, in milliseconds: several heartbeats."""
+
+TOLERANCE_SHARE = 0.6
+"""Share of the tolerated excess over a quota that is used.
+
+The rest covers what requests in flight and late news may add.
+"""
+
+PART_MS = 1_000.0
+"""Time after which a VM that hears no news sizes its part anew, in milliseconds."""
 
-BURST_SHARE = 0.5
-"""Share of a customer's burst that the buckets of all VMs hold together."""
+WAIT_MS_MIN = 200.0
+"""Shortest pause for a customer over its quota, in milliseconds."""
 
 
 class Demand(NamedTuple):
-    """What a customer asks for on some VMs, a second."""
+    """What a customer asks for a second, and spent in one window, on some VMs."""
 
     customer: str
-    per_s: float
+    asked_per_s: float
+    spent: float
 
 
 class Fleet(NamedTuple):
-    """What a VM knows of the others when it sizes its share.
+    """What a VM knows of the others' demand.
 
     Args:
         vm_count: VMs that may serve.
         heard_count: VMs whose demand is known, this one included.
         demands: demand of the VMs that were heard, without this one, by customer.
+        news_count: changes with each piece of news.
     """
 
     vm_count: int
     heard_count: int
-    demands: dict[str, float]
+    demands: dict[str, Demand]
+    news_count: int = 0
 
 
-def share_per_s(
-    rate_per_s: float, own_per_s: float, others_per_s: float, fleet: Fleet
-) -> float:
-    """Return the share of a quota that one VM may spend, a second.
+class Quota(NamedTuple):
+    """A customer's quota over all VMs.
 
-    The VMs that hear each other divide the part of the quota that falls to them by
-    head; each gets its own demand and an equal part of the rest, or a proportional
-    part if the demand is larger.  VMs that are not heard keep their part by head,
-    so that the sum holds whoever is cut off.
+    Args:
+        rate_per_s: what it may spend a second.
+        burst: what may come at once beyond the rate.
+        window_ms: length of the windows in which it is counted.
+        over: share of the quota by which it may be exceeded.
+        slack: amount by which it may be exceeded besides.
     """
-    heard_count = max(1, fleet.heard_count)
-    total_count = max(fleet.vm_count, heard_count)
-    divided = rate_per_s * heard_count / total_count
-    demand = own_per_s + others_per_s
-    if demand <= divided:
-        return own_per_s + (divided - demand) / heard_count
-    return divided * own_per_s / demand
+
+    rate_per_s: float
+    burst: float
+    window_ms: float
+    over: float
+    slack: float
+
+    @property
+    def limit(self) -> float:
+        """What may be spent in one window."""
+        stated = self.rate_per_s * self.window_ms / 1000 + self.burst
+        return stated + TOLERANCE_SHARE * (stated * self.over + self.slack)
 
 
-class _Bucket:
-    __slots__ = ("demand_at_ms", "demand_per_s", "level", "refilled_ms")
+class _Rate:
+    """A rate a second, averaged with a decaying weight."""
+
+    __slots__ = ("_at_ms", "_per_s")
 
     def __init__(self, now_ms: float) -> None:
-        # A bucket starts empty: the process before may have spent its share.
-        self.level = 0.0
-        self.refilled_ms = now_ms
-        self.demand_per_s = 0.0
-        self.demand_at_ms = now_ms
+        self._per_s = 0.0
+        self._at_ms = now_ms
+
+    def add(self, amount: float, now_ms: float) -> None:
+        self._per_s = self.at(now_ms) + amount * 1000 / ASKED_WINDOW_MS
+        self._at_ms = max(now_ms, self._at_ms)
+
+    def at(self, now_ms: float) -> float:
+        passed = max(0.0, now_ms - self._at_ms) / ASKED_WINDOW_MS
+        return self._per_s * math.exp(-passed)
+
+
+class _Account:
+    """What one customer asked for and spent on this VM."""
+
+    __slots__ = (
+        "asked",
+        "news_count",
+        "part",
+        "part_at_ms",
+        "spends",
+        "spent",
+        "spent_since",
+    )
+
+    def __init__(self, now_ms: float) -> None:
+        self.asked = _Rate(now_ms)
+        self.spends: deque[tuple[float, float]] = deque()
+        self.spent = 0.0
+        self.news_count = -1
+        self.part = 0.0
+        self.part_at_ms = -math.inf
+        self.spent_since = 0.0
+
+    def spend(self, amount: float, now_ms: float) -> None:
+        self.spends.append((now_ms, amount))
+        self.spent += amount
+        self.spent_since += amount
+
+    def expire(self, before_ms: float) -> None:
+        while self.spends and self.spends[0][0] <= before_ms:
+            self.spent -= self.spends.popleft()[1]
 
 
 class QuotaBook:
-    """This VM's share of each customer's quota, as token buckets."""
+    """This VM's view of each customer's quota.
+
+    Args:
+        started_ms: start of the process; what the process before it spent is not
+            known, so a VM's part of one window counts as spent at that moment.
+    """
 
-    def __init__(self) -> None:
-        self._buckets: dict[str, _Bucket] = {}
+    def __init__(self, started_ms: float) -> None:
+        self._started_ms = started_ms
+        self._accounts: dict[str, _Account] = {}
+        self._window_ms = 0.0
 
     def admit(
         self,
         customer: str,
+        quota: Quota,
         *,
-        rate_per_s: float,
-        burst: float,
         amount: float,
         fleet: Fleet,
         now_ms: float,
     ) -> float | None:
-        """Spend from a customer's share.
+        """Spend from a customer's quota.
 
         Args:
             customer: the customer's name.
-            rate_per_s: the customer's quota a second, over all VMs.
-            burst: what may come at once beyond the rate, over all VMs.
+            quota: its quota.
             amount: what the request counts.
             fleet: what is known of the other VMs.
             now_ms: time of the process in milliseconds.
 
         Returns:
             ``None`` if the request is within the quota, else the time in
-            milliseconds until it would be.
+            milliseconds until it may be.
         """
-        bucket = self._buckets.get(customer)
-        if bucket is None:
-            bucket = self._buckets[customer] = _Bucket(now_ms)
-        self._note_demand(bucket, amount, now_ms)
-        others_per_s = fleet.demands.get(customer, 0.0)
-        own_per_s = bucket.demand_per_s
-        share = share_per_s(rate_per_s, own_per_s, others_per_s, fleet)
-        part = share / rate_per_s if rate_per_s else 0.0
-        cap = max(burst * BURST_SHARE * part, share * 0.5)
-        passed_s = max(0.0, now_ms - bucket.refilled_ms) / 1000
-        bucket.refilled_ms = now_ms
-        bucket.level = min(cap, bucket.level + share * passed_s)
-        # A request larger than the bucket would never pass; it leaves a debt.
-        if bucket.level >= min(amount, cap * 0.5):
-            bucket.level -= amount
+        account = self._accounts.get(customer)
+        if account is None:
+            account = self._accounts[customer] = _Account(now_ms)
+        self._window_ms = quota.window_ms
+        account.asked.add(amount, now_ms)
+        account.expire(now_ms - quota.window_ms)
+        others = fleet.demands.get(customer) or Demand(customer, 0.0, 0.0)
+        limit = quota.limit * _heard_share(fleet)
+        before = self._spent_before(limit, quota, fleet, now_ms)
+        room = limit - account.spent - others.spent - before
+        is_old = now_ms - account.part_at_ms > PART_MS
+        if is_old or account.news_count != fleet.news_count:
+            account.part_at_ms = now_ms
+            own_per_s = account.asked.at(now_ms)
+            account.news_count = fleet.news_count
+            account.spent_since = 0.0
+            account.part = room * own_per_s / (own_per_s + others.asked_per_s)
+        if amount <= room and account.spent_since < account.part:
+            account.spend(amount, now_ms)
             return None
-        missing = min(amount, cap * 0.5) - bucket.level
-        return missing / share * 1000 if share > 0 else 1000.0
-
-    def refund(self, customer: str, amount: float) -> None:
-        """Give back what a request spent that never reached a replica."""
-        bucket = self._buckets.get(customer)
-        if bucket is not None:
-            bucket.level += amount
+        return _wait_ms(account, amount - room, quota, now_ms)
+
+    def explain(self, customer: str, now_ms: float) -> dict[str, float]:
+        """Return what decided on a customer's last request, for the log."""
+        account = self._accounts.get(customer)
+        if account is None:
+            return {}
+        return {
+            "spent_here": round(account.spent),
+            "part_here": round(account.part),
+            "spent_of_part": round(account.spent_since),
+            "asked_here_per_s": round(account.asked.at(now_ms)),
+        }
 
     def demands(self, now_ms: float) -> tuple[Demand, ...]:
         """Return this VM's demand by customer, for the other VMs."""
-        for bucket in self._buckets.values():
-            self._note_demand(bucket, 0.0, now_ms)
+        for account in self._accounts.values():
+            account.expire(now_ms - self._window_ms)
         return tuple(
-            Demand(customer, bucket.demand_per_s)
-            for customer, bucket in self._buckets.items()
+            Demand(customer, account.asked.at(now_ms), account.spent)
+            for customer, account in self._accounts.items()
         )
 
-    def _note_demand(self, bucket: _Bucket, amount: float, now_ms: float) -> None:
-        passed_ms = max(0.0, now_ms - bucket.demand_at_ms)
-        bucket.demand_at_ms = now_ms
-        keep = max(0.0, 1.0 - passed_ms / DEMAND_WINDOW_MS)
-        bucket.demand_per_s = bucket.demand_per_s * keep
-        bucket.demand_per_s += amount * 1000 / DEMAND_WINDOW_MS
+    def _spent_before(
+        self, limit: float, quota: Quota, fleet: Fleet, now_ms: float
+    ) -> float:
+        """Return what the process before this one may have spent in the window."""
+        left = 1 - (now_ms - self._started_ms) / quota.window_ms
+        return max(0.0, left) * limit / max(1, fleet.vm_count)
+
+
+def _heard_share(fleet: Fleet) -> float:
+    """Return the part of a quota that falls to the VMs that hear each other."""
+    return min(1.0, fleet.heard_count / max(1, fleet.vm_count))
+
+
+def _wait_ms(account: _Account, missing: float, quota: Quota, now_ms: float) -> float:
+    """Return the time until enough of what was spent here is out of the window."""
+    for at_ms, amount in account.spends:
+        missing -= amount
+        if missing <= 0:
+            return max(WAIT_MS_MIN, at_ms + quota.window_ms - now_ms)
+    return quota.window_ms
--- a/src/hemlocktrestle/keeper/_policy.py
+++ b/src/hemlocktrestle/keeper/_policy.py
@@ -61,7 +61,12 @@
 
     For engines that state their places and whose callers state when they are late.
     """
-    return PoolPolicy(queue="objective", prefill_share=1.0, refuses_late_arrivals=True)
+    return PoolPolicy(
+        queue="objective",
+        early_refusal="none",
+        prefill_share=1.0,
+        refuses_late_arrivals=True,
+    )
 
 
 def policy_named(name: str) -> PoolPolicy:
--- a/src/hemlocktrestle/peers/_keeper_task.py
+++ b/src/hemlocktrestle/peers/_keeper_task.py
@@ -1,5 +1,6 @@
 """The task that owns the VM's pool keepers and answers asks."""
 
+import logging
 from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
@@ -24,6 +25,8 @@
 INBOX_COUNT = 8_192
 """Messages that may wait for the keeper; one more is paid for by its sender."""
 
+log = logging.getLogger(__name__)
+
 TICK_S = 0.1
 """Time between checks of deadlines, in seconds."""
 
@@ -217,10 +220,28 @@
         waiting = deque(outgoing)
         while waiting:
             vm, message = waiting.popleft()
+            if isinstance(message, Refusal):
+                self._log_refusal(keeper, vm, message)
             if not self._reply(vm, message) and isinstance(message, Permit):
                 withdraw = Withdraw(message.ask_id, message.pool)
                 waiting += keeper.withdraw(withdraw, self._now_ms())
 
+    def _log_refusal(self, keeper: PoolKeeper, vm: str, refusal: Refusal) -> None:
+        log.info(
+            "ask_refused",
+            extra={
+                "ask": refusal.ask_id,
+                "holder": vm,
+                "reason": refusal.kind,
+                "pool": keeper.pool,
+                "queued_count": len(keeper.waiting()),
+                "in_hand": {
+                    model.record.name: f"{len(model.in_hand)}/{model.slots}"
+                    for model in keeper.models()
+                },
+            },
+        )
+
 
 _HANDLERS: dict[type, Callable[..., None]] = {
     Ask: KeeperTask._ask,
--- a/src/hemlocktrestle/platform/_settings.py
+++ b/src/hemlocktrestle/platform/_settings.py
@@ -4,7 +4,7 @@
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Annotated, Any, NamedTuple
+from typing import Annotated, Any, NamedTuple, NotRequired
 
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError, with_config
 from typing_extensions import TypedDict
@@ -17,6 +17,9 @@
 SETTINGS_PATH_DEFAULT = "/etc/hemlocktrestle/settings.toml"
 """Path of the settings file if the variable is not set."""
 
+QUOTA_WINDOW_S = 10
+"""Window over which quotas are counted if the platform states none, in seconds."""
+
 # The platform adds fields over time, so unknown ones are passed over.
 _OPEN = ConfigDict(extra="ignore")
 _Address = Annotated[str, Field(pattern=r"^[^\s:]+:\d{1,5}$")]
@@ -48,6 +51,9 @@
     budgetRatio: _Amount
     budgetWindowS: _Positive
     budgetSlack: _Amount
+    quotaWindowS: NotRequired[_Positive]
+    quotaOver: NotRequired[_Amount]
+    quotaSlack: NotRequired[_Amount]
 
 
 @with_config(_OPEN)
@@ -84,6 +90,9 @@
         repeat_ratio: repeats allowed for each request to a service.
         repeat_window_ms: window over which repeats are counted.
         repeat_slack: repeats allowed beyond the ratio.
+        quota_window_ms: window over which quotas are counted.
+        quota_over: share by which a quota may be exceeded.
+        quota_slack: excess over a quota that is tolerated in a window.
     """
 
     contact_ms: float
@@ -93,6 +102,9 @@
     repeat_ratio: float
     repeat_window_ms: float
     repeat_slack: float
+    quota_window_ms: float
+    quota_over: float
+    quota_slack: float
 
 
 class PlatformSettings(NamedTuple):
@@ -200,5 +212,8 @@
             repeat_ratio=bounds["budgetRatio"],
             repeat_window_ms=bounds["budgetWindowS"] * 1000,
             repeat_slack=bounds["budgetSlack"],
+            quota_window_ms=bounds.get("quotaWindowS", QUOTA_WINDOW_S) * 1000,
+            quota_over=bounds.get("quotaOver", 0.0),
+            quota_slack=bounds.get("quotaSlack", 0.0),
         ),
     )
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -62,10 +62,11 @@
 
 
 class CustomerDemand(NamedTuple):
-    """What a customer asks for, a second, in what its quota counts."""
+    """What a customer asks for a second, and spent in one window of its quota."""
 
     customer: str
-    per_s: float
+    asked_per_s: float
+    spent: float
 
 
 @message("heartbeat")
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -52,7 +52,8 @@
 
 struct CustomerDemand {
   customer @0 :Text;
-  perS @1 :Float64;
+  askedPerS @1 :Float64;
+  spent @2 :Float64;
 }
 
 struct UpstreamRefusal {
