--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -30,7 +30,7 @@
 from hemlocktrestle.edge._permit_scheduler import ANSWER_MS, PermitScheduler
 from hemlocktrestle.edge._place import Place
 from hemlocktrestle.edge._serve import EdgeServer, Served
-from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.edge._state import NOTICE_MS, EdgeState, now_ms
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.gateway import Fleet
 from hemlocktrestle.peers import Asker, KeeperTask, PeerNetwork
@@ -51,12 +51,6 @@
 
 log = logging.getLogger(__name__)
 
-NOTICE_S = 3.0
-"""Time for the balancer to see that this VM takes no more callers, in seconds.
-
-The balancer asks once a second and takes a VM out after two misses.
-"""
-
 POLICY = "objective"
 """Name of the policy by which keepers decide."""
 
@@ -187,14 +181,14 @@
 
     async def _finish(self) -> None:
         """End gracefully: no new callers, then no open connections, then stop."""
-        self.state.is_draining = True
+        self.state.draining_since_ms = now_ms()
         self._peers.membership.is_draining = True
         self._keeper.hand_over()
         self._network.beat()
         grace_s = self._settings.bounds.grace_ms / 1000
         with trio.move_on_after(grace_s * FINISH_SHARE):
             await self._registrar.leave()
-            await trio.sleep(NOTICE_S)
+            await trio.sleep(NOTICE_MS / 1000)
             while self._callers.connection_count:
                 self._callers.close_idle()
                 await trio.sleep(0.05)
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -54,6 +54,7 @@
     def take_vms(self, entries: list[VmEntry]) -> None:
         """Take in which VMs are registered."""
         known = self._vms
+        self._state.has_vms = True
         self._vms = {entry.vm: entry for entry in entries}
         self._vms[self._entry.vm] = self._entry
         if known.keys() != self._vms.keys():
@@ -95,6 +96,7 @@
             is_keeper=keeper == self._entry.vm,
             vm_count=len(self._vms),
             now_ms=now,
+            own_young=self._young(now),
         )
 
     def heartbeat(self) -> Heartbeat:
@@ -117,6 +119,8 @@
             tuple(CustomerDemand(*demand) for demand in own),
             tuple(CustomerDemand(*demand) for demand in total),
             vm_count if is_keeper == self._entry.vm else 0,
+            self._young(now),
+            self.demand.area_young(self._young(now), now),
         )
 
     def heard(self, vm: str, message: Message) -> None:
@@ -136,10 +140,20 @@
             return
         if entry.region == self._entry.region:
             own = (Demand(*demand) for demand in message.demands)
-            self.demand.heard_vm(vm, own, now)
+            self.demand.heard_vm(vm, own, now, young=message.young)
         if message.area_vm_count:
             total = (Demand(*demand) for demand in message.area_demands)
-            self.demand.heard_area(entry.region, message.area_vm_count, total, now)
+            self.demand.heard_area(
+                entry.region,
+                message.area_vm_count,
+                total,
+                now,
+                young=message.area_young,
+            )
+
+    def _young(self, now: float) -> float:
+        window_ms = self._state.settings.bounds.quota_window_ms
+        return self._state.quotas.young(window_ms, now)
 
     async def probe(self) -> None:
         """Try replicas that could not be reached, until cancelled."""
--- a/src/hemlocktrestle/edge/_serve.py
+++ b/src/hemlocktrestle/edge/_serve.py
@@ -94,7 +94,11 @@
     def _admit(self, request: CallerRequest, progress: Progress) -> Job:
         """Find route, customer and service of a request, and check its quota."""
         configuration = self._state.configuration
-        if configuration is None:
+        if not self._state.takes_requests:
+            raise RequestError(
+                ErrorKind.DRAINING, "this VM is leaving", retry_after_ms=0.0
+            )
+        if configuration is None or not self._state.has_vms:
             raise RequestError(
                 ErrorKind.SETTINGS_UNREADY, "no configuration is known yet"
             )
--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -15,6 +15,12 @@
 )
 from hemlocktrestle.platform import Dialect, PlatformSettings
 
+NOTICE_MS = 2_800.0
+"""Time after the order to stop in which requests are still taken, in milliseconds.
+
+The balancer asks once a second and takes a VM out after two misses.
+"""
+
 
 def now_ms() -> float:
     """Return the time of the process in milliseconds; it never goes back."""
@@ -43,10 +49,22 @@
         self.configuration: Configuration | None = None
         self.replicas = ReplicaBook()
         self.has_replicas = False
+        self.has_vms = False
         self.quotas = QuotaBook(now_ms())
-        self.is_draining = False
+        self.draining_since_ms: float | None = None
         self._budgets: dict[str, RetryBudget] = {}
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether this VM is leaving."""
+        return self.draining_since_ms is not None
+
+    @property
+    def takes_requests(self) -> bool:
+        """Whether requests that come now are still served."""
+        since_ms = self.draining_since_ms
+        return since_ms is None or now_ms() - since_ms < NOTICE_MS
+
     @property
     def limits(self) -> CallerLimits:
         """Limits on callers that are in force."""
@@ -60,6 +78,7 @@
         return (
             self.configuration is not None
             and self.has_replicas
+            and self.has_vms
             and not self.is_draining
         )
 
--- a/src/hemlocktrestle/gateway/_fleet_demand.py
+++ b/src/hemlocktrestle/gateway/_fleet_demand.py
@@ -17,6 +17,7 @@
     vm_count: int
     demands: dict[str, Demand]
     heard_ms: float
+    young: float
 
 
 class FleetDemand:
@@ -34,13 +35,21 @@
         self._areas: dict[str, _Heard] = {}
         self._news_count = 0
 
-    def heard_vm(self, vm: str, demands: Iterable[Demand], now_ms: float) -> None:
+    def heard_vm(
+        self, vm: str, demands: Iterable[Demand], now_ms: float, *, young: float = 0.0
+    ) -> None:
         """Take in what one VM of the own area asks for."""
         self._news_count += 1
-        self._vms[vm] = _Heard(self._area, 1, _by_customer(demands), now_ms)
+        self._vms[vm] = _Heard(self._area, 1, _by_customer(demands), now_ms, young)
 
     def heard_area(
-        self, area: str, vm_count: int, demands: Iterable[Demand], now_ms: float
+        self,
+        area: str,
+        vm_count: int,
+        demands: Iterable[Demand],
+        now_ms: float,
+        *,
+        young: float = 0.0,
     ) -> None:
         """Take in what a keeper says of all VMs of its area."""
         self._news_count += 1
@@ -49,7 +58,12 @@
         # Two VMs may take themselves for the keeper; the one that hears more is.
         if is_fresh and known is not None and known.vm_count > vm_count:
             return
-        self._areas[area] = _Heard(area, vm_count, _by_customer(demands), now_ms)
+        self._areas[area] = _Heard(area, vm_count, _by_customer(demands), now_ms, young)
+
+    def area_young(self, own: float, now_ms: float) -> float:
+        """Return the sum of the youth of the VMs that were heard in the own area."""
+        heard = [item for item in self._vms.values() if _is_fresh(item, now_ms)]
+        return own + sum(item.young for item in heard)
 
     def area_total(
         self, own: Iterable[Demand], now_ms: float
@@ -62,7 +76,13 @@
         return 1 + len(heard), tuple(total.values())
 
     def fleet(
-        self, own: Iterable[Demand], *, is_keeper: bool, vm_count: int, now_ms: float
+        self,
+        own: Iterable[Demand],
+        *,
+        is_keeper: bool,
+        vm_count: int,
+        now_ms: float,
+        own_young: float = 0.0,
     ) -> Fleet:
         """Return what is known of the other VMs.
 
@@ -71,23 +91,28 @@
             is_keeper: whether this VM sums up its area itself.
             vm_count: VMs that are registered.
             now_ms: time of the process in milliseconds.
+            own_young: this VM's own youth, which an area's sum holds too.
         """
         own_demands = _by_customer(own)
         others: dict[str, Demand] = {}
         heard_count = 1
+        young = 0.0
         keeper = self._areas.get(self._area)
         if is_keeper or keeper is None or not _is_fresh(keeper, now_ms):
             for item in self._vms.values():
                 if _is_fresh(item, now_ms):
                     heard_count += 1
+                    young += item.young
                     _add(others, item.demands)
         else:
             heard_count = max(1, keeper.vm_count)
+            young = max(0.0, keeper.young - own_young)
             _add(others, keeper.demands)
             _take(others, own_demands)
         for area, item in self._areas.items():
             if area != self._area and _is_fresh(item, now_ms):
                 heard_count += item.vm_count
+                young += item.young
                 _add(others, item.demands)
         return Fleet(max(vm_count, heard_count), heard_count, others, self._news_count)
 
--- a/src/hemlocktrestle/gateway/_quota.py
+++ b/src/hemlocktrestle/gateway/_quota.py
@@ -42,12 +42,14 @@
         heard_count: VMs whose demand is known, this one included.
         demands: demand of the VMs that were heard, without this one, by customer.
         news_count: changes with each piece of news.
+        young: sum of the others' :meth:`QuotaBook.young`.
     """
 
     vm_count: int
     heard_count: int
     demands: dict[str, Demand]
     news_count: int = 0
+    young: float = 0.0
 
 
 class Quota(NamedTuple):
@@ -128,8 +130,7 @@
     """This VM's view of each customer's quota.
 
     Args:
-        started_ms: start of the process; what the process before it spent is not
-            known, so a VM's part of one window counts as spent at that moment.
+        started_ms: start of the process.
     """
 
     def __init__(self, started_ms: float) -> None:
@@ -167,7 +168,8 @@
         account.expire(now_ms - quota.window_ms)
         others = fleet.demands.get(customer) or Demand(customer, 0.0, 0.0)
         limit = quota.limit * _heard_share(fleet)
-        before = self._spent_before(limit, quota, fleet, now_ms)
+        young = self.young(quota.window_ms, now_ms) + fleet.young
+        before = young * limit / max(1, fleet.heard_count)
         room = limit - account.spent - others.spent - before
         is_old = now_ms - account.part_at_ms > PART_MS
         if is_old or account.news_count != fleet.news_count:
@@ -202,12 +204,13 @@
             for customer, account in self._accounts.items()
         )
 
-    def _spent_before(
-        self, limit: float, quota: Quota, fleet: Fleet, now_ms: float
-    ) -> float:
-        """Return what the process before this one may have spent in the window."""
-        left = 1 - (now_ms - self._started_ms) / quota.window_ms
-        return max(0.0, left) * limit / max(1, fleet.vm_count)
+    def young(self, window_ms: float, now_ms: float) -> float:
+        """Return the share of a window that lies before the start of the process.
+
+        What the process before it spent is not known, so this share of the VM's
+        part counts as spent.
+        """
+        return max(0.0, 1 - (now_ms - self._started_ms) / window_ms)
 
 
 def _heard_share(fleet: Fleet) -> float:
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -74,7 +74,8 @@
     """Sign of life; ``tree_age_ms`` is the time since the revision was confirmed.
 
     ``demands`` are the sender's own; ``area_demands`` are what it has heard of all
-    VMs of its area, ``area_vm_count`` of them, itself included.
+    VMs of its area, ``area_vm_count`` of them, itself included.  ``young`` is the
+    share of a quota's window that lies before the start of the sender's process.
     """
 
     tree_revision: int
@@ -86,6 +87,8 @@
     demands: tuple[CustomerDemand, ...] = ()
     area_demands: tuple[CustomerDemand, ...] = ()
     area_vm_count: int = 0
+    young: float = 0.0
+    area_young: float = 0.0
 
 
 @message("ask")
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -48,6 +48,8 @@
   demands @6 :List(CustomerDemand);
   areaDemands @7 :List(CustomerDemand);
   areaVmCount @8 :UInt32;
+  young @9 :Float64;
+  areaYoung @10 :Float64;
 }
 
 struct CustomerDemand {
