--- a/bench/policy/_keeper_front.py
+++ b/bench/policy/_keeper_front.py
@@ -1,6 +1,6 @@
 """The real decisions behind the bench's interface: keepers, zones and estimates."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from functools import partial
 from typing import NamedTuple
 
@@ -14,9 +14,11 @@
     PoolKeeper,
     PoolPolicy,
     UpstreamModel,
+    Waiting,
     chooser,
     slot_bound,
 )
+from hemlocktrestle.keeper._chooser import Upstreams
 from hemlocktrestle.keeper._slots import SlotObservation
 from hemlocktrestle.membership import UpstreamRecord
 from hemlocktrestle.wire import Ask, Permit, PoolSummary, Refusal, Release, Withdraw
@@ -273,11 +275,12 @@
         self._loop.after(HEARTBEAT_MS, self._beat)
 
     def _oracle(
-        self, ask: Ask, models: Sequence[UpstreamModel], now_ms: float
+        self, waiting: Waiting, upstreams: Upstreams, now_ms: float
     ) -> UpstreamModel | None:
+        ask = waiting.ask
         request = self._held[ask.ask_id].request
         return min(
-            models,
+            upstreams.candidates(ask),
             key=lambda model: self._engines[model.record.name].backlog_ms(request),
             default=None,
         )
--- a/src/hemlocktrestle/edge/_attempt.py
+++ b/src/hemlocktrestle/edge/_attempt.py
@@ -1,6 +1,6 @@
 """One attempt to have a request answered by one replica."""
 
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 from typing import NamedTuple
 
@@ -35,6 +35,10 @@
 """Objectives after which a stream without its first event counts as stuck."""
 
 
+PULSE_EVENTS = 5
+"""Events after which it is told how fast a stream runs."""
+
+
 class Progress:
     """How far a request has come, over all its attempts."""
 
@@ -48,9 +52,19 @@
         self.last_event_id = ""
         self.event_count = 0
         self.first_ms = 0.0
+        self.last_event_ms = 0.0
+        self.longest_gap_ms = 0.0
         self.replicas: list[str] = []
         self.waited_ms = 0.0
 
+    def note_events(self, count: int, at_ms: float) -> None:
+        """Count events that went to the caller."""
+        if self.event_count:
+            gap_ms = at_ms - self.last_event_ms
+            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        self.last_event_ms = at_ms
+        self.event_count += count
+
 
 class Sealed(NamedTuple):
     """A replica's whole answer, as it goes to the caller."""
@@ -69,6 +83,7 @@
         place: the replica.
         connection: the caller's connection.
         progress: how far the request has come.
+        on_pulse: told once, early, how fast a stream runs.
     """
 
     def __init__(
@@ -78,7 +93,10 @@
         place: Place,
         connection: CallerConnection,
         progress: Progress,
+        *,
+        on_pulse: Callable[[Job, Place, AttemptReport], None],
     ) -> None:
+        self._on_pulse = on_pulse
         self._state = state
         self._job = job
         self._place = place
@@ -87,6 +105,8 @@
         self._started_ms = now_ms()
         self._first_ms = 0.0
         self._event_count = 0
+        self._late_event_count = 0
+        self._event_ms = 0.0
         self.status = 0
         self.failure: RequestError | None = None
         self.sealed: Sealed | None = None
@@ -94,7 +114,11 @@
     def report(self, end: AttemptEnd) -> AttemptReport:
         """Return what was seen of the attempt."""
         return AttemptReport(
-            end, self._first_ms, now_ms() - self._started_ms, self._event_count
+            end,
+            self._first_ms,
+            now_ms() - self._started_ms,
+            self._event_count,
+            self._late_event_count,
         )
 
     async def run(self) -> AttemptReport:
@@ -200,10 +224,10 @@
                     continue
                 if not self._event_count:
                     self._first_ms = now_ms() - self._started_ms
-                self._event_count += len(events)
+                self._note_events(len(events))
                 await self._start(answer.status, headers)
                 await self._connection.piece(b"".join(event.data for event in events))
-                self._progress.event_count += len(events)
+                self._progress.note_events(len(events), now_ms())
                 for event in events:
                     if event.event_id:
                         self._progress.last_event_id = event.event_id
@@ -217,6 +241,19 @@
         await self._connection.finish()
         return AttemptEnd.RELAYED
 
+    def _note_events(self, count: int) -> None:
+        """Count events that came, and those that came after too long a pause."""
+        before_count = self._event_count
+        at_ms = now_ms()
+        self._event_count += count
+        gap_ms = self._job.route.gap_ms
+        if before_count and gap_ms and at_ms - self._event_ms > gap_ms:
+            self._late_event_count += 1
+        self._event_ms = at_ms
+        if before_count < PULSE_EVENTS <= self._event_count:
+            report = self.report(AttemptEnd.RELAYED)
+            self._on_pulse(self._job, self._place, report)
+
     async def _start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         if not self._connection.is_answer_started:
             self._progress.first_ms = now_ms() - self._job.request.arrived_ms
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -42,6 +42,7 @@
     Heartbeat,
     Hello,
     Permit,
+    Pulse,
     Queued,
     Refusal,
     Release,
@@ -220,7 +221,7 @@
     def _route(self) -> None:
         """Lead messages and ends of links to those that they concern."""
         network = self._network
-        for asked in (Ask, Release, Withdraw, Running):
+        for asked in (Ask, Release, Withdraw, Running, Pulse):
             network.route(asked, self._keeper.received)
         for answered in (Permit, Refusal, Queued):
             network.route(answered, self._asker.received)
@@ -243,7 +244,11 @@
                 "route": progress.route,
                 "outcome": served.outcome,
                 "status": served.status,
+                "deadline_ms": job.facts.deadline_ms if job else 0,
+                "waited_ms": round(progress.waited_ms),
                 "first_ms": round(progress.first_ms),
+                "longest_gap_ms": round(progress.longest_gap_ms),
+                "prompt_tokens": job.facts.prompt_tokens if job else 0,
                 "events": progress.event_count,
                 "replicas": progress.replicas,
                 "total_ms": round(now_ms() - job.request.arrived_ms) if job else 0,
--- a/src/hemlocktrestle/edge/_followers.py
+++ b/src/hemlocktrestle/edge/_followers.py
@@ -150,6 +150,10 @@
                 "store_revision": item.revision,
                 "route_count": len(configuration.routes),
                 "customer_count": len(configuration.customers),
+                "customer_ranks": {
+                    name: customer.rank
+                    for name, customer in configuration.customers.items()
+                },
             },
         )
 
--- a/src/hemlocktrestle/edge/_local_scheduler.py
+++ b/src/hemlocktrestle/edge/_local_scheduler.py
@@ -56,6 +56,9 @@
         self._outstanding[replica_id] = self._outstanding.get(replica_id, 0) + 1
         return Place("", replica_id, chosen.address, "", 0.0)
 
+    def pulse(self, job: Job, place: Place, report: AttemptReport) -> None:
+        """Take in how fast a stream runs, which does not count here."""
+
     def release(self, job: Job, place: Place, report: AttemptReport) -> None:
         """Give a place back."""
         count = self._outstanding.get(place.replica_id, 0) - 1
--- a/src/hemlocktrestle/edge/_permit_scheduler.py
+++ b/src/hemlocktrestle/edge/_permit_scheduler.py
@@ -10,11 +10,11 @@
 from hemlocktrestle.entry import ZoneLoad, order_zones
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.peers import Asker, HeldPermit
-from hemlocktrestle.wire import Ask, Release
+from hemlocktrestle.wire import Ask, Pulse, Release
 
 log = logging.getLogger(__name__)
 
-HOLD_OBJECTIVES = 1.5
+HOLD_OBJECTIVES = 1.0
 """Objectives for which a request may wait for its turn.
 
 Callers give a stream up after some objectives without an event, and a request that
@@ -41,6 +41,12 @@
 }
 """What the keeper is told of an attempt, by its end."""
 
+CAME_BACK_SHARE = 1 - COMES_BACK_SHARE * 2 / 3
+"""Share of the longest deadline of a route below which a caller has come back.
+
+Callers' first deadlines differ by less than the pause takes off.
+"""
+
 _ALONE = frozenset({ErrorKind.KEEPER_GONE, ErrorKind.NO_UPSTREAM})
 """Refusals after which this VM chooses alone, from what it sees itself."""
 
@@ -98,6 +104,22 @@
             now_ms() - started_ms,
         )
 
+    def pulse(self, job: Job, place: Place, report: AttemptReport) -> None:
+        """Tell early how fast a stream runs."""
+        held = self._held.get(place.permit_id)
+        engine = job.service.engine
+        if held is None or engine is None:
+            return
+        pulse = Pulse(
+            place.permit_id,
+            job.service.name,
+            place.replica_id,
+            int(report.first_ms),
+            int(report.total_ms - report.first_ms),
+            (report.event_count - 1) * engine.tokens_per_event,
+        )
+        self._asker.pulse(held, pulse)
+
     def release(self, job: Job, place: Place, report: AttemptReport) -> None:
         """Give a place back, with what was seen."""
         held = self._held.pop(place.permit_id, None)
@@ -118,6 +140,8 @@
             int(report.total_ms),
             job.facts.prompt_tokens,
             tokens,
+            report.event_count,
+            report.late_event_count,
         )
         self._asker.release(held, release)
 
@@ -140,19 +164,27 @@
             excluded=tuple(sorted(excluded)),
             aim_ms=int(max(0.0, aim_ms)),
             route=route.name,
+            event_count=self._event_count(job),
         )
 
+    def _event_count(self, job: Job) -> int:
+        engine = job.service.engine
+        if engine is None:
+            return 0
+        return job.facts.expected_output_tokens // max(1, engine.tokens_per_event)
+
     def _aim_ms(self, job: Job) -> float:
         """Return the time left until the answer is late for its caller.
 
-        Callers count from their first try; one that comes again has less time left
-        than those of its route have at first.
+        Callers count from their first try, and one that came back after the pause
+        that it was asked for has much less time left than others of its route.
         """
         stated_ms = job.facts.deadline_ms or 0.0
         longest_ms = max(self._longest_ms.get(job.route.name, 0.0), stated_ms)
         self._longest_ms[job.route.name] = longest_ms
-        spent_ms = longest_ms - stated_ms + now_ms() - job.request.arrived_ms
-        return job.route.objective_ms - spent_ms
+        if stated_ms < longest_ms * CAME_BACK_SHARE:
+            return 0.0
+        return job.route.objective_ms - (now_ms() - job.request.arrived_ms)
 
     def _areas(self, job: Job, excluded: frozenset[str]) -> tuple[str, ...]:
         """Return the regions whose keepers may be asked, the shortest wait first.
--- a/src/hemlocktrestle/edge/_place.py
+++ b/src/hemlocktrestle/edge/_place.py
@@ -44,12 +44,14 @@
         first_ms: time to the first event or the whole answer, 0 if none came.
         total_ms: time to its end.
         event_count: events of a stream that came.
+        late_event_count: those of them that came after too long a pause.
     """
 
     end: AttemptEnd
     first_ms: float
     total_ms: float
     event_count: int
+    late_event_count: int = 0
 
 
 class Scheduler(Protocol):
@@ -67,6 +69,10 @@
         """
         ...
 
+    def pulse(self, job: Job, place: Place, report: AttemptReport) -> None:
+        """Tell early how fast a stream runs."""
+        ...
+
     def release(self, job: Job, place: Place, report: AttemptReport) -> None:
         """Give a place back."""
         ...
--- a/src/hemlocktrestle/edge/_serve.py
+++ b/src/hemlocktrestle/edge/_serve.py
@@ -13,7 +13,7 @@
 from hemlocktrestle.edge._place import AttemptEnd, AttemptReport, Place, Scheduler
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.errors import ErrorKind, RequestError
-from hemlocktrestle.gateway import Quota, choose_service
+from hemlocktrestle.gateway import Quota, choose_service, urgency_rank
 from hemlocktrestle.quarantine import QuarantineBook
 from hemlocktrestle.relay import CallerConnection, CallerRequest
 
@@ -118,7 +118,6 @@
         service = configuration.services.get(name)
         if service is None:
             raise RequestError(ErrorKind.NO_UPSTREAM, "service is not configured")
-        own_rank = customer.rank if customer is not None else None
         waits_ms = facts.deadline_ms or DEADLINE_DEFAULT_MS
         job = Job(
             request=request,
@@ -126,7 +125,7 @@
             route=route,
             service=service,
             customer=customer,
-            rank=route.rank if own_rank is None else own_rank,
+            rank=urgency_rank(route, customer),
             fingerprint=_fingerprint(request, facts.key),
             deadline_at_ms=request.arrived_ms + min(waits_ms, route.timeout_ms),
         )
@@ -193,7 +192,14 @@
                     break
                 raise error
             excluded.add(place.replica_id)
-            attempt = Attempt(self._state, job, place, connection, progress)
+            attempt = Attempt(
+                self._state,
+                job,
+                place,
+                connection,
+                progress,
+                on_pulse=self._scheduler.pulse,
+            )
             report = AttemptReport(AttemptEnd.ABANDONED, 0.0, 0.0, 0)
             try:
                 report = await attempt.run()
--- a/src/hemlocktrestle/gateway/__init__.py
+++ b/src/hemlocktrestle/gateway/__init__.py
@@ -10,6 +10,7 @@
     Service,
     Target,
     choose_service,
+    urgency_rank,
 )
 from hemlocktrestle.gateway._events import EventCutter, StreamEvent
 from hemlocktrestle.gateway._fleet_demand import FleetDemand
@@ -48,4 +49,5 @@
     "StreamEvent",
     "Target",
     "choose_service",
+    "urgency_rank",
 ]
--- a/src/hemlocktrestle/gateway/_configuration.py
+++ b/src/hemlocktrestle/gateway/_configuration.py
@@ -82,7 +82,7 @@
     Args:
         name: the customer's name.
         keys: keys of its callers.
-        rank: urgency that replaces the route's, or ``None``.
+        rank: urgency that goes before the route's, or ``None``.
         counts_tokens: whether the quota counts tokens rather than requests.
         plain_tokens: tokens of a request that states none.
         rate_per_s: quota a second, 0 for none.
@@ -158,6 +158,19 @@
         return self._by_key.get(key)
 
 
+ROUTE_RANKS = 8
+"""Ranks of routes that are told apart within one rank of customers."""
+
+
+def urgency_rank(route: Route, customer: Customer | None) -> int:
+    """Return the rank of a request, 0 the highest.
+
+    The customer's rank goes first; among customers alike the route's decides.
+    """
+    own = customer.rank if customer is not None else None
+    return (own or 0) * ROUTE_RANKS + min(route.rank, ROUTE_RANKS - 1)
+
+
 def choose_service(route: Route, request_id: str) -> str:
     """Choose a route's service for a request, by the weights of its targets."""
     if len(route.targets) == 1:
--- a/src/hemlocktrestle/keeper/_core.py
+++ b/src/hemlocktrestle/keeper/_core.py
@@ -19,6 +19,7 @@
     Message,
     Permit,
     PoolSummary,
+    Pulse,
     Refusal,
     Release,
     Running,
@@ -172,6 +173,10 @@
         """Return the asks that wait, in no order."""
         return self._queue.waiting()
 
+    def pulse(self, pulse: Pulse) -> None:
+        """Learn from a stream that still runs."""
+        self._upstreams.pulse(pulse)
+
     def holds(self, ask_id: str) -> bool:
         """Tell whether an ask waits."""
         return self._queue.get(ask_id) is not None
@@ -184,11 +189,11 @@
         outgoing = []
         self._upstreams.advance(now_ms)
         self._queue.advance(now_ms)
-        while (waiting := self._queue.peek(self._upstreams.is_open)) is not None:
+        for waiting in self._queue.order(self._upstreams.is_open):
             ask = waiting.ask
-            model = self._choose(ask, self._upstreams.candidates(ask), now_ms)
+            model = self._choose(waiting, self._upstreams, now_ms)
             if model is None:
-                break
+                continue
             remaining_ms = waiting.deadline_ms - now_ms
             idle_ms = self._upstreams.idle_ms(ask)
             prospect = Prospect(ask, model, idle_ms, remaining_ms, now_ms)
@@ -205,13 +210,9 @@
     def _refuse_if_late(self, ask_id: str) -> list[Outgoing]:
         """Refuse an ask that has just come and would miss its aim by waiting."""
         waiting = self._queue.get(ask_id)
-        slots = sum(model.slots for model in self._upstreams)
-        if waiting is None or not slots:
-            return []
-        wait_ms = self._queue.ahead_ms(waiting) / slots
-        if self._queue.is_late_after(waiting, 0.0):
+        if waiting is None or self._queue.is_late_after(waiting, 0.0):
             return []
-        if not self._queue.is_late_after(waiting, wait_ms):
+        if not self._queue.is_late_after(waiting, self._queue.wait_ms(waiting)):
             return []
         return [self._refuse(waiting, ErrorKind.DEADLINE_UNMEETABLE)]
 
--- a/src/hemlocktrestle/keeper/_objective_queue.py
+++ b/src/hemlocktrestle/keeper/_objective_queue.py
@@ -1,15 +1,36 @@
 """The queue that serves what can still be in time, by urgency and replica time."""
 
+from collections import deque
+from collections.abc import Iterator
 from typing import NamedTuple
 
-from hemlocktrestle.keeper._queue import IsOpen, Waiting, _Present, class_of, queue
+from hemlocktrestle.keeper._queue import (
+    AskClass,
+    IsOpen,
+    Waiting,
+    _Present,
+    class_of,
+    queue,
+)
 
 SMOOTHING = 0.1
 """Share of a new observation in what a route's requests take."""
 
+FIRST_MARGIN = 2.0
+"""Factor on the mean time to a first part, so that most come within it."""
+
 RANK_FACTOR = 4.0
 """How much more an ask counts than one of the next rank for the same replica time."""
 
+COUNTED_MS = 1_000.0
+"""Time over which grants and arrivals are counted, in milliseconds."""
+
+COUNTED_MAX = 4_096
+"""Events of one kind that are remembered."""
+
+TIERS_SEEN = (0, 1, 2)
+"""Ranks of tiers for which upstreams keep room apart."""
+
 UNKNOWN_MS = 1_000.0
 """Time that a request of an unknown route is taken to need, in milliseconds."""
 
@@ -21,6 +42,30 @@
     total_ms: float
 
 
+class _Kind(NamedTuple):
+    """Asks of one rank and route."""
+
+    tier: int
+    route: str
+
+
+class _RecentCount:
+    """How often something happened of late."""
+
+    __slots__ = ("_times",)
+
+    def __init__(self) -> None:
+        self._times: deque[float] = deque(maxlen=COUNTED_MAX)
+
+    def note(self, now_ms: float) -> None:
+        self._times.append(now_ms)
+
+    def within(self, now_ms: float) -> int:
+        while self._times and self._times[0] < now_ms - COUNTED_MS:
+            self._times.popleft()
+        return len(self._times)
+
+
 _Key = tuple[bool, int, float, float]
 
 
@@ -35,27 +80,28 @@
     def __init__(self) -> None:
         super().__init__()
         self._takes: dict[str, _Takes] = {}
+        self._grants = _RecentCount()
+        self._arrivals: dict[_Kind, _RecentCount] = {}
         self._now_ms = 0.0
 
     def push(self, waiting: Waiting) -> None:
         """Add an ask; one with the same id is replaced."""
         self._number(waiting)
+        if not self.is_late_after(waiting, 0.0):
+            kind = _Kind(waiting.ask.tier, waiting.ask.route)
+            self._arrivals.setdefault(kind, _RecentCount()).note(waiting.arrived_ms)
 
-    def peek(self, is_open: IsOpen) -> Waiting | None:
-        """Return the first ask that an upstream has room for, or ``None``."""
-        best: Waiting | None = None
-        best_key: _Key | None = None
-        for entry in self._present.values():
-            waiting = entry.waiting
-            key = self._key(waiting)
-            if best_key is not None and key >= best_key:
-                continue
+    def order(self, is_open: IsOpen) -> Iterator[Waiting]:
+        """Yield asks that an upstream has room for, the first first."""
+        if not any(is_open(AskClass((), False), tier) for tier in TIERS_SEEN):
+            return
+        for waiting in sorted(self.waiting(), key=self._key):
             if is_open(class_of(waiting.ask), waiting.ask.tier):
-                best, best_key = waiting, key
-        return best
+                yield waiting
 
     def take(self, ask_id: str) -> Waiting | None:
         """Take out an ask that is served."""
+        self._grants.note(self._now_ms)
         return self.remove(ask_id)
 
     def remove(self, ask_id: str) -> Waiting | None:
@@ -82,19 +128,29 @@
             known.total_ms + SMOOTHING * (total_ms - known.total_ms),
         )
 
-    def ahead_ms(self, waiting: Waiting) -> float:
-        """Return the replica time that goes to asks before this one."""
+    def wait_ms(self, waiting: Waiting) -> float:
+        """Estimate how long an ask that has just come will wait.
+
+        Asks that go first come on arriving meanwhile and take their part of the
+        places that become free.
+        """
         key = self._key(waiting)
-        return sum(
-            self._total_ms(other.ask.route)
-            for other in self.waiting()
-            if self._key(other) < key
+        ahead_count = sum(self._key(other) < key for other in self.waiting())
+        if not ahead_count:
+            return 0.0
+        own = self._place(_Kind(waiting.ask.tier, waiting.ask.route))
+        arrived_count = sum(
+            count.within(self._now_ms)
+            for kind, count in self._arrivals.items()
+            if self._place(kind) < own
         )
+        free_count = self._grants.within(self._now_ms) - arrived_count
+        return ahead_count * COUNTED_MS / max(1, free_count)
 
     def is_late_after(self, waiting: Waiting, wait_ms: float) -> bool:
         """Tell whether an ask would miss its aim after a wait from now."""
         takes = self._takes.get(waiting.ask.route)
-        first_ms = takes.first_ms if takes is not None else 0.0
+        first_ms = takes.first_ms * FIRST_MARGIN if takes is not None else 0.0
         return self._now_ms + wait_ms + first_ms > waiting.aim_at_ms
 
     def _total_ms(self, route: str) -> float:
@@ -105,6 +161,10 @@
         tier = waiting.ask.tier
         if self.is_late_after(waiting, 0.0):
             return True, tier, 0.0, waiting.arrived_ms
-        total_ms = max(1.0, self._total_ms(waiting.ask.route))
-        density = RANK_FACTOR**-tier / total_ms
-        return False, min(tier, 1), -density, waiting.aim_at_ms
+        place = self._place(_Kind(tier, waiting.ask.route))
+        return False, *place, waiting.aim_at_ms
+
+    def _place(self, kind: _Kind) -> tuple[int, float]:
+        """Return the place of asks of a kind that can be in time."""
+        total_ms = max(1.0, self._total_ms(kind.route))
+        return min(kind.tier, 1), -(RANK_FACTOR**-kind.tier) / total_ms
--- a/src/hemlocktrestle/keeper/_queue.py
+++ b/src/hemlocktrestle/keeper/_queue.py
@@ -1,7 +1,7 @@
 """Queues of asks in front of one pool, chosen from a registry by name."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import NamedTuple, Protocol, TypeVar
 
 from hemlocktrestle.keeper._heap import LazyHeap
@@ -50,6 +50,13 @@
         """Return the first ask that an upstream has room for, or ``None``."""
         ...
 
+    def order(self, is_open: IsOpen) -> Iterator[Waiting]:
+        """Yield asks that an upstream has room for, the first first.
+
+        The caller takes out what it serves before it goes on.
+        """
+        ...
+
     def take(self, ask_id: str) -> Waiting | None:
         """Take out an ask that is served."""
         ...
@@ -78,8 +85,8 @@
         """Take in what a request of a route took: to its first part, and in all."""
         ...
 
-    def ahead_ms(self, waiting: Waiting) -> float:
-        """Return the replica time that goes to asks before this one."""
+    def wait_ms(self, waiting: Waiting) -> float:
+        """Estimate how long an ask that has just come will wait."""
         ...
 
     def is_late_after(self, waiting: Waiting, wait_ms: float) -> bool:
@@ -117,7 +124,7 @@
 
 
 class _Present:
-    """The asks that wait, by id."""
+    """The asks that wait, by id, and what most orders do not need."""
 
     def __init__(self) -> None:
         self._present: dict[str, Numbered] = {}
@@ -135,13 +142,24 @@
         """Return all that wait, in no order."""
         return [entry.waiting for entry in self._present.values()]
 
+    def peek(self, is_open: IsOpen) -> Waiting | None:
+        """Return the first ask that an upstream has room for, or ``None``."""
+        raise NotImplementedError
+
+    def order(self, is_open: IsOpen) -> Iterator[Waiting]:
+        """Yield the first ask, until one that was yielded is not taken out."""
+        while (waiting := self.peek(is_open)) is not None:
+            yield waiting
+            if waiting.ask.ask_id in self._present:
+                return
+
     def advance(self, now_ms: float) -> None:
         """Take in the time, on which the order does not depend."""
 
     def learn(self, route: str, first_ms: float, total_ms: float) -> None:
         """Take in what a request took, on which the order does not depend."""
 
-    def ahead_ms(self, waiting: Waiting) -> float:
+    def wait_ms(self, waiting: Waiting) -> float:
         """Return 0: nothing is known of how long asks take."""
         return 0.0
 
--- a/src/hemlocktrestle/keeper/_upstream.py
+++ b/src/hemlocktrestle/keeper/_upstream.py
@@ -10,7 +10,7 @@
 from hemlocktrestle.keeper._slots import SLOT_BOUNDS, SlotObservation
 from hemlocktrestle.keeper._slowdown import Slowdown
 from hemlocktrestle.membership import UpstreamRecord
-from hemlocktrestle.wire import Ask, Release
+from hemlocktrestle.wire import Ask, Pulse, Release
 
 OVERDUE_SAMPLE_COUNT = 8
 """Oldest requests in hand that are looked at for being overdue."""
@@ -36,6 +36,9 @@
 FAILURE_SMOOTHING = 0.1
 """Share of a new end in the share of requests that fail."""
 
+EVENTS_MEMORY = 400
+"""Events over which what was seen of late ones loses half of its weight."""
+
 FAILURE_WEIGHT = 20.0
 """How much longer an upstream seems to take if all its requests fail."""
 
@@ -102,6 +105,7 @@
         self.change_count = 0
         self.learned_count = 0
         self.failure_share = 0.0
+        self.late_event_share = 0.0
         self._bound = SLOT_BOUNDS[slot_bound]()
         self._tier_shares = tier_shares
         self._prefill_share = prefill_share
@@ -180,12 +184,41 @@
         if release.sent:
             is_failure = release.failure in _FAILURES
             self.failure_share += FAILURE_SMOOTHING * (is_failure - self.failure_share)
+        if release.event_count > 1:
+            weight = release.event_count / (release.event_count + EVENTS_MEMORY)
+            share = release.late_event_count / release.event_count
+            self.late_event_share += weight * (share - self.late_event_share)
         if release.failure == ErrorKind.DEADLINE_RUNNING.value:
             self._learn_late(item, release, now_ms)
         elif release.sent and not release.failure and release.first_token_ms:
             self._learn(item, release, now_ms)
         return self.drop(release.ask_id)
 
+    def pulse(self, pulse: Pulse) -> None:
+        """Learn from a stream that still runs."""
+        item = self.in_hand.get(pulse.ask_id)
+        if item is None or not pulse.output_tokens:
+            return
+        self.learned_count += 1
+        self.rates.decode.learn(
+            len(self.in_hand), pulse.output_tokens, float(pulse.decode_ms)
+        )
+
+    def in_time_chance(self, ask: Ask, left_ms: float, now_ms: float) -> float:
+        """Estimate how likely an ask is answered in time here.
+
+        Args:
+            ask: the ask.
+            left_ms: time until the first part of its answer is late.
+            now_ms: the time of the process in milliseconds.
+        """
+        first_ms = self._first_ms(self._prefill_tokens(ask, now_ms), now_ms)
+        first_ms *= self.slowdown.factor(now_ms)
+        # The estimate is right to about a factor of two either way.
+        first = min(1.0, max(0.0, left_ms / (2 * first_ms))) if first_ms else 1.0
+        pauses = (1 - self.late_event_share) ** ask.event_count
+        return first * pauses * (1 - self.failure_share)
+
     def expected_ms(self, ask: Ask, now_ms: float) -> float:
         """Estimate the time to the whole answer, in milliseconds."""
         first_ms = self._first_ms(self._prefill_tokens(ask, now_ms), now_ms)
--- a/src/hemlocktrestle/keeper/_upstream_set.py
+++ b/src/hemlocktrestle/keeper/_upstream_set.py
@@ -10,7 +10,7 @@
 from hemlocktrestle.keeper._upstream import InHand, UpstreamModel
 from hemlocktrestle.membership import UpstreamRecord
 from hemlocktrestle.tree import TIERS
-from hemlocktrestle.wire import Ask, Release
+from hemlocktrestle.wire import Ask, Pulse, Release
 
 CANDIDATE_COUNT = 8
 """Upstreams that are weighed against each other for one ask."""
@@ -167,6 +167,17 @@
             model.give_back(release, now_ms)
             self._changed(model)
 
+    def pulse(self, pulse: Pulse) -> None:
+        """Learn from a stream that still runs."""
+        model = self._models.get(pulse.upstream)
+        if model is not None:
+            model.pulse(pulse)
+
+    def free(self, ask: Ask) -> list[UpstreamModel]:
+        """Return all upstreams with room for an ask."""
+        names = self._rooms[_kind(ask.tier, class_of(ask).is_long)].free
+        return [self._models[name] for name in names if name not in ask.excluded]
+
     def holder_lost(self, vm: str) -> None:
         """Take out of hand all that a VM held."""
         for model in [*self._models.values(), *self._leaving.values()]:
--- a/src/hemlocktrestle/peers/_asker.py
+++ b/src/hemlocktrestle/peers/_asker.py
@@ -13,6 +13,7 @@
     Ask,
     Message,
     Permit,
+    Pulse,
     Queued,
     Refusal,
     Release,
@@ -125,6 +126,11 @@
         keeper_vm = entry.keeper_vm if entry is not None else held.keeper_vm
         self._send(keeper_vm, release)
 
+    def pulse(self, held: HeldPermit, pulse: Pulse) -> None:
+        """Tell whoever keeps the pool now how fast a request runs."""
+        entry = self._held.get(pulse.ask_id)
+        self._send(entry.keeper_vm if entry is not None else held.keeper_vm, pulse)
+
     def received(self, vm: str, message: Message) -> None:
         """Take in a permit or a refusal."""
         if isinstance(message, Queued):
--- a/src/hemlocktrestle/peers/_keeper_task.py
+++ b/src/hemlocktrestle/peers/_keeper_task.py
@@ -15,6 +15,7 @@
     Message,
     Permit,
     PoolSummary,
+    Pulse,
     Queued,
     Refusal,
     Release,
@@ -164,6 +165,9 @@
     def _running(self, vm: str, running: Running) -> None:
         self._keeper(running.pool).running(vm, running, self._now_ms())
 
+    def _pulse(self, vm: str, pulse: Pulse) -> None:
+        self._keeper(pulse.pool).pulse(pulse)
+
     def _keeps(self, pool: str) -> bool:
         """Tell whether asks for a pool may wait here.
 
@@ -248,4 +252,5 @@
     Release: KeeperTask._release,
     Withdraw: KeeperTask._withdraw,
     Running: KeeperTask._running,
+    Pulse: KeeperTask._pulse,
 }
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -98,7 +98,8 @@
     ``tier`` is a rank, 0 the most valuable; ``deadline_ms`` is what remains when
     the ask is sent; ``excluded`` names upstreams that the holder will not use;
     ``aim_ms`` is what remains until the first part of the answer is late, or
-    ``NO_AIM``; asks of one ``route`` are alike in what they take.
+    ``NO_AIM``; asks of one ``route`` are alike in what they take; ``event_count``
+    is how many events a stream is expected to have.
     """
 
     ask_id: str
@@ -113,6 +114,7 @@
     excluded: tuple[str, ...] = ()
     aim_ms: int = NO_AIM
     route: str = ""
+    event_count: int = 0
 
 
 @message("queued")
@@ -152,7 +154,8 @@
     """A holder gives a permit back, with what it observed.
 
     ``sent`` tells whether a byte may have left; ``failure`` is the value of an
-    error kind or empty.
+    error kind or empty.  Of a stream's ``event_count`` events ``late_event_count``
+    came after too long a pause.
     """
 
     ask_id: str
@@ -164,6 +167,20 @@
     total_ms: int
     prompt_tokens: int
     output_tokens: int
+    event_count: int = 0
+    late_event_count: int = 0
+
+
+@message("pulse")
+class Pulse(NamedTuple):
+    """A holder tells early how fast a stream runs, long before its release."""
+
+    ask_id: str
+    pool: str
+    upstream: str
+    first_token_ms: int
+    decode_ms: int
+    output_tokens: int
 
 
 @message("withdraw")
@@ -263,4 +280,5 @@
     | TicketClose
     | Suspicion
     | Queued
+    | Pulse
 )
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -20,6 +20,7 @@
     ticketClose @12 :TicketClose;
     suspicion @13 :Suspicion;
     queued @14 :Queued;
+    pulse @15 :Pulse;
   }
 }
 
@@ -78,6 +79,7 @@
   excluded @9 :List(Text);
   aimMs @10 :Int64 = -1;
   route @11 :Text;
+  eventCount @12 :UInt32;
 }
 
 struct Queued {
@@ -109,6 +111,17 @@
   totalMs @6 :UInt64;
   promptTokens @7 :UInt32;
   outputTokens @8 :UInt32;
+  eventCount @9 :UInt32;
+  lateEventCount @10 :UInt32;
+}
+
+struct Pulse {
+  askId @0 :Text;
+  pool @1 :Text;
+  upstream @2 :Text;
+  firstTokenMs @3 :UInt64;
+  decodeMs @4 :UInt64;
+  outputTokens @5 :UInt32;
 }
 
 struct Withdraw {
