--- a/src/hemlocktrestle/edge/_attempt.py
+++ b/src/hemlocktrestle/edge/_attempt.py
@@ -208,8 +208,7 @@
         if answer.status >= 500:
             self.sealed = Sealed(answer.status, headers, bytes(body))
             return AttemptEnd.REFUSED_AS_FAILED
-        # From here on the caller has the answer, so no second one is asked for.
-        self._patience.deadline = float("inf")
+        await _end_patience(self._patience)
         await self._connection.whole(answer.status, headers, bytes(body))
         return AttemptEnd.RELAYED
 
@@ -272,11 +271,22 @@
 ) -> AsyncGenerator[bytes, None]:
     """Yield an answer's pieces, and bound the pause before each next one."""
     async for piece in answer.pieces():
-        scope.deadline = float("inf")
+        await _end_patience(scope)
         yield piece
         scope.deadline = trio.current_time() + gap_s
 
 
+async def _end_patience(scope: trio.CancelScope) -> None:
+    """Let an answer go out without a limit, unless the time for it is over.
+
+    A time that has run out is only noticed at the next wait; noticed while the
+    answer goes out, it would cut an answer that counts as sent.
+    """
+    if scope.cancel_called:
+        await trio.lowlevel.checkpoint()
+    scope.deadline = float("inf")
+
+
 def _is_framed(answer: ReplicaAnswer) -> bool:
     """Tell whether the end of an answer shows in the answer itself."""
     return any(
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -39,6 +39,7 @@
 from hemlocktrestle.wire import (
     PROTOCOL_VERSION,
     Ask,
+    ConfigurationNews,
     Heartbeat,
     Hello,
     Permit,
@@ -46,6 +47,7 @@
     Queued,
     Refusal,
     Release,
+    ReplicaNews,
     Running,
     Withdraw,
 )
@@ -159,7 +161,10 @@
                 ConfigurationFollower(self.state, self._store, self._health).run
             )
             replicas = ReplicaFollower(
-                self.state, self._store, self._health, on_change=self._peers.sync
+                self.state,
+                self._store,
+                self._health,
+                on_change=self._peers.replicas_changed,
             )
             peers = listen(f"{settings.ip}:{settings.peer_port}")
             nursery.start_soon(self._network.run)
@@ -226,6 +231,10 @@
         for answered in (Permit, Refusal, Queued):
             network.route(answered, self._asker.received)
         network.route(Heartbeat, self._peers.heard)
+        for news in (ReplicaNews, ConfigurationNews):
+            network.route(news, self._peers.heard_news)
+        network.on_opened(self._peers.greeting)
+        self.state.tell_configuration = self._peers.tell_configuration
         network.on_dialled_closed(self._asker.link_closed)
         network.on_dialled_closed(self._peers.membership.lost)
         network.on_accepted_closed(self._keeper.holder_lost)
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -4,10 +4,16 @@
 
 import trio
 
-from hemlocktrestle.edge._followers import VmEntry
+from hemlocktrestle.edge._followers import VmEntry, take_configuration
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.errors import RequestError
-from hemlocktrestle.gateway import Demand, Fleet, FleetDemand
+from hemlocktrestle.gateway import (
+    Demand,
+    Fleet,
+    FleetDemand,
+    ReplicaFact,
+    ReplicaRecord,
+)
 from hemlocktrestle.membership import (
     Listing,
     Membership,
@@ -18,7 +24,14 @@
 )
 from hemlocktrestle.peers import KeeperTask, PeerNetwork
 from hemlocktrestle.relay import open_connection
-from hemlocktrestle.wire import CustomerDemand, Heartbeat, Message, PoolSummary
+from hemlocktrestle.wire import (
+    ConfigurationNews,
+    CustomerDemand,
+    Heartbeat,
+    Message,
+    PoolSummary,
+    ReplicaNews,
+)
 
 log = logging.getLogger(__name__)
 
@@ -86,6 +99,58 @@
         if self.network is not None:
             self.network.sync_peers(self._dialled())
 
+    def replicas_changed(self) -> None:
+        """Take in what has changed in the book of replicas, and tell the others."""
+        self._tell_replicas(skip="")
+
+    def _tell_replicas(self, *, skip: str) -> None:
+        news = self._state.replicas.take_news()
+        if not news:
+            return
+        records = self._state.replicas.replicas()
+        log.info(
+            "replicas_changed",
+            extra={
+                "changes": {fact.replica_id: fact.revision for fact in news},
+                "source": skip or "store",
+                "ready": [r.replica_id for r in records if not r.is_draining],
+                "draining": [r.replica_id for r in records if r.is_draining],
+            },
+        )
+        self.sync()
+        if self.network is not None:
+            for fact in news:
+                self.network.broadcast(_news(fact), skip=skip)
+
+    def tell_configuration(self, *, skip: str = "") -> None:
+        """Tell the others of the configuration in force."""
+        self.sync()
+        if self.network is not None:
+            self.network.broadcast(self._configuration_news(), skip=skip)
+
+    def greeting(self, vm: str) -> list[Message]:
+        """Return what a VM may not know yet, for a link that has just opened."""
+        news: list[Message] = [_news(fact) for fact in self._state.replicas.facts()]
+        if self._state.configuration is not None:
+            news.append(self._configuration_news())
+        return news
+
+    def heard_news(self, vm: str, message: Message) -> None:
+        """Take in what another VM knows from the store."""
+        if isinstance(message, ReplicaNews):
+            self._state.replicas.put(_fact(message))
+            self._tell_replicas(skip=vm)
+        elif isinstance(message, ConfigurationNews):
+            take_configuration(
+                self._state, message.document, message.revision, source=vm
+            )
+
+    def _configuration_news(self) -> ConfigurationNews:
+        state = self._state
+        return ConfigurationNews(
+            state.configuration_revision, state.configuration_document
+        )
+
     def fleet(self) -> Fleet:
         """Return what is known of the other VMs' demand."""
         membership = self.membership
@@ -183,6 +248,40 @@
         return tuple(found.values())
 
 
+def _news(fact: ReplicaFact) -> ReplicaNews:
+    record = fact.record
+    if record is None:
+        return ReplicaNews(fact.replica_id, fact.revision, True)
+    return ReplicaNews(
+        fact.replica_id,
+        fact.revision,
+        False,
+        record.service,
+        record.address,
+        record.zone,
+        record.slots,
+        record.is_draining,
+        record.cold_ms,
+        record.born_ms,
+    )
+
+
+def _fact(news: ReplicaNews) -> ReplicaFact:
+    record = None
+    if not news.is_gone:
+        record = ReplicaRecord(
+            replica_id=news.replica_id,
+            service=news.service,
+            address=news.address,
+            zone=news.zone,
+            slots=news.slots,
+            is_draining=news.is_draining,
+            cold_ms=news.cold_ms,
+            born_ms=news.born_ms,
+        )
+    return ReplicaFact(news.replica_id, news.revision, record)
+
+
 def _vm_record(entry: VmEntry) -> VmRecord:
     return VmRecord(entry.vm, entry.zone, entry.region, entry.address, False)
 
--- a/src/hemlocktrestle/edge/_followers.py
+++ b/src/hemlocktrestle/edge/_followers.py
@@ -10,7 +10,7 @@
 
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.errors import RequestError
-from hemlocktrestle.gateway import ReplicaRecord
+from hemlocktrestle.gateway import ReplicaFact, ReplicaRecord
 from hemlocktrestle.platform import (
     CONFIGURATION_KEY,
     REGISTRATIONS_PREFIX,
@@ -131,31 +131,51 @@
                     self._take(event)
 
     def _take(self, item: Item) -> None:
-        try:
-            configuration = decode_configuration(item.value)
-        except RequestError as error:
-            log.error(
-                "configuration_refused",
-                extra={"reason": error.message, "store_revision": item.revision},
-            )
-            return
-        known = self._state.configuration
-        if known is not None and configuration.version <= known.version:
-            return
-        self._state.configuration = configuration
-        log.info(
-            "configuration_taken",
-            extra={
-                "version": configuration.version,
-                "store_revision": item.revision,
-                "route_count": len(configuration.routes),
-                "customer_count": len(configuration.customers),
-                "customer_ranks": {
-                    name: customer.rank
-                    for name, customer in configuration.customers.items()
-                },
-            },
+        take_configuration(self._state, item.value, item.revision, source="store")
+
+
+def take_configuration(
+    state: EdgeState, document: bytes, revision: int, *, source: str
+) -> bool:
+    """Put a configuration in force, unless a newer one is.
+
+    Args:
+        state: what the process believes.
+        document: the operator's document.
+        revision: the store's revision of it.
+        source: who told of it, for the log.
+
+    Returns:
+        Whether it is in force from now on.
+    """
+    if revision <= state.configuration_revision:
+        return False
+    try:
+        configuration = decode_configuration(document)
+    except RequestError as error:
+        log.error(
+            "configuration_refused",
+            extra={"reason": error.message, "store_revision": revision},
         )
+        return False
+    known = state.configuration
+    if known is not None and configuration.version <= known.version:
+        return False
+    state.configuration = configuration
+    state.configuration_document = document
+    state.configuration_revision = revision
+    log.info(
+        "configuration_taken",
+        extra={
+            "version": configuration.version,
+            "store_revision": revision,
+            "source": source,
+            "route_count": len(configuration.routes),
+            "customer_count": len(configuration.customers),
+        },
+    )
+    state.tell_configuration()
+    return True
 
 
 class ReplicaFollower(_Follower):
@@ -165,7 +185,7 @@
         state: what the process believes.
         store: the platform's store.
         health: told whether the store answers.
-        on_change: called after the book has changed.
+        on_change: called after the book may have changed.
     """
 
     name = "replicas"
@@ -181,24 +201,25 @@
         super().__init__(store, health)
         self._state = state
         self._on_change = on_change
-        self._told_count = -1
 
     async def settle(self) -> None:
         """Drop entries that did not come back, until cancelled."""
         while True:
             await trio.sleep(GATHER_S / 2)
             self._state.replicas.settle(now_ms())
-            self._tell()
+            self._on_change()
 
     async def _follow(self) -> None:
         page = await self._store.list(REGISTRATIONS_PREFIX)
         self._health.answered(self.name)
         book = self._state.replicas
         book.listed(
-            [(item.key, item.revision, _record(item)) for item in page.items], now_ms()
+            [_fact(item) for item in page.items],
+            revision=page.revision,
+            now_ms=now_ms(),
         )
         self._state.has_replicas = True
-        self._tell()
+        self._on_change()
         revision = page.revision
         while True:
             watched = await self._store.watch(
@@ -208,39 +229,25 @@
             revision = watched.revision
             for event in watched.events:
                 if isinstance(event, Removed):
-                    book.removed(event.key, event.revision, now_ms())
+                    replica_id = event.key.removeprefix(REGISTRATIONS_PREFIX)
+                    book.removed(replica_id, event.revision, now_ms())
                 else:
-                    book.put(event.key, event.revision, _record(event))
-            self._tell()
+                    book.put(_fact(event))
+            self._on_change()
             await trio.sleep(GATHER_S)
 
-    def _tell(self) -> None:
-        book = self._state.replicas
-        if book.changed_count == self._told_count:
-            return
-        self._told_count = book.changed_count
-        records = book.replicas()
-        log.info(
-            "replicas_changed",
-            extra={
-                "change": book.changed_count,
-                "ready": [r.replica_id for r in records if not r.is_draining],
-                "draining": [r.replica_id for r in records if r.is_draining],
-            },
-        )
-        self._on_change()
-
 
-def _record(item: Item) -> ReplicaRecord | None:
+def _fact(item: Item) -> ReplicaFact:
     replica_id = item.key.removeprefix(REGISTRATIONS_PREFIX)
+    record: ReplicaRecord | None = None
     try:
-        return decode_registration(replica_id, item.value)
+        record = decode_registration(replica_id, item.value)
     except RequestError as error:
         log.warning(
             "registration_refused",
             extra={"reason": error.message, "store_revision": item.revision},
         )
-        return None
+    return ReplicaFact(replica_id, item.revision, record)
 
 
 VM_PREFIX = "hemlocktrestle/vms/"
--- a/src/hemlocktrestle/edge/_permit_scheduler.py
+++ b/src/hemlocktrestle/edge/_permit_scheduler.py
@@ -27,6 +27,17 @@
 Callers follow a pause of up to a third of what they have left.
 """
 
+OUTPUT_WEIGHT = 10
+"""Prompt tokens that a generated token counts as, as the platform values them."""
+
+BASE_WEIGHT = 0.3
+WEIGHT_MAX = 4.0
+"""Part of a generation's worth that does not grow with its size, and the most that
+the rest grows to, both as the platform values generations."""
+
+SIZE_SMOOTHING = 0.02
+"""Share of a new request in the mean size of its route."""
+
 PLAIN_TOKENS = 1
 """Tokens that stand for a plain service's answer in the keeper's estimates."""
 
@@ -67,6 +78,7 @@
         self._alone = alone
         self._held: dict[str, HeldPermit] = {}
         self._longest_ms: dict[str, float] = {}
+        self._mean_sizes: dict[str, float] = {}
         self._count = 0
 
     async def obtain(self, job: Job, *, excluded: frozenset[str]) -> Place:
@@ -156,7 +168,7 @@
             pool=job.service.name,
             customer=job.customer_name,
             tier=job.rank,
-            weight=1.0,
+            weight=self._weight(job),
             prompt_tokens=facts.prompt_tokens,
             output_tokens=facts.expected_output_tokens if is_engine else PLAIN_TOKENS,
             prefix_digest=0,
@@ -167,6 +179,16 @@
             event_count=self._event_count(job),
         )
 
+    def _weight(self, job: Job) -> float:
+        """Return what a request is worth against others of its route, by its size."""
+        facts = job.facts
+        size = facts.prompt_tokens + OUTPUT_WEIGHT * facts.expected_output_tokens
+        mean = self._mean_sizes.get(job.route.name, size)
+        self._mean_sizes[job.route.name] = mean + SIZE_SMOOTHING * (size - mean)
+        if not mean:
+            return 1.0
+        return BASE_WEIGHT + (1 - BASE_WEIGHT) * min(WEIGHT_MAX, size / mean)
+
     def _event_count(self, job: Job) -> int:
         engine = job.service.engine
         if engine is None:
--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -47,6 +47,9 @@
         self.fleet = fleet
         self.dialect = Dialect()
         self.configuration: Configuration | None = None
+        self.configuration_document = b""
+        self.configuration_revision = -1
+        self.tell_configuration: Callable[[], None] = lambda: None
         self.replicas = ReplicaBook()
         self.has_replicas = False
         self.has_vms = False
--- a/src/hemlocktrestle/gateway/__init__.py
+++ b/src/hemlocktrestle/gateway/__init__.py
@@ -15,7 +15,12 @@
 from hemlocktrestle.gateway._events import EventCutter, StreamEvent
 from hemlocktrestle.gateway._fleet_demand import FleetDemand
 from hemlocktrestle.gateway._quota import Demand, Fleet, Quota, QuotaBook
-from hemlocktrestle.gateway._replicas import RETURN_MS, ReplicaBook, ReplicaRecord
+from hemlocktrestle.gateway._replicas import (
+    RETURN_MS,
+    ReplicaBook,
+    ReplicaFact,
+    ReplicaRecord,
+)
 from hemlocktrestle.gateway._request import (
     AnswerFacts,
     Headers,
@@ -40,6 +45,7 @@
     "Quota",
     "QuotaBook",
     "ReplicaBook",
+    "ReplicaFact",
     "ReplicaRecord",
     "RequestFacts",
     "RequestKind",
--- a/src/hemlocktrestle/gateway/_replicas.py
+++ b/src/hemlocktrestle/gateway/_replicas.py
@@ -34,6 +34,17 @@
     born_ms: int
 
 
+class ReplicaFact(NamedTuple):
+    """What is believed of one replica since a revision of the store.
+
+    ``record`` is ``None`` if the replica is gone or cannot be used.
+    """
+
+    replica_id: str
+    revision: int
+    record: ReplicaRecord | None
+
+
 class ReplicaBook:
     """The replicas that are believed to live.
 
@@ -43,12 +54,11 @@
     """
 
     def __init__(self) -> None:
-        self._records: dict[str, ReplicaRecord] = {}
-        self._revisions: dict[str, int] = {}
-        self._doubted_until_ms: dict[str, float] = {}
+        self._facts: dict[str, ReplicaFact] = {}
+        self._doubted: dict[str, int] = {}
         self._trusted_from_ms = float("-inf")
         self._is_store_lost = False
-        self.changed_count = 0
+        self._news: list[ReplicaFact] = []
 
     def store_lost(self) -> None:
         """Note that the store does not answer."""
@@ -61,56 +71,57 @@
             self._trusted_from_ms = now_ms + RETURN_MS
 
     def listed(
-        self, entries: Iterable[tuple[str, int, ReplicaRecord | None]], now_ms: float
+        self,
+        entries: Iterable[ReplicaFact],
+        *,
+        revision: int,
+        now_ms: float,
     ) -> None:
-        """Take in all entries: key, revision, and the record if it can be read."""
+        """Take in all entries of the store, as of a revision or later."""
         seen = set()
-        for key, revision, record in entries:
-            seen.add(key)
-            self.put(key, revision, record)
-        for key in self._records.keys() - seen:
-            self._gone(key, now_ms)
-
-    def put(self, key: str, revision: int, record: ReplicaRecord | None) -> None:
-        """Take in one entry; ``None`` is an entry that names no replica to use."""
-        if revision < self._revisions.get(key, 0):
+        for fact in entries:
+            seen.add(fact.replica_id)
+            self.put(fact)
+        for replica_id in self._facts.keys() - seen:
+            self.removed(replica_id, revision, now_ms)
+
+    def put(self, fact: ReplicaFact) -> None:
+        """Take in one fact, of the store or of another VM; older ones do not count."""
+        known = self._facts.get(fact.replica_id)
+        if known is not None and fact.revision <= known.revision:
             return
-        self._revisions[key] = revision
-        self._doubted_until_ms.pop(key, None)
-        if record is None:
-            if self._records.pop(key, None) is not None:
-                self.changed_count += 1
-        elif self._records.get(key) != record:
-            self._records[key] = record
-            self.changed_count += 1
-
-    def removed(self, key: str, revision: int, now_ms: float) -> None:
-        """Take in that an entry was removed."""
-        if revision < self._revisions.get(key, 0):
+        self._doubted.pop(fact.replica_id, None)
+        self._facts[fact.replica_id] = fact
+        if known is None or known.record != fact.record:
+            self._news.append(fact)
+
+    def removed(self, replica_id: str, revision: int, now_ms: float) -> None:
+        """Take in that the store has no entry of a replica any more."""
+        known = self._facts.get(replica_id)
+        if known is None or known.record is None or revision < known.revision:
             return
-        self._revisions[key] = revision
-        if key in self._records:
-            self._gone(key, now_ms)
+        if self._is_store_lost or now_ms < self._trusted_from_ms:
+            self._doubted.setdefault(replica_id, revision)
+        else:
+            self.put(ReplicaFact(replica_id, max(revision, known.revision + 1), None))
 
     def settle(self, now_ms: float) -> None:
         """Drop entries whose time to come back has passed."""
-        if self._is_store_lost:
+        if self._is_store_lost or now_ms < self._trusted_from_ms:
             return
-        due = [key for key, at in self._doubted_until_ms.items() if at <= now_ms]
-        for key in due:
-            del self._doubted_until_ms[key]
-            self._forget(key)
+        for replica_id, revision in list(self._doubted.items()):
+            del self._doubted[replica_id]
+            self.removed(replica_id, revision, now_ms)
 
     def replicas(self) -> list[ReplicaRecord]:
         """Return all replicas that are believed to live, draining ones too."""
-        return list(self._records.values())
+        return [fact.record for fact in self._facts.values() if fact.record is not None]
 
-    def _gone(self, key: str, now_ms: float) -> None:
-        if self._is_store_lost or now_ms < self._trusted_from_ms:
-            self._doubted_until_ms.setdefault(key, max(now_ms, self._trusted_from_ms))
-        else:
-            self._forget(key)
+    def facts(self) -> list[ReplicaFact]:
+        """Return all that is believed, for a VM that knows less."""
+        return list(self._facts.values())
 
-    def _forget(self, key: str) -> None:
-        if self._records.pop(key, None) is not None:
-            self.changed_count += 1
+    def take_news(self) -> list[ReplicaFact]:
+        """Return what has changed since the last call, for the other VMs."""
+        news, self._news = self._news, []
+        return news
--- a/src/hemlocktrestle/keeper/_core.py
+++ b/src/hemlocktrestle/keeper/_core.py
@@ -119,7 +119,7 @@
         self._upstreams.give_back(release, now_ms)
         route = self._routes.pop(release.ask_id, None)
         if route is not None and release.sent and not release.failure:
-            self._queue.learn(route, release.first_token_ms, release.total_ms)
+            self._queue.learn(route, release.first_token_ms)
         return self._grant(now_ms)
 
     def running(self, vm: str, running: Running, now_ms: float) -> None:
@@ -145,6 +145,7 @@
         if now_ms - self._looked_ms >= STRAGGLER_CHECK_MS:
             self._looked_ms = now_ms
             self._upstreams.look_for_stragglers(now_ms)
+            self._queue.set_costs(self._upstreams.costs())
         return outgoing + self._grant(now_ms)
 
     def close(self) -> list[Outgoing]:
--- a/src/hemlocktrestle/keeper/_objective_queue.py
+++ b/src/hemlocktrestle/keeper/_objective_queue.py
@@ -7,11 +7,13 @@
 from hemlocktrestle.keeper._queue import (
     AskClass,
     IsOpen,
+    ReplicaCosts,
     Waiting,
     _Present,
     class_of,
     queue,
 )
+from hemlocktrestle.wire import Ask
 
 SMOOTHING = 0.1
 """Share of a new observation in what a route's requests take."""
@@ -31,23 +33,6 @@
 TIERS_SEEN = (0, 1, 2)
 """Ranks of tiers for which upstreams keep room apart."""
 
-UNKNOWN_MS = 1_000.0
-"""Time that a request of an unknown route is taken to need, in milliseconds."""
-
-
-class _Takes(NamedTuple):
-    """What the requests of a route take: time to the first part, and in all."""
-
-    first_ms: float
-    total_ms: float
-
-
-class _Kind(NamedTuple):
-    """Asks of one rank and route."""
-
-    tier: int
-    route: str
-
 
 class _RecentCount:
     """How often something happened of late."""
@@ -66,6 +51,14 @@
         return len(self._times)
 
 
+class _Arrivals(NamedTuple):
+    """In-time asks of one rank and route: their usual density, and how many come."""
+
+    tier: int
+    density: float
+    recent: _RecentCount
+
+
 _Key = tuple[bool, int, float, float]
 
 
@@ -79,17 +72,28 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._takes: dict[str, _Takes] = {}
+        self._first_ms: dict[str, float] = {}
         self._grants = _RecentCount()
-        self._arrivals: dict[_Kind, _RecentCount] = {}
+        self._arrivals: dict[tuple[int, str], _Arrivals] = {}
+        self._costs = ReplicaCosts(1.0, 1.0, 1.0)
         self._now_ms = 0.0
 
     def push(self, waiting: Waiting) -> None:
         """Add an ask; one with the same id is replaced."""
         self._number(waiting)
         if not self.is_late_after(waiting, 0.0):
-            kind = _Kind(waiting.ask.tier, waiting.ask.route)
-            self._arrivals.setdefault(kind, _RecentCount()).note(waiting.arrived_ms)
+            self._note_arrival(waiting)
+
+    def _note_arrival(self, waiting: Waiting) -> None:
+        ask = waiting.ask
+        key = (ask.tier, ask.route)
+        density = self._density(ask)
+        known = self._arrivals.get(key)
+        if known is None:
+            known = _Arrivals(ask.tier, density, _RecentCount())
+        smoothed = known.density + SMOOTHING * (density - known.density)
+        known.recent.note(waiting.arrived_ms)
+        self._arrivals[key] = known._replace(density=smoothed)
 
     def order(self, is_open: IsOpen) -> Iterator[Waiting]:
         """Yield asks that an upstream has room for, the first first."""
@@ -117,16 +121,14 @@
         """Take in the time."""
         self._now_ms = now_ms
 
-    def learn(self, route: str, first_ms: float, total_ms: float) -> None:
-        """Take in what a request of a route took."""
-        known = self._takes.get(route)
-        if known is None:
-            self._takes[route] = _Takes(first_ms, total_ms)
-            return
-        self._takes[route] = _Takes(
-            known.first_ms + SMOOTHING * (first_ms - known.first_ms),
-            known.total_ms + SMOOTHING * (total_ms - known.total_ms),
-        )
+    def set_costs(self, costs: ReplicaCosts) -> None:
+        """Take in what work costs on the upstreams at present."""
+        self._costs = costs
+
+    def learn(self, route: str, first_ms: float) -> None:
+        """Take in the time to the first part of an answer of a route."""
+        known_ms = self._first_ms.get(route, first_ms)
+        self._first_ms[route] = known_ms + SMOOTHING * (first_ms - known_ms)
 
     def wait_ms(self, waiting: Waiting) -> float:
         """Estimate how long an ask that has just come will wait.
@@ -138,33 +140,34 @@
         ahead_count = sum(self._key(other) < key for other in self.waiting())
         if not ahead_count:
             return 0.0
-        own = self._place(_Kind(waiting.ask.tier, waiting.ask.route))
         arrived_count = sum(
-            count.within(self._now_ms)
-            for kind, count in self._arrivals.items()
-            if self._place(kind) < own
+            arrived.recent.within(self._now_ms)
+            for arrived in self._arrivals.values()
+            if (min(arrived.tier, 1), -arrived.density) < key[1:3]
         )
         free_count = self._grants.within(self._now_ms) - arrived_count
         return ahead_count * COUNTED_MS / max(1, free_count)
 
     def is_late_after(self, waiting: Waiting, wait_ms: float) -> bool:
         """Tell whether an ask would miss its aim after a wait from now."""
-        takes = self._takes.get(waiting.ask.route)
-        first_ms = takes.first_ms * FIRST_MARGIN if takes is not None else 0.0
+        first_ms = self._first_ms.get(waiting.ask.route, 0.0) * FIRST_MARGIN
         return self._now_ms + wait_ms + first_ms > waiting.aim_at_ms
 
-    def _total_ms(self, route: str) -> float:
-        takes = self._takes.get(route)
-        return takes.total_ms if takes is not None else UNKNOWN_MS
+    def _cost_ms(self, ask: Ask) -> float:
+        """Return the replica time that an ask takes from all places together.
+
+        While a prompt is read, all requests beside it stand still.
+        """
+        costs = self._costs
+        prefill_ms = ask.prompt_tokens * costs.prefill_ms_per_token * costs.slots
+        return max(1.0, prefill_ms + ask.output_tokens * costs.decode_ms_per_token)
 
     def _key(self, waiting: Waiting) -> _Key:
         tier = waiting.ask.tier
         if self.is_late_after(waiting, 0.0):
             return True, tier, 0.0, waiting.arrived_ms
-        place = self._place(_Kind(tier, waiting.ask.route))
-        return False, *place, waiting.aim_at_ms
+        return False, min(tier, 1), -self._density(waiting.ask), waiting.aim_at_ms
 
-    def _place(self, kind: _Kind) -> tuple[int, float]:
-        """Return the place of asks of a kind that can be in time."""
-        total_ms = max(1.0, self._total_ms(kind.route))
-        return min(kind.tier, 1), -(RANK_FACTOR**-kind.tier) / total_ms
+    def _density(self, ask: Ask) -> float:
+        """Return the urgency of an ask for its replica time."""
+        return RANK_FACTOR**-ask.tier * ask.weight / self._cost_ms(ask)
--- a/src/hemlocktrestle/keeper/_queue.py
+++ b/src/hemlocktrestle/keeper/_queue.py
@@ -35,6 +35,17 @@
     aim_at_ms: float = math.inf
 
 
+class ReplicaCosts(NamedTuple):
+    """What work costs on a pool's upstreams, on the average.
+
+    ``slots`` is how many requests run beside each other on one of them.
+    """
+
+    prefill_ms_per_token: float
+    decode_ms_per_token: float
+    slots: float
+
+
 class AskQueue(Protocol):
     """An order of service over waiting asks, and an order of shedding."""
 
@@ -81,8 +92,12 @@
         """Take in the time."""
         ...
 
-    def learn(self, route: str, first_ms: float, total_ms: float) -> None:
-        """Take in what a request of a route took: to its first part, and in all."""
+    def learn(self, route: str, first_ms: float) -> None:
+        """Take in the time to the first part of an answer of a route."""
+        ...
+
+    def set_costs(self, costs: ReplicaCosts) -> None:
+        """Take in what work costs on the upstreams at present."""
         ...
 
     def wait_ms(self, waiting: Waiting) -> float:
@@ -156,8 +171,11 @@
     def advance(self, now_ms: float) -> None:
         """Take in the time, on which the order does not depend."""
 
-    def learn(self, route: str, first_ms: float, total_ms: float) -> None:
-        """Take in what a request took, on which the order does not depend."""
+    def learn(self, route: str, first_ms: float) -> None:
+        """Take in a time on which the order does not depend."""
+
+    def set_costs(self, costs: ReplicaCosts) -> None:
+        """Take in costs on which the order does not depend."""
 
     def wait_ms(self, waiting: Waiting) -> float:
         """Return 0: nothing is known of how long asks take."""
--- a/src/hemlocktrestle/peers/_network.py
+++ b/src/hemlocktrestle/peers/_network.py
@@ -51,6 +51,7 @@
         self._handlers: dict[type, Handler] = {}
         # The last reason for each peer, so that redialling does not fill the log.
         self._last_ends: dict[str, tuple[str, str]] = {}
+        self._on_opened: list[Callable[[str], list[Message]]] = []
         self._on_dialled_closed: list[Callable[[str], None]] = []
         self._on_accepted_closed: list[Callable[[str], None]] = []
 
@@ -66,6 +67,22 @@
         """Call back when a link that a peer dialled ends."""
         self._on_accepted_closed.append(callback)
 
+    def on_opened(self, callback: Callable[[str], list[Message]]) -> None:
+        """Send what a callback returns on each link that opens, first of all."""
+        self._on_opened.append(callback)
+
+    def broadcast(self, message: Message, *, skip: str = "") -> None:
+        """Send a message on one link to each VM but one."""
+        links = {**self._accepted, **self._dialled}
+        for vm, link in links.items():
+            if vm != skip:
+                link.post(message)
+
+    @property
+    def dialled(self) -> frozenset[str]:
+        """The VMs that this VM has an open link to."""
+        return frozenset(self._dialled)
+
     def send(self, vm: str, message: Message) -> bool:
         """Send a message to a peer or to this VM itself; ``False`` if it cannot."""
         return self._post(self._dialled, vm, message)
@@ -165,6 +182,7 @@
 
     def _dialled_opened(self, peer: Hello, link: Link) -> None:
         self._dialled[peer.vm] = link
+        self._greet(peer.vm, link)
         self._last_ends.pop(peer.vm, None)
         log.info("link_opened", extra={"peer": peer.vm})
 
@@ -173,10 +191,16 @@
             self._tell(self._on_accepted_closed, peer.vm)
         self._boot_ids[peer.vm] = peer.boot_id
         self._accepted[peer.vm] = link
+        self._greet(peer.vm, link)
         waker = self._wakers.get(peer.vm)
         if waker is not None:
             waker.set()
 
+    def _greet(self, vm: str, link: Link) -> None:
+        for callback in self._on_opened:
+            for message in callback(vm):
+                link.post(message)
+
     def _dialled_gone(self, vm: str, link: Link) -> None:
         if self._dialled.get(vm) is link:
             del self._dialled[vm]
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -264,6 +264,30 @@
     request_id: str
 
 
+@message("replicaNews")
+class ReplicaNews(NamedTuple):
+    """What the store says of one replica at a revision; the later one counts."""
+
+    replica_id: str
+    revision: int
+    is_gone: bool
+    service: str = ""
+    address: str = ""
+    zone: str = ""
+    slots: int = 0
+    is_draining: bool = False
+    cold_ms: float = 0.0
+    born_ms: int = 0
+
+
+@message("configurationNews")
+class ConfigurationNews(NamedTuple):
+    """The operator's configuration as it stands in the store at a revision."""
+
+    revision: int
+    document: bytes
+
+
 Message = (
     Hello
     | Heartbeat
@@ -281,4 +305,6 @@
     | Suspicion
     | Queued
     | Pulse
+    | ReplicaNews
+    | ConfigurationNews
 )
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -21,6 +21,8 @@
     suspicion @13 :Suspicion;
     queued @14 :Queued;
     pulse @15 :Pulse;
+    replicaNews @16 :ReplicaNews;
+    configurationNews @17 :ConfigurationNews;
   }
 }
 
@@ -82,6 +84,24 @@
   eventCount @12 :UInt32;
 }
 
+struct ReplicaNews {
+  replicaId @0 :Text;
+  revision @1 :UInt64;
+  isGone @2 :Bool;
+  service @3 :Text;
+  address @4 :Text;
+  zone @5 :Text;
+  slots @6 :UInt32;
+  isDraining @7 :Bool;
+  coldMs @8 :Float64;
+  bornMs @9 :UInt64;
+}
+
+struct ConfigurationNews {
+  revision @0 :UInt64;
+  document @1 :Data;
+}
+
 struct Queued {
   askId @0 :Text;
 }
