--- a/src/hemlocktrestle/keeper/_core.py
+++ b/src/hemlocktrestle/keeper/_core.py
@@ -29,6 +29,12 @@
 PERMIT_VALID_MS = 1_000
 """How long after its grant a permit may be used, in milliseconds."""
 
+SURE_WAIT_SHARE = 0.5
+"""Share of an expected wait that is sure enough to refuse for.
+
+A refusal that was wrong costs the whole answer, a wait in vain a little time.
+"""
+
 GAP_SMOOTHING = 0.1
 """Share of a new observation in the running time between grants."""
 
@@ -213,7 +219,8 @@
         waiting = self._queue.get(ask_id)
         if waiting is None or self._queue.is_late_after(waiting, 0.0):
             return []
-        if not self._queue.is_late_after(waiting, self._queue.wait_ms(waiting)):
+        wait_ms = self._queue.wait_ms(waiting) * SURE_WAIT_SHARE
+        if not self._queue.is_late_after(waiting, wait_ms):
             return []
         return [self._refuse(waiting, ErrorKind.DEADLINE_UNMEETABLE)]
 
--- a/src/hemlocktrestle/keeper/_objective_queue.py
+++ b/src/hemlocktrestle/keeper/_objective_queue.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from hemlocktrestle.keeper._queue import (
+    NO_COSTS,
     AskClass,
     IsOpen,
     ReplicaCosts,
@@ -18,14 +19,14 @@
 SMOOTHING = 0.1
 """Share of a new observation in what a route's requests take."""
 
-FIRST_MARGIN = 2.0
+FIRST_MARGIN = 1.5
 """Factor on the mean time to a first part, so that most come within it."""
 
 RANK_FACTOR = 4.0
 """How much more an ask counts than one of the next rank for the same replica time."""
 
 COUNTED_MS = 1_000.0
-"""Time over which grants and arrivals are counted, in milliseconds."""
+"""Time over which arrivals are counted, in milliseconds."""
 
 COUNTED_MAX = 4_096
 """Events of one kind that are remembered."""
@@ -73,9 +74,8 @@
     def __init__(self) -> None:
         super().__init__()
         self._first_ms: dict[str, float] = {}
-        self._grants = _RecentCount()
         self._arrivals: dict[tuple[int, str], _Arrivals] = {}
-        self._costs = ReplicaCosts(1.0, 1.0, 1.0)
+        self._costs = NO_COSTS
         self._now_ms = 0.0
 
     def push(self, waiting: Waiting) -> None:
@@ -105,7 +105,6 @@
 
     def take(self, ask_id: str) -> Waiting | None:
         """Take out an ask that is served."""
-        self._grants.note(self._now_ms)
         return self.remove(ask_id)
 
     def remove(self, ask_id: str) -> Waiting | None:
@@ -145,8 +144,10 @@
             for arrived in self._arrivals.values()
             if (min(arrived.tier, 1), -arrived.density) < key[1:3]
         )
-        free_count = self._grants.within(self._now_ms) - arrived_count
-        return ahead_count * COUNTED_MS / max(1, free_count)
+        if not self._costs.ends_per_s:
+            return 0.0
+        free_per_s = self._costs.ends_per_s - arrived_count * 1000 / COUNTED_MS
+        return ahead_count * 1000 / max(1.0, free_per_s)
 
     def is_late_after(self, waiting: Waiting, wait_ms: float) -> bool:
         """Tell whether an ask would miss its aim after a wait from now."""
--- a/src/hemlocktrestle/keeper/_queue.py
+++ b/src/hemlocktrestle/keeper/_queue.py
@@ -38,12 +38,18 @@
 class ReplicaCosts(NamedTuple):
     """What work costs on a pool's upstreams, on the average.
 
-    ``slots`` is how many requests run beside each other on one of them.
+    ``slots`` is how many requests run beside each other on one of them, and
+    ``ends_per_s`` how many places of all of them become free a second under load.
     """
 
     prefill_ms_per_token: float
     decode_ms_per_token: float
     slots: float
+    ends_per_s: float
+
+
+NO_COSTS = ReplicaCosts(1.0, 1.0, 1.0, 0.0)
+"""Costs while nothing is known."""
 
 
 class AskQueue(Protocol):
--- a/src/hemlocktrestle/keeper/_upstream_set.py
+++ b/src/hemlocktrestle/keeper/_upstream_set.py
@@ -5,7 +5,7 @@
 
 from hemlocktrestle.keeper._heap import LazyHeap
 from hemlocktrestle.keeper._prefixes import PREFIX_TOKENS
-from hemlocktrestle.keeper._queue import AskClass, ReplicaCosts, class_of
+from hemlocktrestle.keeper._queue import NO_COSTS, AskClass, ReplicaCosts, class_of
 from hemlocktrestle.keeper._slowdown import straggler_limit
 from hemlocktrestle.keeper._upstream import InHand, UpstreamModel
 from hemlocktrestle.membership import UpstreamRecord
@@ -177,13 +177,15 @@
         """Return what work costs here, on the average of all places."""
         slots = sum(model.slots for model in self)
         if not slots:
-            return ReplicaCosts(1.0, 1.0, 1.0)
-        prefill_ms = decode_ms = 0.0
+            return NO_COSTS
+        prefill_ms = decode_ms = ends_per_s = 0.0
         for model in self:
             share = model.slots / slots
             prefill_ms += share * model.rates.prefill.ms_per_token
             decode_ms += share * model.rates.decode.ms_per_token(model.slots)
-        return ReplicaCosts(prefill_ms, decode_ms, slots / len(self))
+            if model.stay_ms:
+                ends_per_s += model.slots * 1000 / model.stay_ms
+        return ReplicaCosts(prefill_ms, decode_ms, slots / len(self), ends_per_s)
 
     def free(self, ask: Ask) -> list[UpstreamModel]:
         """Return all upstreams with room for an ask."""
