Choose the upstream that finishes first again

The choice by the chance to be in time let asks wait beside free places on slow replicas, and its estimates of the first event were too rough for that. Ruled out: the order of the queue and the wait, which were the same in both.

--- a/src/hemlocktrestle/keeper/_policy.py
+++ b/src/hemlocktrestle/keeper/_policy.py
@@ -63,7 +63,6 @@
     """
     return PoolPolicy(
         queue="objective",
-        chooser="in_time",
         early_refusal="none",
         prefill_share=1.0,
         refuses_late_arrivals=True,
--- a/src/hemlocktrestle/keeper/_upstream.py
+++ b/src/hemlocktrestle/keeper/_upstream.py
@@ -211,21 +211,6 @@
             len(self.in_hand), pulse.output_tokens, float(pulse.decode_ms)
         )
 
-    def in_time_chance(self, ask: Ask, left_ms: float, now_ms: float) -> float:
-        """Estimate how likely an ask is answered in time here.
-
-        Args:
-            ask: the ask.
-            left_ms: time until the first part of its answer is late.
-            now_ms: the time of the process in milliseconds.
-        """
-        first_ms = self._first_ms(self._prefill_tokens(ask, now_ms), now_ms)
-        first_ms *= self.slowdown.factor(now_ms)
-        # The estimate is right to about a factor of two either way.
-        first = min(1.0, max(0.0, left_ms / (2 * first_ms))) if first_ms else 1.0
-        pauses = (1 - self.late_event_share) ** ask.event_count
-        return first * pauses * (1 - self.failure_share)
-
     def expected_ms(self, ask: Ask, now_ms: float) -> float:
         """Estimate the time to the whole answer, in milliseconds."""
         first_ms = self._first_ms(self._prefill_tokens(ask, now_ms), now_ms)
--- a/src/hemlocktrestle/keeper/_upstream_set.py
+++ b/src/hemlocktrestle/keeper/_upstream_set.py
@@ -187,11 +187,6 @@
                 ends_per_s += model.slots * 1000 / model.stay_ms
         return ReplicaCosts(prefill_ms, decode_ms, slots / len(self), ends_per_s)
 
-    def free(self, ask: Ask) -> list[UpstreamModel]:
-        """Return all upstreams with room for an ask."""
-        names = self._rooms[_kind(ask.tier, class_of(ask).is_long)].free
-        return [self._models[name] for name in names if name not in ask.excluded]
-
     def holder_lost(self, vm: str) -> None:
         """Take out of hand all that a VM held."""
         for model in [*self._models.values(), *self._leaving.values()]:
