Count quotas at the keepers, and test gateway and platform

Parts now follow what each VM has told, half of the rest is left for what is not told yet, and asks are counted by the keeper of a region. The youth of other VMs was never passed on by the fleet (a formatted line had escaped the edit); it is now.

--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -29,6 +29,7 @@
 from hemlocktrestle.edge._local_scheduler import LocalScheduler
 from hemlocktrestle.edge._permit_scheduler import ANSWER_MS, PermitScheduler
 from hemlocktrestle.edge._place import Place
+from hemlocktrestle.edge._quota_gate import EdgeQuotas
 from hemlocktrestle.edge._serve import EdgeServer, Served
 from hemlocktrestle.edge._state import NOTICE_MS, EdgeState, now_ms
 from hemlocktrestle.errors import RequestError
@@ -109,12 +110,14 @@
             peer_names=lambda stream: None,
         )
         self._peers.network = self._network
+        quotas = EdgeQuotas(self.state)
         self._keeper = KeeperTask(
             membership,
             reply=self._network.reply,
             now_ms=now_ms,
             policy=lambda: POLICY,
             acknowledges=True,
+            gate=quotas,
         )
         self._peers.keeper = self._keeper
         self._asker = Asker(
@@ -125,11 +128,15 @@
             answer_ms=ANSWER_MS,
         )
         self._scheduler = PermitScheduler(
-            self._asker, self._peers, LocalScheduler(self.state, jitter=jitter)
+            self._asker,
+            self._peers,
+            LocalScheduler(self.state, jitter=jitter),
+            quotas,
         )
         self._server = EdgeServer(
             self.state,
             self._scheduler,
+            quotas=quotas,
             quarantine=self._quarantine,
             on_served=self._served,
             on_crash=self._crashed,
--- a/src/hemlocktrestle/edge/_job.py
+++ b/src/hemlocktrestle/edge/_job.py
@@ -29,6 +29,16 @@
     fingerprint: str
     deadline_at_ms: float
 
+    @property
+    def amount(self) -> int:
+        """What the request counts against its customer's quota."""
+        if self.customer is None or self.customer.rate_per_s <= 0:
+            return 0
+        if not self.customer.counts_tokens:
+            return 1
+        stated = self.facts.tokens if self.facts.states_tokens else 0
+        return stated or self.customer.plain_tokens
+
     @property
     def customer_name(self) -> str:
         """Name of the customer, empty if there is none."""
--- a/src/hemlocktrestle/edge/_permit_scheduler.py
+++ b/src/hemlocktrestle/edge/_permit_scheduler.py
@@ -6,6 +6,7 @@
 from hemlocktrestle.edge._job import Job
 from hemlocktrestle.edge._local_scheduler import LocalScheduler
 from hemlocktrestle.edge._place import AttemptEnd, AttemptReport, Place
+from hemlocktrestle.edge._quota_gate import EdgeQuotas, over_quota
 from hemlocktrestle.edge._state import now_ms
 from hemlocktrestle.entry import ZoneLoad, order_zones
 from hemlocktrestle.errors import ErrorKind, RequestError
@@ -69,10 +70,17 @@
         asker: asks keepers.
         fleet: who keeps what.
         alone: chooses from what this VM sees alone.
-        deadlines: longest time that callers of a route were seen to wait.
+        quotas: counts requests for which no keeper answers.
     """
 
-    def __init__(self, asker: Asker, fleet: EdgeFleet, alone: LocalScheduler) -> None:
+    def __init__(
+        self,
+        asker: Asker,
+        fleet: EdgeFleet,
+        alone: LocalScheduler,
+        quotas: EdgeQuotas,
+    ) -> None:
+        self._quotas = quotas
         self._asker = asker
         self._fleet = fleet
         self._alone = alone
@@ -92,7 +100,10 @@
                 deadline_at_ms=min(job.deadline_at_ms, started_ms + ask.deadline_ms),
             )
         except RequestError as error:
+            if error.kind is ErrorKind.RATE_LIMITED:
+                raise over_quota(error.retry_after_ms or 0.0) from error
             if error.kind in _ALONE:
+                self._spend_here(job, ask)
                 place = self._alone.choose(job, excluded=excluded)
                 log.info(
                     "chosen_alone",
@@ -116,6 +127,15 @@
             now_ms() - started_ms,
         )
 
+    def _spend_here(self, job: Job, ask: Ask) -> None:
+        if job.customer is None or not ask.amount:
+            return
+        wait_ms = self._quotas.spend(
+            job.customer, ask.amount, request_id=job.facts.request_id
+        )
+        if wait_ms is not None:
+            raise over_quota(wait_ms)
+
     def pulse(self, job: Job, place: Place, report: AttemptReport) -> None:
         """Tell early how fast a stream runs."""
         held = self._held.get(place.permit_id)
@@ -177,6 +197,8 @@
             aim_ms=int(max(0.0, aim_ms)),
             route=route.name,
             event_count=self._event_count(job),
+            # A request that comes here again has been counted.
+            amount=job.amount if is_engine and not excluded else 0,
         )
 
     def _weight(self, job: Job) -> float:
--- a/src/hemlocktrestle/edge/_serve.py
+++ b/src/hemlocktrestle/edge/_serve.py
@@ -11,9 +11,10 @@
 from hemlocktrestle.edge._attempt import Attempt, Progress, Sealed
 from hemlocktrestle.edge._job import Job
 from hemlocktrestle.edge._place import AttemptEnd, AttemptReport, Place, Scheduler
+from hemlocktrestle.edge._quota_gate import EdgeQuotas, over_quota
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.errors import ErrorKind, RequestError
-from hemlocktrestle.gateway import Quota, choose_service, urgency_rank
+from hemlocktrestle.gateway import choose_service, urgency_rank
 from hemlocktrestle.quarantine import QuarantineBook
 from hemlocktrestle.relay import CallerConnection, CallerRequest
 
@@ -28,9 +29,6 @@
 DEADLINE_DEFAULT_MS = 60_000.0
 """Time that a caller is taken to wait if it does not say, in milliseconds."""
 
-QUOTA_RETRY_MS_MAX = 3_000.0
-"""Longest pause that a caller over its quota is asked for, in milliseconds."""
-
 
 class Served(NamedTuple):
     """How a request ended, for logs and metrics."""
@@ -47,6 +45,7 @@
     Args:
         state: what the process believes.
         scheduler: chooses when and where requests run.
+        quotas: counts requests against quotas.
         quarantine: requests that crash the replicas that run them.
         on_served: told of each request at its end.
         on_crash: told of a request whose replica broke off, and of the replica.
@@ -57,12 +56,14 @@
         state: EdgeState,
         scheduler: Scheduler,
         *,
+        quotas: EdgeQuotas,
         quarantine: QuarantineBook,
         on_served: Callable[[Served], None],
         on_crash: Callable[[Job, Place], None],
     ) -> None:
         self._state = state
         self._scheduler = scheduler
+        self._quotas = quotas
         self._quarantine = quarantine
         self._on_served = on_served
         self._on_crash = on_crash
@@ -139,43 +140,14 @@
         return job
 
     def _spend_quota(self, job: Job) -> None:
-        customer = job.customer
-        if customer is None or customer.rate_per_s <= 0:
+        """Count a request that asks no keeper against its customer's quota."""
+        if job.customer is None or job.service.engine is not None:
             return
-        bounds = self._state.settings.bounds
-        wait_ms = self._state.quotas.admit(
-            customer.name,
-            Quota(
-                customer.rate_per_s,
-                customer.burst,
-                bounds.quota_window_ms,
-                bounds.quota_over,
-                bounds.quota_slack,
-            ),
-            amount=_quota_amount(job),
-            fleet=self._state.fleet(),
-            now_ms=now_ms(),
+        wait_ms = self._quotas.spend(
+            job.customer, job.amount, request_id=job.facts.request_id
         )
         if wait_ms is not None:
-            fleet = self._state.fleet()
-            log.info(
-                "quota_spent",
-                extra={
-                    "request": job.facts.request_id,
-                    "customer": customer.name,
-                    "rate_per_s": customer.rate_per_s,
-                    "amount": _quota_amount(job),
-                    "vm_count": fleet.vm_count,
-                    "heard_count": fleet.heard_count,
-                    "others": fleet.demands.get(customer.name),
-                    **self._state.quotas.explain(customer.name, now_ms()),
-                },
-            )
-            raise RequestError(
-                ErrorKind.RATE_LIMITED,
-                "customer is over its quota",
-                retry_after_ms=min(wait_ms, QUOTA_RETRY_MS_MAX),
-            )
+            raise over_quota(wait_ms)
 
     async def _run(
         self, job: Job, connection: CallerConnection, progress: Progress
@@ -239,14 +211,6 @@
             self._quarantine.clear(job.fingerprint)
 
 
-def _quota_amount(job: Job) -> float:
-    customer = job.customer
-    assert customer is not None
-    if not customer.counts_tokens:
-        return 1.0
-    return job.facts.tokens if job.facts.states_tokens else customer.plain_tokens
-
-
 def _fingerprint(request: CallerRequest, key: str) -> str:
     digest = xxhash.xxh3_128(request.body)
     digest.update(b"\0".join((request.method, request.target, key.encode("latin-1"))))
--- a/src/hemlocktrestle/gateway/_fleet_demand.py
+++ b/src/hemlocktrestle/gateway/_fleet_demand.py
@@ -33,13 +33,11 @@
         self._area = area
         self._vms: dict[str, _Heard] = {}
         self._areas: dict[str, _Heard] = {}
-        self._news_count = 0
 
     def heard_vm(
         self, vm: str, demands: Iterable[Demand], now_ms: float, *, young: float = 0.0
     ) -> None:
         """Take in what one VM of the own area asks for."""
-        self._news_count += 1
         self._vms[vm] = _Heard(self._area, 1, _by_customer(demands), now_ms, young)
 
     def heard_area(
@@ -52,7 +50,6 @@
         young: float = 0.0,
     ) -> None:
         """Take in what a keeper says of all VMs of its area."""
-        self._news_count += 1
         known = self._areas.get(area)
         is_fresh = known is not None and now_ms - known.heard_ms < HEARD_MS / 2
         # Two VMs may take themselves for the keeper; the one that hears more is.
@@ -95,13 +92,14 @@
         """
         own_demands = _by_customer(own)
         others: dict[str, Demand] = {}
-        heard_count = 1
+        heard_count = heads = 1
         young = 0.0
         keeper = self._areas.get(self._area)
         if is_keeper or keeper is None or not _is_fresh(keeper, now_ms):
             for item in self._vms.values():
                 if _is_fresh(item, now_ms):
                     heard_count += 1
+                    heads += is_keeper
                     young += item.young
                     _add(others, item.demands)
         else:
@@ -114,7 +112,8 @@
                 heard_count += item.vm_count
                 young += item.young
                 _add(others, item.demands)
-        return Fleet(max(vm_count, heard_count), heard_count, others, self._news_count)
+        total_count = max(vm_count, heard_count)
+        return Fleet(total_count, heard_count, others, young, heads)
 
 
 def _is_fresh(item: _Heard, now_ms: float) -> bool:
--- a/src/hemlocktrestle/gateway/_quota.py
+++ b/src/hemlocktrestle/gateway/_quota.py
@@ -1,9 +1,11 @@
 """Quotas of customers over all VMs, kept without a count in the store.
 
 A quota bounds what a customer spends in any window.  Each VM counts what it spends
-itself and hears from the others what they spent.  Between two pieces of news it
-spends at most its part of what was left, in proportion to what it is asked for, so
-that all VMs together never spend the same rest twice.
+itself and hears from the others what they spent.  Between two looks at the news it
+spends at most its part of half of what was left: the other half covers what the
+others have spent and not told yet.  Parts follow what each VM has told of its
+demand, so that all VMs size them alike, and a share by head is kept for VMs whose
+demand is new.
 """
 
 import math
@@ -20,7 +22,13 @@
 """
 
 PART_MS = 1_000.0
-"""Time after which a VM that hears no news sizes its part anew, in milliseconds."""
+"""Time between two looks at the news, in milliseconds.
+
+News goes by way of a keeper or two, with a heartbeat each, and is there by then.
+"""
+
+HEADS_SHARE = 0.3
+"""Share of what is left that is divided by head, whatever is asked for."""
 
 WAIT_MS_MIN = 200.0
 """Shortest pause for a customer over its quota, in milliseconds."""
@@ -41,15 +49,15 @@
         vm_count: VMs that may serve.
         heard_count: VMs whose demand is known, this one included.
         demands: demand of the VMs that were heard, without this one, by customer.
-        news_count: changes with each piece of news.
         young: sum of the others' :meth:`QuotaBook.young`.
+        heads: VMs that this one decides for, itself included.
     """
 
     vm_count: int
     heard_count: int
     demands: dict[str, Demand]
-    news_count: int = 0
     young: float = 0.0
+    heads: int = 1
 
 
 class Quota(NamedTuple):
@@ -99,22 +107,22 @@
 
     __slots__ = (
         "asked",
-        "news_count",
         "part",
         "part_at_ms",
         "spends",
         "spent",
         "spent_since",
+        "told_per_s",
     )
 
     def __init__(self, now_ms: float) -> None:
         self.asked = _Rate(now_ms)
         self.spends: deque[tuple[float, float]] = deque()
         self.spent = 0.0
-        self.news_count = -1
         self.part = 0.0
         self.part_at_ms = -math.inf
         self.spent_since = 0.0
+        self.told_per_s = 0.0
 
     def spend(self, amount: float, now_ms: float) -> None:
         self.spends.append((now_ms, amount))
@@ -171,18 +179,23 @@
         young = self.young(quota.window_ms, now_ms) + fleet.young
         before = young * limit / max(1, fleet.heard_count)
         room = limit - account.spent - others.spent - before
-        is_old = now_ms - account.part_at_ms > PART_MS
-        if is_old or account.news_count != fleet.news_count:
+        if now_ms - account.part_at_ms >= PART_MS:
+            share = _share(account.told_per_s, others.asked_per_s, fleet)
+            untold = 1 / 2 if fleet.vm_count > 1 else 0.0
+            account.part = room * (1 - untold) * share
             account.part_at_ms = now_ms
-            own_per_s = account.asked.at(now_ms)
-            account.news_count = fleet.news_count
             account.spent_since = 0.0
-            account.part = room * own_per_s / (own_per_s + others.asked_per_s)
-        if amount <= room and account.spent_since < account.part:
+        if account.spent_since + amount <= account.part:
             account.spend(amount, now_ms)
             return None
         return _wait_ms(account, amount - room, quota, now_ms)
 
+    def refund(self, customer: str, amount: float, now_ms: float) -> None:
+        """Give back what a request spent that will not run."""
+        account = self._accounts.get(customer)
+        if account is not None:
+            account.spend(-amount, now_ms)
+
     def explain(self, customer: str, now_ms: float) -> dict[str, float]:
         """Return what decided on a customer's last request, for the log."""
         account = self._accounts.get(customer)
@@ -199,8 +212,9 @@
         """Return this VM's demand by customer, for the other VMs."""
         for account in self._accounts.values():
             account.expire(now_ms - self._window_ms)
+            account.told_per_s = account.asked.at(now_ms)
         return tuple(
-            Demand(customer, account.asked.at(now_ms), account.spent)
+            Demand(customer, account.told_per_s, account.spent)
             for customer, account in self._accounts.items()
         )
 
@@ -218,6 +232,16 @@
     return min(1.0, fleet.heard_count / max(1, fleet.vm_count))
 
 
+def _share(told_per_s: float, others_per_s: float, fleet: Fleet) -> float:
+    """Return the share of what is left that this VM may spend."""
+    if fleet.vm_count <= 1:
+        return 1.0
+    asked_per_s = told_per_s + others_per_s
+    by_demand = told_per_s / asked_per_s if asked_per_s else 0.0
+    by_head = fleet.heads / max(1, fleet.heard_count)
+    return (1 - HEADS_SHARE) * by_demand + HEADS_SHARE * by_head
+
+
 def _wait_ms(account: _Account, missing: float, quota: Quota, now_ms: float) -> float:
     """Return the time until enough of what was spent here is out of the window."""
     for at_ms, amount in account.spends:
--- a/src/hemlocktrestle/peers/__init__.py
+++ b/src/hemlocktrestle/peers/__init__.py
@@ -1,7 +1,7 @@
 """What VMs say to each other: links, asks for permits, and the keeper's task."""
 
 from hemlocktrestle.peers._asker import Asker, HeldPermit
-from hemlocktrestle.peers._keeper_task import INBOX_COUNT, KeeperTask
+from hemlocktrestle.peers._keeper_task import INBOX_COUNT, KeeperTask, QuotaGate
 from hemlocktrestle.peers._link import Link, LinkEvents, accept, dial
 from hemlocktrestle.peers._network import PeerNetwork
 
@@ -13,6 +13,7 @@
     "Link",
     "LinkEvents",
     "PeerNetwork",
+    "QuotaGate",
     "accept",
     "dial",
 ]
--- a/src/hemlocktrestle/peers/_asker.py
+++ b/src/hemlocktrestle/peers/_asker.py
@@ -260,7 +260,13 @@
         return HeldPermit(reply, keeper_vm, expires_ms)
 
 
-_FINAL_KINDS = frozenset({ErrorKind.DEADLINE_IN_QUEUE, ErrorKind.DEADLINE_UNMEETABLE})
+_FINAL_KINDS = frozenset(
+    {
+        ErrorKind.DEADLINE_IN_QUEUE,
+        ErrorKind.DEADLINE_UNMEETABLE,
+        ErrorKind.RATE_LIMITED,
+    }
+)
 _NEXT_ZONE_KINDS = frozenset({ErrorKind.NO_UPSTREAM, ErrorKind.SHED})
 
 
--- a/src/hemlocktrestle/peers/_keeper_task.py
+++ b/src/hemlocktrestle/peers/_keeper_task.py
@@ -3,7 +3,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import trio
 
@@ -38,6 +38,29 @@
 """How long an ask stays with a VM that does not keep its pool, in milliseconds."""
 
 
+class QuotaGate(Protocol):
+    """Counts asks against the quotas of customers."""
+
+    def admit(self, ask: Ask) -> float | None:
+        """Count an ask; returns the time to come again in if it is over the quota."""
+        ...
+
+    def refund(self, ask: Ask) -> None:
+        """Give back what an ask counted that got no permit."""
+        ...
+
+
+class OpenGate:
+    """Lets every ask pass."""
+
+    def admit(self, ask: Ask) -> float | None:
+        """Return ``None``."""
+        return None
+
+    def refund(self, ask: Ask) -> None:
+        """Do nothing: nothing was counted."""
+
+
 class _Letter(NamedTuple):
     vm: str
     message: Message
@@ -56,6 +79,7 @@
         now_ms: returns the time of the process in milliseconds.
         policy: returns the name of the policy for keepers made from now on.
         acknowledges: whether holders are told that their asks wait.
+        gate: counts asks against quotas.
     """
 
     def __init__(
@@ -66,7 +90,10 @@
         now_ms: Callable[[], float],
         policy: Callable[[], str] = lambda: POLICY_DEFAULT,
         acknowledges: bool = False,
+        gate: QuotaGate = OpenGate(),
     ) -> None:
+        self._gate = gate
+        self._counted: dict[str, Ask] = {}
         self._acknowledges = acknowledges
         self._membership = membership
         self._reply = reply
@@ -147,6 +174,13 @@
             self._reply(vm, Refusal(ask.ask_id, ErrorKind.KEEPER_GONE.value))
             return
         keeper = self._keeper(ask.pool)
+        if ask.amount:
+            wait_ms = self._gate.admit(ask)
+            if wait_ms is not None:
+                kind = ErrorKind.RATE_LIMITED.value
+                self._reply(vm, Refusal(ask.ask_id, kind, int(wait_ms)))
+                return
+            self._counted[ask.ask_id] = ask
         self._send(keeper, keeper.ask(vm, ask, self._now_ms()))
         if self._acknowledges and keeper.holds(ask.ask_id):
             self._reply(vm, Queued(ask.ask_id))
@@ -160,6 +194,7 @@
 
     def _withdraw(self, vm: str, withdraw: Withdraw) -> None:
         keeper = self._keeper(withdraw.pool)
+        self._refund(withdraw.ask_id)
         self._send(keeper, keeper.withdraw(withdraw, self._now_ms()))
 
     def _running(self, vm: str, running: Running) -> None:
@@ -226,10 +261,18 @@
             vm, message = waiting.popleft()
             if isinstance(message, Refusal):
                 self._log_refusal(keeper, vm, message)
+                self._refund(message.ask_id)
+            elif isinstance(message, Permit):
+                self._counted.pop(message.ask_id, None)
             if not self._reply(vm, message) and isinstance(message, Permit):
                 withdraw = Withdraw(message.ask_id, message.pool)
                 waiting += keeper.withdraw(withdraw, self._now_ms())
 
+    def _refund(self, ask_id: str) -> None:
+        ask = self._counted.pop(ask_id, None)
+        if ask is not None:
+            self._gate.refund(ask)
+
     def _log_refusal(self, keeper: PoolKeeper, vm: str, refusal: Refusal) -> None:
         log.info(
             "ask_refused",
--- a/src/hemlocktrestle/platform/_store.py
+++ b/src/hemlocktrestle/platform/_store.py
@@ -124,9 +124,12 @@
 
     Args:
         address: address and port of the store.
+        backend: opens connections; by default over TCP.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, *, backend: httpcore.AsyncNetworkBackend | None = None
+    ) -> None:
         self._url = f"http://{address}"
         self._stack = AsyncExitStack()
         self._pool = httpcore.AsyncConnectionPool(
@@ -134,6 +137,7 @@
             keepalive_expiry=IDLE_S,
             retries=0,
             socket_options=_PROBED,
+            network_backend=backend,
         )
         self.call_count = 0
 
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -99,7 +99,8 @@
     the ask is sent; ``excluded`` names upstreams that the holder will not use;
     ``aim_ms`` is what remains until the first part of the answer is late, or
     ``NO_AIM``; asks of one ``route`` are alike in what they take; ``event_count``
-    is how many events a stream is expected to have.
+    is how many events a stream is expected to have; ``amount`` is what it counts
+    against its customer's quota, 0 if it has been counted.
     """
 
     ask_id: str
@@ -115,6 +116,7 @@
     aim_ms: int = NO_AIM
     route: str = ""
     event_count: int = 0
+    amount: int = 0
 
 
 @message("queued")
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -82,6 +82,7 @@
   aimMs @10 :Int64 = -1;
   route @11 :Text;
   eventCount @12 :UInt32;
+  amount @13 :UInt32;
 }
 
 struct ReplicaNews {
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,72 @@
+"""Tests of the platform's settings file."""
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from testtools import TestCase
+
+from hemlocktrestle.errors import RequestError
+from hemlocktrestle.platform import decode_settings, read_settings, settings_path
+from tests.platform.documents import SETTINGS, changed
+
+
+def complaint(document: dict[str, Any]) -> str:
+    """Return what is said of a document that is not accepted."""
+    try:
+        decode_settings(document, source="settings.toml")
+    except RequestError as error:
+        return error.message
+    return ""
+
+
+class SettingsTests(TestCase):
+    """Fields come out under the project's names, checked."""
+
+    def test_an_ordinary_file_is_translated(self) -> None:
+        """Times are in milliseconds, whatever the platform counts in."""
+        settings = decode_settings(SETTINGS, source="settings.toml")
+        self.assertEqual(("vm-1", "z1", "north"), settings[:3])
+        self.assertEqual(8_000, settings.bounds.grace_ms)
+        self.assertEqual(10_000, settings.bounds.repeat_window_ms)
+        self.assertEqual((7600, 7615), (settings.peer_port, settings.metrics_port))
+
+    def test_unknown_fields_are_passed_over(self) -> None:
+        """The platform adds fields over time."""
+        self.assertEqual("", complaint({**SETTINGS, "new": 1}))
+
+    def test_a_wrong_field_is_named(self) -> None:
+        """With the file, its place in the file, and what is wrong."""
+        wrong = {
+            "nodeName": ...,
+            "listen.front": "nowhere",
+            "limits.maxFds": 20,
+            "contractBounds.graceS": -1,
+            "contractBounds.budgetRatio": "much",
+            "platformSettings.address": ...,
+            "internalPorts": [1],
+        }
+        for path, value in wrong.items():
+            said = complaint(changed(SETTINGS, path, value))
+            self.assertIn("settings.toml", said)
+            self.assertIn(path, said)
+
+    def test_a_file_that_is_no_toml_is_told(self) -> None:
+        """And one that is not there."""
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.toml"
+            for text in (None, "= 1", "nodeName = 3"):
+                if text is not None:
+                    path.write_text(text, encoding="utf-8")
+                try:
+                    read_settings(path)
+                except RequestError as error:
+                    self.assertIn(str(path), error.message)
+                else:
+                    self.fail(f"accepted: {text}")
+
+    def test_the_environment_names_the_file(self) -> None:
+        """There is a default for machines that set no variable."""
+        named = settings_path({"HEMLOCKTRESTLE_SETTINGS": "/x/y.toml"})
+        self.assertEqual("/x/y.toml", str(named))
+        self.assertIn("hemlocktrestle", str(settings_path({})))
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,170 @@
+"""Tests of the client of the platform's store, against a stand-in."""
+
+from collections.abc import Awaitable, Callable
+
+import httpcore
+import trio
+import trio.testing
+
+from hemlocktrestle.platform import (
+    Item,
+    PlatformStore,
+    Removed,
+    StoreError,
+    StoreErrorKind,
+)
+from tests.standins.users_store import UsersStore
+from tests.support import TrioTestCase
+
+
+class _MemoryBackend(httpcore.AsyncNetworkBackend):
+    """Leads each connection to a stand-in in this process."""
+
+    def __init__(self, store: UsersStore, nursery: trio.Nursery) -> None:
+        self._store = store
+        self._nursery = nursery
+
+    async def connect_tcp(
+        self, host: str, port: int, *args: object, **options: object
+    ) -> httpcore.AsyncNetworkStream:
+        """Open a connection."""
+        ours, theirs = trio.testing.memory_stream_pair()
+        self._nursery.start_soon(self._store.serve, theirs)
+        return _MemoryStream(ours)
+
+
+class _MemoryStream(httpcore.AsyncNetworkStream):
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        with trio.move_on_after(timeout or float("inf")):
+            return bytes(await self._stream.receive_some(max_bytes))
+        raise httpcore.ReadTimeout
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        await self._stream.send_all(buffer)
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str) -> object:
+        return None
+
+
+class StoreTests(TrioTestCase):
+    """Each call brings its result, or an error that says why not."""
+
+    async def run_with(
+        self, check: Callable[[UsersStore, PlatformStore], Awaitable[None]]
+    ) -> None:
+        """Run a check against a stand-in."""
+        standin = UsersStore()
+        async with trio.open_nursery() as nursery:
+            client = PlatformStore(
+                "10.0.0.1:80", backend=_MemoryBackend(standin, nursery)
+            )
+            async with client:
+                await check(standin, client)
+            nursery.cancel_scope.cancel()
+
+    async def kind_of(self, call: Awaitable[object]) -> StoreErrorKind | None:
+        """Return why a call brought no result."""
+        try:
+            await call
+        except StoreError as error:
+            return error.kind
+        return None
+
+    async def test_keys_are_read(self) -> None:
+        """A key that is not there is no error."""
+
+        async def check(standin: UsersStore, client: PlatformStore) -> None:
+            revision = standin.put("op/config", b"\x00\xff")
+            item, at = await client.get("op/config")
+            self.assertEqual(Item("op/config", b"\x00\xff", revision), item)
+            self.assertEqual(revision, at)
+            self.assertEqual((None, revision), await client.get("op/other"))
+
+        await self.run_with(check)
+
+    async def test_all_pages_of_a_range_are_read(self) -> None:
+        """The revision is that of the first page, from which a watch goes on."""
+
+        async def check(standin: UsersStore, client: PlatformStore) -> None:
+            for number in range(8):
+                standin.put(f"servers/{number}", b"x")
+            standin.put("other/1", b"x")
+            page = await client.list("servers/")
+            self.assertEqual(8, len(page.items))
+            self.assertEqual(standin.revision, page.revision)
+
+        await self.run_with(check)
+
+    async def test_a_watch_tells_writes_and_removals(self) -> None:
+        """In the order of their revisions."""
+
+        async def check(standin: UsersStore, client: PlatformStore) -> None:
+            start = standin.revision
+            first = standin.put("servers/a", b"1")
+            standin.remove("servers/a")
+            seen = await client.watch("servers/", after=start, wait_ms=1_000)
+            removed = Removed("servers/a", first + 1)
+            self.assertEqual((Item("servers/a", b"1", first), removed), seen.events)
+            quiet = await client.watch("servers/", after=seen.revision, wait_ms=500)
+            self.assertEqual(((), seen.revision), quiet)
+
+        await self.run_with(check)
+
+    async def test_leases_hold_keys(self) -> None:
+        """The end of a lease removes them; renewing it then says so."""
+
+        async def check(standin: UsersStore, client: PlatformStore) -> None:
+            lease = await client.grant_lease(10_000)
+            await client.put("vms/a", b"x", lease=lease)
+            await client.renew_lease(lease)
+            await client.end_lease(lease)
+            self.assertEqual({}, standin.entries)
+            kind = await self.kind_of(client.renew_lease(lease))
+            self.assertEqual(StoreErrorKind.LEASE_ENDED, kind)
+
+        await self.run_with(check)
+
+    async def test_each_failure_has_its_kind(self) -> None:
+        """A write whose answer was lost may have taken effect."""
+
+        async def check(standin: UsersStore, client: PlatformStore) -> None:
+            kinds = {
+                503: StoreErrorKind.REFUSED,
+                429: StoreErrorKind.THROTTLED,
+                410: StoreErrorKind.HISTORY_LOST,
+                500: StoreErrorKind.NONSENSE,
+            }
+            for status, kind in kinds.items():
+                standin.status = status
+                self.assertEqual(kind, await self.kind_of(client.list("x")))
+            standin.status = 0
+            standin.lose_answers = 1
+            lost = await self.kind_of(client.put("a", b"1"))
+            self.assertEqual(StoreErrorKind.UNREACHABLE, lost)
+            self.assertIn("a", standin.entries)
+            standin.garbage = True
+            self.assertEqual(
+                StoreErrorKind.NONSENSE, await self.kind_of(client.list("x"))
+            )
+
+        await self.run_with(check)
+
+    async def test_a_silent_store_is_given_up(self) -> None:
+        """After a bounded time, and the connection is not used again."""
+
+        async def check(standin: UsersStore, client: PlatformStore) -> None:
+            standin.silent = True
+            started = trio.current_time()
+            kind = await self.kind_of(client.list("x"))
+            self.assertEqual(StoreErrorKind.UNREACHABLE, kind)
+            self.assertTrue(trio.current_time() - started < 3)
+            standin.silent = False
+            self.assertIsNone(await self.kind_of(client.list("x")))
+
+        await self.run_with(check)
--- /dev/null
+++ b/tests/standins/users_store.py
@@ -0,0 +1,183 @@
+"""A stand-in of the store of the users' platform: keys, leases, ranges and watches."""
+
+import base64
+from typing import Any, NamedTuple
+from urllib.parse import parse_qs, urlsplit
+
+import trio
+
+from tests.standins.http import Connection, Request
+
+PAGE_COUNT = 3
+"""Items of a page: few, so that tests meet more than one page."""
+
+
+class Entry(NamedTuple):
+    """One key's content."""
+
+    value: bytes
+    revision: int
+    lease: int
+
+
+class UsersStore:
+    """Keys, leases and watches in memory, with faults to switch on.
+
+    Faults: ``status`` answers every call with that status; ``silent`` never answers;
+    ``lose_answers`` does that many writes and breaks off; ``history_from`` is the
+    oldest revision that watches can start from; ``garbage`` answers no JSON.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 10
+        self.entries: dict[str, Entry] = {}
+        self.events: list[tuple[str, int, bytes | None]] = []
+        self.leases: set[int] = set()
+        self.calls: list[str] = []
+        self.status = 0
+        self.silent = False
+        self.lose_answers = 0
+        self.history_from = 0
+        self.garbage = False
+        self._changed = trio.Event()
+
+    def put(self, key: str, value: bytes, *, lease: int = 0) -> int:
+        """Write a key as the operator or a replica does; returns the revision."""
+        self.revision += 1
+        self.entries[key] = Entry(value, self.revision, lease)
+        self._note(key, value)
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        if self.entries.pop(key, None) is not None:
+            self.revision += 1
+            self._note(key, None)
+
+    def end_lease(self, lease: int) -> None:
+        """End a lease, which removes its keys."""
+        self.leases.discard(lease)
+        for key, entry in list(self.entries.items()):
+            if entry.lease == lease:
+                self.remove(key)
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        """Serve one connection."""
+        connection = Connection(stream)
+        while (request := await connection.next_request()) is not None:
+            if not await self._handle(connection, request):
+                await stream.aclose()
+                return
+            connection.machine.start_next_cycle()
+
+    async def _handle(self, connection: Connection, request: Request) -> bool:
+        url = urlsplit(request.target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        self.calls.append(f"{request.method} {url.path}")
+        if self.silent:
+            await connection.until_gone()
+            return False
+        if self.status:
+            await connection.json({}, self.status)
+            return True
+        if self.garbage:
+            await connection.start(200, {"content-length": "3"})
+            await connection.piece(b"no!")
+            await connection.finish()
+            return True
+        parts = url.path.strip("/").split("/")
+        handler = getattr(self, "_" + parts[0].replace("-", "_"))
+        answer = await handler(query, request, parts[1:])
+        if answer is None:
+            return False
+        await connection.json(answer[1], answer[0])
+        return True
+
+    async def _kv_key(
+        self, query: dict[str, str], request: Request, rest: list[str]
+    ) -> tuple[int, Any]:
+        entry = self.entries.get(query["key"])
+        if entry is None:
+            return 404, {"currentRev": self.revision}
+        return 200, {**_item(query["key"], entry), "currentRev": self.revision}
+
+    async def _kv_range(
+        self, query: dict[str, str], request: Request, rest: list[str]
+    ) -> tuple[int, Any]:
+        keys = sorted(
+            key
+            for key in self.entries
+            if key.startswith(query["prefix"]) and key > query.get("after", "")
+        )
+        items = [_item(key, self.entries[key]) for key in keys[:PAGE_COUNT]]
+        has_more = len(keys) > PAGE_COUNT
+        answer = {"items": items, "hasMore": has_more, "currentRev": self.revision}
+        return 200, answer
+
+    async def _kv_watch(
+        self, query: dict[str, str], request: Request, rest: list[str]
+    ) -> tuple[int, Any]:
+        after = int(query["after"])
+        if after < self.history_from:
+            return 410, {}
+        with trio.move_on_after(int(query["waitMs"]) / 1000):
+            while not self._since(query["prefix"], after):
+                await self._changed.wait()
+        events = self._since(query["prefix"], after)
+        return 200, {"events": events, "currentRev": self.revision}
+
+    async def _kv_txn(
+        self, query: dict[str, str], request: Request, rest: list[str]
+    ) -> tuple[int, Any] | None:
+        body = request.json()
+        for row in body["puts"]:
+            if row["lease"] and row["lease"] not in self.leases:
+                return 404, {}
+            value = base64.b64decode(row["value"])
+            self.put(row["key"], value, lease=row["lease"])
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return None
+        return 200, {"revision": self.revision}
+
+    async def _kv_lease(
+        self, query: dict[str, str], request: Request, rest: list[str]
+    ) -> tuple[int, Any]:
+        lease = 70_000 + len(self.calls)
+        self.leases.add(lease)
+        return 200, {"lease": lease, "ttlMs": request.json()["ttlMs"]}
+
+    async def _kv_keep(
+        self, query: dict[str, str], request: Request, rest: list[str]
+    ) -> tuple[int, Any]:
+        return (200, {"ttlMs": 1}) if int(rest[0]) in self.leases else (404, {})
+
+    async def _kv_lease_end(
+        self, query: dict[str, str], request: Request, rest: list[str]
+    ) -> tuple[int, Any]:
+        self.end_lease(int(rest[0]))
+        return 200, {}
+
+    def _note(self, key: str, value: bytes | None) -> None:
+        self.events.append((key, self.revision, value))
+        changed, self._changed = self._changed, trio.Event()
+        changed.set()
+
+    def _since(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [
+            {"key": key, "revision": revision, "tombstone": True}
+            if value is None
+            else _item(key, Entry(value, revision, 0))
+            for key, revision, value in self.events
+            if revision > after and key.startswith(prefix)
+        ]
+
+
+def _item(key: str, entry: Entry) -> dict[str, Any]:
+    return {
+        "key": key,
+        "value": base64.b64encode(entry.value).decode(),
+        "revision": entry.revision,
+        "created": entry.revision,
+        "lease": entry.lease,
+    }
