Order by tier and aim alone, and note busy customers in the store

Keepers now note in the store which customers are busy, under a lease of two windows; a process that starts takes half for spent of the others.

--- a/src/hemlocktrestle/edge/_attempt.py
+++ b/src/hemlocktrestle/edge/_attempt.py
@@ -105,8 +105,6 @@
         self._started_ms = now_ms()
         self._first_ms = 0.0
         self._event_count = 0
-        self._late_event_count = 0
-        self._event_ms = 0.0
         self.status = 0
         self.failure: RequestError | None = None
         self.sealed: Sealed | None = None
@@ -118,7 +116,6 @@
             self._first_ms,
             now_ms() - self._started_ms,
             self._event_count,
-            self._late_event_count,
         )
 
     async def run(self) -> AttemptReport:
@@ -241,14 +238,9 @@
         return AttemptEnd.RELAYED
 
     def _note_events(self, count: int) -> None:
-        """Count events that came, and those that came after too long a pause."""
+        """Count events that came, and tell early how fast they come."""
         before_count = self._event_count
-        at_ms = now_ms()
         self._event_count += count
-        gap_ms = self._job.route.gap_ms
-        if before_count and gap_ms and at_ms - self._event_ms > gap_ms:
-            self._late_event_count += 1
-        self._event_ms = at_ms
         if before_count < PULSE_EVENTS <= self._event_count:
             report = self.report(AttemptEnd.RELAYED)
             self._on_pulse(self._job, self._place, report)
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -13,6 +13,7 @@
 
 from hemlocktrestle.edge._fleet import EdgeFleet
 from hemlocktrestle.edge._followers import (
+    BusyRecorder,
     ConfigurationFollower,
     ReplicaFollower,
     StoreHealth,
@@ -148,7 +149,11 @@
             connections_max=descriptors // DESCRIPTORS_PER_CALLER,
         )
         self._registrar = VmRegistrar(
-            entry, self._store, self._health, on_vms=self._peers.take_vms
+            entry,
+            self._store,
+            self._health,
+            on_vms=self._peers.take_vms,
+            on_busy=self._peers.take_busy,
         )
         self._route()
 
@@ -184,6 +189,15 @@
             nursery.start_soon(replicas.run)
             nursery.start_soon(replicas.settle)
             nursery.start_soon(self._registrar.run)
+            nursery.start_soon(
+                BusyRecorder(
+                    settings.region,
+                    self._store,
+                    self._health,
+                    busy=self._peers.busy,
+                    window_ms=settings.bounds.quota_window_ms,
+                ).run
+            )
             nursery.start_soon(serve_answers, ready, {b"/ready": self._ready})
             nursery.start_soon(self._callers.run, callers)
             log.info("started", extra={"vm": settings.vm, "boot_id": self._boot_id})
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -64,6 +64,18 @@
         self.network: PeerNetwork | None = None
         self.keeper: KeeperTask | None = None
 
+    def take_busy(self, customers: set[str]) -> None:
+        """Take in which customers are noted as busy in the store."""
+        self._state.busy_customers = customers
+
+    def busy(self) -> set[str]:
+        """Return the customers to note as busy, if this VM keeps its region's pools."""
+        membership = self.membership
+        keeper = membership.keeper_of("", membership.area, now_ms())
+        if keeper != self._entry.vm:
+            return set()
+        return self._state.quotas.busy(self.fleet())
+
     def take_vms(self, entries: list[VmEntry]) -> None:
         """Take in which VMs are registered."""
         known = self._vms
--- a/src/hemlocktrestle/edge/_followers.py
+++ b/src/hemlocktrestle/edge/_followers.py
@@ -250,9 +250,21 @@
     return ReplicaFact(replica_id, item.revision, record)
 
 
-VM_PREFIX = "hemlocktrestle/vms/"
+OWN_PREFIX = "hemlocktrestle/"
+"""Start of all keys that the system writes."""
+
+VM_PREFIX = OWN_PREFIX + "vms/"
 """Start of the keys under which the VMs of the system register."""
 
+BUSY_PREFIX = OWN_PREFIX + "busy/"
+"""Start of the keys under which keepers note customers that use their quotas up."""
+
+BUSY_CHECK_S = 1.0
+"""Time between looks for busy customers, in seconds.
+
+A note is written only while there are any, and lapses by itself.
+"""
+
 VM_LEASE_MS = 10_000
 """Life of a VM's entry without renewal, in milliseconds."""
 
@@ -278,6 +290,7 @@
         store: the platform's store.
         health: told whether the store answers.
         on_vms: called with all VMs that are registered.
+        on_busy: called with the customers that are noted as busy.
     """
 
     name = "vms"
@@ -289,10 +302,12 @@
         health: StoreHealth,
         *,
         on_vms: Callable[[list[VmEntry]], None],
+        on_busy: Callable[[set[str]], None],
     ) -> None:
         super().__init__(store, health)
         self._entry = entry
         self._on_vms = on_vms
+        self._on_busy = on_busy
         self._lease = 0
 
     async def leave(self) -> None:
@@ -315,14 +330,67 @@
             await self._look(is_stale_fine=True)
 
     async def _look(self, *, is_stale_fine: bool) -> None:
-        page = await self._store.list(VM_PREFIX, is_stale_fine=is_stale_fine)
+        page = await self._store.list(OWN_PREFIX, is_stale_fine=is_stale_fine)
         self._health.answered(self.name)
         entries = []
+        busy: set[str] = set()
         for item in page.items:
             try:
-                entries.append(VmEntry(**json.loads(item.value)))
+                if item.key.startswith(VM_PREFIX):
+                    entries.append(VmEntry(**json.loads(item.value)))
+                elif item.key.startswith(BUSY_PREFIX):
+                    busy.update(json.loads(item.value))
             except (ValueError, TypeError) as error:
                 log.warning(
-                    "vm_entry_refused", extra={"key": item.key, "reason": str(error)}
+                    "own_entry_refused", extra={"key": item.key, "reason": str(error)}
                 )
+        self._on_busy(busy)
         self._on_vms(entries)
+
+
+class BusyRecorder(_Follower):
+    """Notes in the store which customers use their quotas up.
+
+    Processes that start later take it into account; without a note they assume
+    less.
+
+    Args:
+        region: the region whose customers are noted.
+        store: the platform's store.
+        health: told whether the store answers.
+        busy: returns the customers to note; none if another VM does it.
+        window_ms: how long a note counts, in milliseconds.
+    """
+
+    name = "busy"
+
+    def __init__(
+        self,
+        region: str,
+        store: PlatformStore,
+        health: StoreHealth,
+        *,
+        busy: Callable[[], set[str]],
+        window_ms: float,
+    ) -> None:
+        super().__init__(store, health)
+        self._key = BUSY_PREFIX + region
+        self._busy = busy
+        self._window_ms = window_ms
+
+    async def _follow(self) -> None:
+        lease = 0
+        granted_ms = 0.0
+        while True:
+            await trio.sleep(BUSY_CHECK_S)
+            customers = self._busy()
+            if not customers:
+                continue
+            # A lease outlives the note by a window, so that each note counts long
+            # enough.
+            if now_ms() - granted_ms > self._window_ms:
+                lease = await self._store.grant_lease(int(2 * self._window_ms))
+                granted_ms = now_ms()
+            value = json.dumps(sorted(customers)).encode()
+            await self._store.put(self._key, value, lease=lease)
+            self._health.answered(self.name)
--- a/src/hemlocktrestle/edge/_permit_scheduler.py
+++ b/src/hemlocktrestle/edge/_permit_scheduler.py
@@ -28,17 +28,6 @@
 Callers follow a pause of up to a third of what they have left.
 """
 
-OUTPUT_WEIGHT = 10
-"""Prompt tokens that a generated token counts as, as the platform values them."""
-
-BASE_WEIGHT = 0.3
-WEIGHT_MAX = 4.0
-"""Part of a generation's worth that does not grow with its size, and the most that
-the rest grows to, both as the platform values generations."""
-
-SIZE_SMOOTHING = 0.02
-"""Share of a new request in the mean size of its route."""
-
 PLAIN_TOKENS = 1
 """Tokens that stand for a plain service's answer in the keeper's estimates."""
 
@@ -86,7 +75,6 @@
         self._alone = alone
         self._held: dict[str, HeldPermit] = {}
         self._longest_ms: dict[str, float] = {}
-        self._mean_sizes: dict[str, float] = {}
         self._count = 0
 
     async def obtain(self, job: Job, *, excluded: frozenset[str]) -> Place:
@@ -172,8 +160,6 @@
             int(report.total_ms),
             job.facts.prompt_tokens,
             tokens,
-            report.event_count,
-            report.late_event_count,
         )
         self._asker.release(held, release)
 
@@ -188,7 +174,7 @@
             pool=job.service.name,
             customer=job.customer_name,
             tier=job.rank,
-            weight=self._weight(job),
+            weight=1.0,
             prompt_tokens=facts.prompt_tokens,
             output_tokens=facts.expected_output_tokens if is_engine else PLAIN_TOKENS,
             prefix_digest=0,
@@ -196,27 +182,10 @@
             excluded=tuple(sorted(excluded)),
             aim_ms=int(max(0.0, aim_ms)),
             route=route.name,
-            event_count=self._event_count(job),
             # A request that comes here again has been counted.
             amount=job.amount if is_engine and not excluded else 0,
         )
 
-    def _weight(self, job: Job) -> float:
-        """Return what a request is worth against others of its route, by its size."""
-        facts = job.facts
-        size = facts.prompt_tokens + OUTPUT_WEIGHT * facts.expected_output_tokens
-        mean = self._mean_sizes.get(job.route.name, size)
-        self._mean_sizes[job.route.name] = mean + SIZE_SMOOTHING * (size - mean)
-        if not mean:
-            return 1.0
-        return BASE_WEIGHT + (1 - BASE_WEIGHT) * min(WEIGHT_MAX, size / mean)
-
-    def _event_count(self, job: Job) -> int:
-        engine = job.service.engine
-        if engine is None:
-            return 0
-        return job.facts.expected_output_tokens // max(1, engine.tokens_per_event)
-
     def _aim_ms(self, job: Job) -> float:
         """Return the time left until the answer is late for its caller.
 
--- a/src/hemlocktrestle/edge/_place.py
+++ b/src/hemlocktrestle/edge/_place.py
@@ -44,14 +44,12 @@
         first_ms: time to the first event or the whole answer, 0 if none came.
         total_ms: time to its end.
         event_count: events of a stream that came.
-        late_event_count: those of them that came after too long a pause.
     """
 
     end: AttemptEnd
     first_ms: float
     total_ms: float
     event_count: int
-    late_event_count: int = 0
 
 
 class Scheduler(Protocol):
--- a/src/hemlocktrestle/edge/_quota_gate.py
+++ b/src/hemlocktrestle/edge/_quota_gate.py
@@ -72,7 +72,12 @@
             bounds.quota_slack,
         )
         wait_ms = self._state.quotas.admit(
-            customer.name, quota, amount=amount, fleet=fleet, now_ms=now_ms()
+            customer.name,
+            quota,
+            amount=amount,
+            fleet=fleet,
+            now_ms=now_ms(),
+            was_busy=customer.name in self._state.busy_customers,
         )
         if wait_ms is not None:
             log.info(
--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -54,6 +54,7 @@
         self.has_replicas = False
         self.has_vms = False
         self.quotas = QuotaBook(now_ms())
+        self.busy_customers: set[str] = set()
         self.draining_since_ms: float | None = None
         self._budgets: dict[str, RetryBudget] = {}
 
--- a/src/hemlocktrestle/gateway/_quota.py
+++ b/src/hemlocktrestle/gateway/_quota.py
@@ -30,6 +30,12 @@
 HEADS_SHARE = 0.3
 """Share of what is left that is divided by head, whatever is asked for."""
 
+BUSY_SHARE = 0.5
+"""Share of a quota spent in a window above which a customer counts as busy.
+
+Of customers that are not, new processes take so much for spent before them.
+"""
+
 WAIT_MS_MIN = 200.0
 """Shortest pause for a customer over its quota, in milliseconds."""
 
@@ -107,6 +113,7 @@
 
     __slots__ = (
         "asked",
+        "limit",
         "part",
         "part_at_ms",
         "spends",
@@ -119,6 +126,7 @@
         self.asked = _Rate(now_ms)
         self.spends: deque[tuple[float, float]] = deque()
         self.spent = 0.0
+        self.limit = math.inf
         self.part = 0.0
         self.part_at_ms = -math.inf
         self.spent_since = 0.0
@@ -154,6 +162,7 @@
         amount: float,
         fleet: Fleet,
         now_ms: float,
+        was_busy: bool = True,
     ) -> float | None:
         """Spend from a customer's quota.
 
@@ -163,6 +172,8 @@
             amount: what the request counts.
             fleet: what is known of the other VMs.
             now_ms: time of the process in milliseconds.
+            was_busy: whether the customer may have spent all of its quota before
+                the processes that are young started.
 
         Returns:
             ``None`` if the request is within the quota, else the time in
@@ -178,6 +189,8 @@
         limit = quota.limit * _heard_share(fleet)
         young = self.young(quota.window_ms, now_ms) + fleet.young
         before = young * limit / max(1, fleet.heard_count)
+        before *= 1.0 if was_busy else BUSY_SHARE
+        account.limit = limit
         room = limit - account.spent - others.spent - before
         if now_ms - account.part_at_ms >= PART_MS:
             share = _share(account.told_per_s, others.asked_per_s, fleet)
@@ -190,6 +203,16 @@
             return None
         return _wait_ms(account, amount - room, quota, now_ms)
 
+    def busy(self, fleet: Fleet) -> set[str]:
+        """Return the customers that are busy, as far as this VM knows."""
+        found = set()
+        for customer, account in self._accounts.items():
+            others = fleet.demands.get(customer)
+            spent = account.spent + (others.spent if others is not None else 0.0)
+            if spent > account.limit * BUSY_SHARE:
+                found.add(customer)
+        return found
+
     def refund(self, customer: str, amount: float, now_ms: float) -> None:
         """Give back what a request spent that will not run."""
         account = self._accounts.get(customer)
--- a/src/hemlocktrestle/keeper/_core.py
+++ b/src/hemlocktrestle/keeper/_core.py
@@ -29,12 +29,6 @@
 PERMIT_VALID_MS = 1_000
 """How long after its grant a permit may be used, in milliseconds."""
 
-SURE_WAIT_SHARE = 0.5
-"""Share of an expected wait that is sure enough to refuse for.
-
-A refusal that was wrong costs the whole answer, a wait in vain a little time.
-"""
-
 GAP_SMOOTHING = 0.1
 """Share of a new observation in the running time between grants."""
 
@@ -107,8 +101,6 @@
         self._queue.push(waiting)
         self._deadlines.push((waiting.deadline_ms, ask.ask_id))
         outgoing = self._grant(now_ms)
-        if self.policy.refuses_late_arrivals:
-            outgoing += self._refuse_if_late(ask.ask_id)
         while len(self._queue) > self.policy.queued_count_max:
             outgoing += self._shed_last()
         return outgoing
@@ -151,7 +143,6 @@
         if now_ms - self._looked_ms >= STRAGGLER_CHECK_MS:
             self._looked_ms = now_ms
             self._upstreams.look_for_stragglers(now_ms)
-            self._queue.set_costs(self._upstreams.costs())
         return outgoing + self._grant(now_ms)
 
     def close(self) -> list[Outgoing]:
@@ -214,16 +205,6 @@
             outgoing.append(Outgoing(waiting.vm, self._permit(waiting, model, now_ms)))
         return outgoing
 
-    def _refuse_if_late(self, ask_id: str) -> list[Outgoing]:
-        """Refuse an ask that has just come and would miss its aim by waiting."""
-        waiting = self._queue.get(ask_id)
-        if waiting is None or self._queue.is_late_after(waiting, 0.0):
-            return []
-        wait_ms = self._queue.wait_ms(waiting) * SURE_WAIT_SHARE
-        if not self._queue.is_late_after(waiting, wait_ms):
-            return []
-        return [self._refuse(waiting, ErrorKind.DEADLINE_UNMEETABLE)]
-
     def _permit(self, waiting: Waiting, model: UpstreamModel, now_ms: float) -> Permit:
         return Permit(
             waiting.ask.ask_id,
--- a/src/hemlocktrestle/keeper/_policy.py
+++ b/src/hemlocktrestle/keeper/_policy.py
@@ -19,7 +19,6 @@
     queued_count_max: int = QUEUED_COUNT_MAX
     uses_prefixes: bool = True
     detects_stragglers: bool = True
-    refuses_late_arrivals: bool = False
 
 
 POLICIES: dict[str, Callable[[], PoolPolicy]] = {}
@@ -57,7 +56,7 @@
 
 @policy("objective")
 def objective_policy() -> PoolPolicy:
-    """Serve what can still be in time, and refuse at once what cannot.
+    """Serve what can still be in time first.
 
     For engines that state their places and whose callers state when they are late.
     """
@@ -65,7 +64,6 @@
         queue="objective",
         early_refusal="none",
         prefill_share=1.0,
-        refuses_late_arrivals=True,
     )
 
 
--- a/src/hemlocktrestle/keeper/_queue.py
+++ b/src/hemlocktrestle/keeper/_queue.py
@@ -35,23 +35,6 @@
     aim_at_ms: float = math.inf
 
 
-class ReplicaCosts(NamedTuple):
-    """What work costs on a pool's upstreams, on the average.
-
-    ``slots`` is how many requests run beside each other on one of them, and
-    ``ends_per_s`` how many places of all of them become free a second under load.
-    """
-
-    prefill_ms_per_token: float
-    decode_ms_per_token: float
-    slots: float
-    ends_per_s: float
-
-
-NO_COSTS = ReplicaCosts(1.0, 1.0, 1.0, 0.0)
-"""Costs while nothing is known."""
-
-
 class AskQueue(Protocol):
     """An order of service over waiting asks, and an order of shedding."""
 
@@ -102,18 +85,6 @@
         """Take in the time to the first part of an answer of a route."""
         ...
 
-    def set_costs(self, costs: ReplicaCosts) -> None:
-        """Take in what work costs on the upstreams at present."""
-        ...
-
-    def wait_ms(self, waiting: Waiting) -> float:
-        """Estimate how long an ask that has just come will wait."""
-        ...
-
-    def is_late_after(self, waiting: Waiting, wait_ms: float) -> bool:
-        """Tell whether an ask would miss its aim after a wait from now."""
-        ...
-
 
 _QueueType = TypeVar("_QueueType", bound=type)
 
@@ -180,17 +151,6 @@
     def learn(self, route: str, first_ms: float) -> None:
         """Take in a time on which the order does not depend."""
 
-    def set_costs(self, costs: ReplicaCosts) -> None:
-        """Take in costs on which the order does not depend."""
-
-    def wait_ms(self, waiting: Waiting) -> float:
-        """Return 0: nothing is known of how long asks take."""
-        return 0.0
-
-    def is_late_after(self, waiting: Waiting, wait_ms: float) -> bool:
-        """Return ``False``: aims do not count."""
-        return False
-
     def _number(self, waiting: Waiting) -> int:
         self._count += 1
         self._present[waiting.ask.ask_id] = Numbered(self._count, waiting)
--- a/src/hemlocktrestle/keeper/_upstream.py
+++ b/src/hemlocktrestle/keeper/_upstream.py
@@ -33,15 +33,9 @@
 PROBE_TIER = 2
 """Rank of the tier whose requests probe a straggler."""
 
-STAY_SMOOTHING = 0.1
-"""Share of a new request in the usual time that a place is taken."""
-
 FAILURE_SMOOTHING = 0.1
 """Share of a new end in the share of requests that fail."""
 
-EVENTS_MEMORY = 400
-"""Events over which what was seen of late ones loses half of its weight."""
-
 FAILURE_WEIGHT = 20.0
 """How much longer an upstream seems to take if all its requests fail."""
 
@@ -108,8 +102,6 @@
         self.change_count = 0
         self.learned_count = 0
         self.failure_share = 0.0
-        self.late_event_share = 0.0
-        self.stay_ms = 0.0
         self._bound = SLOT_BOUNDS[slot_bound]()
         self._tier_shares = tier_shares
         self._prefill_share = prefill_share
@@ -188,13 +180,6 @@
         if release.sent:
             is_failure = release.failure in _FAILURES
             self.failure_share += FAILURE_SMOOTHING * (is_failure - self.failure_share)
-        if release.sent and not release.failure:
-            known_ms = self.stay_ms or float(release.total_ms)
-            self.stay_ms = known_ms + STAY_SMOOTHING * (release.total_ms - known_ms)
-        if release.event_count > 1:
-            weight = release.event_count / (release.event_count + EVENTS_MEMORY)
-            share = release.late_event_count / release.event_count
-            self.late_event_share += weight * (share - self.late_event_share)
         if release.failure == ErrorKind.DEADLINE_RUNNING.value:
             self._learn_late(item, release, now_ms)
         elif release.sent and not release.failure and release.first_token_ms:
--- a/src/hemlocktrestle/keeper/_upstream_set.py
+++ b/src/hemlocktrestle/keeper/_upstream_set.py
@@ -5,7 +5,7 @@
 
 from hemlocktrestle.keeper._heap import LazyHeap
 from hemlocktrestle.keeper._prefixes import PREFIX_TOKENS
-from hemlocktrestle.keeper._queue import NO_COSTS, AskClass, ReplicaCosts, class_of
+from hemlocktrestle.keeper._queue import AskClass, class_of
 from hemlocktrestle.keeper._slowdown import straggler_limit
 from hemlocktrestle.keeper._upstream import InHand, UpstreamModel
 from hemlocktrestle.membership import UpstreamRecord
@@ -173,20 +173,6 @@
         if model is not None:
             model.pulse(pulse)
 
-    def costs(self) -> ReplicaCosts:
-        """Return what work costs here, on the average of all places."""
-        slots = sum(model.slots for model in self)
-        if not slots:
-            return NO_COSTS
-        prefill_ms = decode_ms = ends_per_s = 0.0
-        for model in self:
-            share = model.slots / slots
-            prefill_ms += share * model.rates.prefill.ms_per_token
-            decode_ms += share * model.rates.decode.ms_per_token(model.slots)
-            if model.stay_ms:
-                ends_per_s += model.slots * 1000 / model.stay_ms
-        return ReplicaCosts(prefill_ms, decode_ms, slots / len(self), ends_per_s)
-
     def holder_lost(self, vm: str) -> None:
         """Take out of hand all that a VM held."""
         for model in [*self._models.values(), *self._leaving.values()]:
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -98,9 +98,8 @@
     ``tier`` is a rank, 0 the most valuable; ``deadline_ms`` is what remains when
     the ask is sent; ``excluded`` names upstreams that the holder will not use;
     ``aim_ms`` is what remains until the first part of the answer is late, or
-    ``NO_AIM``; asks of one ``route`` are alike in what they take; ``event_count``
-    is how many events a stream is expected to have; ``amount`` is what it counts
-    against its customer's quota, 0 if it has been counted.
+    ``NO_AIM``; asks of one ``route`` are alike in what they take; ``amount`` is
+    what it counts against its customer's quota, 0 if it has been counted.
     """
 
     ask_id: str
@@ -115,7 +114,6 @@
     excluded: tuple[str, ...] = ()
     aim_ms: int = NO_AIM
     route: str = ""
-    event_count: int = 0
     amount: int = 0
 
 
@@ -156,8 +154,7 @@
     """A holder gives a permit back, with what it observed.
 
     ``sent`` tells whether a byte may have left; ``failure`` is the value of an
-    error kind or empty.  Of a stream's ``event_count`` events ``late_event_count``
-    came after too long a pause.
+    error kind or empty.
     """
 
     ask_id: str
@@ -169,8 +166,6 @@
     total_ms: int
     prompt_tokens: int
     output_tokens: int
-    event_count: int = 0
-    late_event_count: int = 0
 
 
 @message("pulse")
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -81,8 +81,7 @@
   excluded @9 :List(Text);
   aimMs @10 :Int64 = -1;
   route @11 :Text;
-  eventCount @12 :UInt32;
-  amount @13 :UInt32;
+  amount @12 :UInt32;
 }
 
 struct ReplicaNews {
@@ -132,8 +131,6 @@
   totalMs @6 :UInt64;
   promptTokens @7 :UInt32;
   outputTokens @8 :UInt32;
-  eventCount @9 :UInt32;
-  lateEventCount @10 :UInt32;
 }
 
 struct Pulse {
