--- a/src/hemlocktrestle/relay/_client.py
+++ b/src/hemlocktrestle/relay/_client.py
@@ -67,7 +67,7 @@
 
 
 class _Exchange:
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(self, stream: trio.abc.Stream) -> None:
         self.stream = stream
         self.machine = h11.Connection(
             our_role=h11.CLIENT, max_incomplete_event_size=HEAD_BYTES_MAX
@@ -81,7 +81,7 @@
                     continue
                 if event is h11.NEED_DATA:
                     data = await self.stream.receive_some(RECEIVE_BYTES)
-                    self.machine.receive_data(data)
+                    self.machine.receive_data(bytes(data))
                     continue
                 if isinstance(event, h11.Event) and not isinstance(
                     event, h11.ConnectionClosed
@@ -143,7 +143,7 @@
 
 @asynccontextmanager
 async def exchange(
-    stream: trio.SocketStream, request: ReplicaRequest
+    stream: trio.abc.Stream, request: ReplicaRequest
 ) -> AsyncIterator[ReplicaAnswer]:
     """Send a request on a fresh connection and yield its answer.
 
--- a/src/hemlocktrestle/relay/_server.py
+++ b/src/hemlocktrestle/relay/_server.py
@@ -54,7 +54,7 @@
 
     def __init__(
         self,
-        stream: trio.SocketStream,
+        stream: trio.abc.Stream,
         *,
         limits: Callable[[], CallerLimits],
         is_closing: Callable[[], bool],
@@ -162,7 +162,7 @@
                 if not data:
                     break
                 received += len(data)
-                self._machine.receive_data(data)
+                self._machine.receive_data(bytes(data))
             else:
                 return
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -225,7 +225,7 @@
                 if has_part:
                     raise RequestError(ErrorKind.SLOW_SENDER, "head came too slowly")
                 return None
-            self._machine.receive_data(data)
+            self._machine.receive_data(bytes(data))
             if not data and not has_part:
                 return None
 
@@ -253,7 +253,7 @@
                     data = await self._stream.receive_some(RECEIVE_BYTES)
                 if data is None:
                     raise RequestError(ErrorKind.SLOW_SENDER, "body came too slowly")
-                self._machine.receive_data(data)
+                self._machine.receive_data(bytes(data))
             else:
                 return None
 
--- /dev/null
+++ b/tests/keeper/test_objective_queue.py
@@ -0,0 +1,101 @@
+"""Tests of the queue that serves what can still be in time first."""
+
+from typing import Any
+
+from testtools import TestCase
+
+from hemlocktrestle.keeper import QUEUES, PoolKeeper, Waiting, policy_named
+from hemlocktrestle.wire import Ask, Permit, Refusal
+from tests.keeper.naive import upstream
+from tests.keeper.test_core import ask_of, granted, release_of
+
+
+def waiting(
+    ask_id: str, *, arrived_ms: float = 0.0, aim_ms: float, tier: int = 1
+) -> Waiting:
+    """Return an ask that waits, with its aim a while after its arrival."""
+    ask = ask_of(ask_id, tier=tier, aim_ms=int(aim_ms), route="advice")
+    return Waiting(ask, "v1", arrived_ms, arrived_ms + 9_000, arrived_ms + aim_ms)
+
+
+class OrderTests(TestCase):
+    """In time before late; then by tier; then by aim."""
+
+    def order(self, *items: Waiting, now_ms: float, first_ms: float = 0.0) -> list[str]:
+        """Return the order in which asks are offered places."""
+        queue = QUEUES["objective"]()
+        if first_ms:
+            queue.learn("advice", first_ms)
+        for item in items:
+            queue.push(item)
+        queue.advance(now_ms)
+        return [item.ask.ask_id for item in queue.order(lambda kind, tier: True)]
+
+    def test_higher_tiers_go_first(self) -> None:
+        """Whenever they came."""
+        low = waiting("low", aim_ms=200, tier=2)
+        high = waiting("high", arrived_ms=50, aim_ms=900, tier=0)
+        self.assertEqual(["high", "low"], self.order(low, high, now_ms=60))
+
+    def test_within_a_tier_the_nearest_aim_goes_first(self) -> None:
+        """It is the next to be late."""
+        far, near = waiting("far", aim_ms=900), waiting("near", aim_ms=300)
+        self.assertEqual(["near", "far"], self.order(far, near, now_ms=10))
+
+    def test_what_is_late_goes_last_whatever_its_tier(self) -> None:
+        """It would only make others late too."""
+        late = waiting("late", aim_ms=100, tier=0)
+        fresh = waiting("fresh", arrived_ms=150, aim_ms=400, tier=2)
+        self.assertEqual(["fresh", "late"], self.order(late, fresh, now_ms=160))
+
+    def test_the_time_to_a_first_part_counts_as_late(self) -> None:
+        """An ask that cannot make it any more is late before its aim."""
+        short = waiting("short", aim_ms=300)
+        roomy = waiting("roomy", aim_ms=800, tier=2)
+        found = self.order(short, roomy, now_ms=10, first_ms=400)
+        self.assertEqual(["roomy", "short"], found)
+
+    def test_the_last_in_order_is_shed_first(self) -> None:
+        """A high tier is never shed while a lower one waits in time."""
+        queue = QUEUES["objective"]()
+        for item in (waiting("a", aim_ms=900, tier=0), waiting("b", aim_ms=900)):
+            queue.push(item)
+        shed = queue.last()
+        self.assertEqual("b", shed.ask.ask_id if shed else "")
+
+
+class ObjectiveKeeperTests(TestCase):
+    """A keeper with the policy for engines that state their places."""
+
+    def keeper(self, slots: int) -> PoolKeeper:
+        """Return a keeper of one upstream with so many places."""
+        keeper = PoolKeeper("assistant", policy=policy_named("objective"))
+        keeper.set_upstreams([upstream("u1")._replace(slots=slots)], 0)
+        return keeper
+
+    def ask(self, ask_id: str, **fields: Any) -> Ask:
+        """Return an ask with an aim of 400 ms."""
+        return ask_of(ask_id, **{"aim_ms": 400, "deadline_ms": 400, **fields})
+
+    def test_stated_places_bound_what_is_outstanding(self) -> None:
+        """The engine never queues; a place that becomes free goes on at once."""
+        keeper = self.keeper(2)
+        sent = [item for name in "abc" for item in keeper.ask("v1", self.ask(name), 0)]
+        self.assertEqual(["a", "b"], granted(sent))
+        self.assertTrue(keeper.holds("c"))
+        self.assertEqual(["c"], granted(keeper.release(release_of("a"), 10)))
+
+    def test_an_ask_is_refused_when_its_hold_ends(self) -> None:
+        """Its holder answers the caller at once, and nothing has run."""
+        keeper = self.keeper(1)
+        keeper.ask("v1", self.ask("a"), 0)
+        keeper.ask("v1", self.ask("b"), 0)
+        self.assertEqual([], keeper.tick(399))
+        refused = [item.message for item in keeper.tick(400)]
+        self.assertEqual([Refusal("b", "deadline_in_queue")], refused)
+
+    def test_a_late_ask_gets_a_place_that_nobody_else_wants(self) -> None:
+        """Late work is still served."""
+        keeper = self.keeper(1)
+        sent = keeper.ask("v1", self.ask("late", aim_ms=0), 0)
+        self.assertIsInstance(sent[0].message, Permit)
