Count and log what each request met

Each decision that touches a request gives a line with the request's id and the inputs that decided; metrics are served in Prometheus' text format.

--- a/src/hemlocktrestle/edge/__main__.py
+++ b/src/hemlocktrestle/edge/__main__.py
@@ -4,6 +4,7 @@
 import gc
 import sys
 from collections.abc import Sequence
+from functools import partial
 from pathlib import Path
 
 import trio
@@ -14,6 +15,9 @@
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.platform import read_settings, settings_path
 
+METRICS_PORT = 9464
+"""Port on which metrics are served, as exporters of traces and metrics use it."""
+
 EXIT_SETTINGS = 2
 """Exit code when the settings are wrong; nothing was started."""
 
@@ -30,6 +34,12 @@
         default=settings_path(),
         help="settings file of the platform, in TOML",
     )
+    parser.add_argument(
+        "--metrics-port",
+        type=int,
+        default=METRICS_PORT,
+        help=f"port on which metrics are served (default: {METRICS_PORT})",
+    )
     parser.add_argument(
         "--check", action="store_true", help="check the settings and exit"
     )
@@ -56,10 +66,17 @@
     if options.check:
         print(f"{options.settings}: settings are valid")
         return 0
-    configure_edge_logs(settings.vm)
+    handler = configure_edge_logs(settings.vm)
     # What was imported lives as long as the process.
     gc.freeze()
-    trio.run(run_edge, settings, options.settings)
+    run = partial(
+        run_edge,
+        settings,
+        options.settings,
+        metrics_port=options.metrics_port,
+        dropped_count=lambda: handler.dropped_count,
+    )
+    trio.run(run)
     return 0
 
 
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -4,7 +4,7 @@
 import random
 import secrets
 import signal
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
 from functools import partial
 from pathlib import Path
@@ -28,8 +28,9 @@
     serve_answers,
 )
 from hemlocktrestle.edge._local_scheduler import LocalScheduler
+from hemlocktrestle.edge._metrics import EdgeMetrics, Gauges
 from hemlocktrestle.edge._permit_scheduler import ANSWER_MS, PermitScheduler
-from hemlocktrestle.edge._place import Place
+from hemlocktrestle.edge._place import AttemptReport, Place
 from hemlocktrestle.edge._quota_gate import EdgeQuotas
 from hemlocktrestle.edge._serve import EdgeServer, Served
 from hemlocktrestle.edge._state import NOTICE_MS, EdgeState, now_ms
@@ -78,9 +79,19 @@
     Args:
         settings: the settings of the process.
         path: the settings file, which is read again when it is said to have changed.
+        metrics_port: where metrics are served.
+        dropped_count: returns how many log lines were not written.
     """
 
-    def __init__(self, settings: PlatformSettings, path: Path) -> None:
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        path: Path,
+        *,
+        metrics_port: int,
+        dropped_count: Callable[[], int],
+    ) -> None:
+        self._metrics_port = metrics_port
         self._settings = settings
         self._path = path
         self._boot_id = secrets.token_hex(8)
@@ -141,6 +152,7 @@
             quarantine=self._quarantine,
             on_served=self._served,
             on_crash=self._crashed,
+            on_attempt=self._count_attempt,
         )
         descriptors = settings.descriptors_max - RESERVED_DESCRIPTORS - DESCRIPTORS_KEPT
         self._callers = CallerListener(
@@ -155,6 +167,23 @@
             on_vms=self._peers.take_vms,
             on_busy=self._peers.take_busy,
         )
+        self._metrics = EdgeMetrics(
+            Gauges(
+                running=lambda: self._server.running_count,
+                connections=lambda: self._callers.connection_count,
+                configuration_version=self._configuration_version,
+                replicas_ready=lambda: sum(
+                    not record.is_draining for record in self.state.replicas.replicas()
+                ),
+                store_is_lost=lambda: float(self._health.is_lost),
+                store_calls=lambda: self._store.call_count,
+                vms_heard=lambda: self._fleet().heard_count,
+                asks_queued=lambda: sum(
+                    summary.queued_count for summary in self._keeper.summaries()
+                ),
+                log_lines_dropped=dropped_count,
+            )
+        )
         self._route()
 
     async def run(self) -> None:
@@ -200,6 +229,9 @@
             )
             nursery.start_soon(serve_answers, ready, {b"/ready": self._ready})
             nursery.start_soon(self._callers.run, callers)
+            metrics = listen(f"{settings.ip}:{self._metrics_port}")
+            answers = {b"/metrics": self._metrics.text}
+            nursery.start_soon(serve_answers, metrics, answers)
             log.info("started", extra={"vm": settings.vm, "boot_id": self._boot_id})
             await self._stop.wait()
             await self._finish()
@@ -238,6 +270,13 @@
         self.state.settings = settings
         log.info("settings_reloaded", extra={"vm": settings.vm})
 
+    def _configuration_version(self) -> float:
+        configuration = self.state.configuration
+        return float(configuration.version) if configuration is not None else 0.0
+
+    def _count_attempt(self, job: Job, place: Place, report: AttemptReport) -> None:
+        self._metrics.attempt(job, place, report)
+
     def _ready(self) -> tuple[int, bytes, bytes]:
         return (200 if self.state.is_ready else 503), b"text/plain", b""
 
@@ -266,6 +305,7 @@
             self._asker.tell_keepers()
 
     def _served(self, served: Served) -> None:
+        self._metrics.served(served)
         job, progress = served.job, served.progress
         log.info(
             "request_ended",
@@ -303,14 +343,24 @@
         )
 
 
-async def run_edge(settings: PlatformSettings, path: Path) -> None:
+async def run_edge(
+    settings: PlatformSettings,
+    path: Path,
+    *,
+    metrics_port: int,
+    dropped_count: Callable[[], int],
+) -> None:
     """Run an edge daemon until a graceful shutdown is done.
 
     Args:
         settings: the settings of the process, checked.
         path: the settings file.
+        metrics_port: where metrics are served.
+        dropped_count: returns how many log lines were not written.
 
     Raises:
         OSError: if an address cannot be listened on.
     """
-    await EdgeDaemon(settings, path).run()
+    await EdgeDaemon(
+        settings, path, metrics_port=metrics_port, dropped_count=dropped_count
+    ).run()
--- a/src/hemlocktrestle/edge/_serve.py
+++ b/src/hemlocktrestle/edge/_serve.py
@@ -30,6 +30,10 @@
 """Time that a caller is taken to wait if it does not say, in milliseconds."""
 
 
+def _ignore(job: Job, place: Place, report: AttemptReport) -> None:
+    """Take no note of an attempt."""
+
+
 class Served(NamedTuple):
     """How a request ended, for logs and metrics."""
 
@@ -49,6 +53,7 @@
         quarantine: requests that crash the replicas that run them.
         on_served: told of each request at its end.
         on_crash: told of a request whose replica broke off, and of the replica.
+        on_attempt: told of each attempt at its end.
     """
 
     def __init__(
@@ -60,7 +65,9 @@
         quarantine: QuarantineBook,
         on_served: Callable[[Served], None],
         on_crash: Callable[[Job, Place], None],
+        on_attempt: Callable[[Job, Place, AttemptReport], None] = _ignore,
     ) -> None:
+        self._on_attempt = on_attempt
         self._state = state
         self._scheduler = scheduler
         self._quotas = quotas
@@ -77,6 +84,7 @@
         self.running_count += 1
         try:
             job = self._admit(request, progress)
+            _log_admitted(job)
             with trio.move_on_at(job.deadline_at_ms / 1000) as scope:
                 status = await self._run(job, connection, progress)
                 outcome = "answered"
@@ -156,7 +164,7 @@
         excluded: set[str] = set()
         failure = RequestError(ErrorKind.NO_UPSTREAM, "no replica takes this work")
         sealed: Sealed | None = None
-        while self._may_send(job, progress):
+        while self._may_send(job, progress, failure):
             try:
                 place = await self._scheduler.obtain(job, excluded=frozenset(excluded))
             except RequestError as error:
@@ -164,6 +172,18 @@
                     break
                 raise error
             excluded.add(place.replica_id)
+            log.info(
+                "request_permitted",
+                extra={
+                    "request": job.facts.request_id,
+                    "permit": place.permit_id,
+                    "replica": place.replica_id,
+                    "address": place.address,
+                    "keeper": place.granted_by,
+                    "waited_ms": round(place.waited_ms),
+                    "left_ms": round(job.deadline_at_ms - now_ms()),
+                },
+            )
             attempt = Attempt(
                 self._state,
                 job,
@@ -179,7 +199,7 @@
                 if report.end is AttemptEnd.ABANDONED:
                     report = attempt.report(AttemptEnd.ABANDONED)
                 self._scheduler.release(job, place, report)
-            self._note_crash(job, place, report)
+            self._note_end(job, place, attempt, report)
             if report.end is AttemptEnd.RELAYED:
                 return attempt.status
             failure = attempt.failure or failure
@@ -191,26 +211,79 @@
             return sealed.status
         raise failure
 
-    def _may_send(self, job: Job, progress: Progress) -> bool:
+    def _may_send(self, job: Job, progress: Progress, failure: RequestError) -> bool:
         """Tell whether a request may go to one more replica."""
+        if not progress.connect_count:
+            return True
+        bar = self._bar_to_repeat(job, progress)
+        log.info(
+            "request_not_repeated" if bar else "request_repeated",
+            extra={
+                "request": job.facts.request_id,
+                "after": failure.message,
+                "reason": bar,
+                "send_count": progress.send_count,
+                "runs_count": progress.runs_count,
+            },
+        )
+        return not bar
+
+    def _bar_to_repeat(self, job: Job, progress: Progress) -> str:
+        """Return what forbids one more attempt, or an empty text."""
+        bars = {
+            "attempts": progress.runs_count >= job.route.attempts,
+            "may run once": bool(progress.runs_count) and not job.route.may_repeat,
+            "sends": progress.send_count >= SENDS_MAX,
+            "connections": progress.connect_count >= CONNECTS_MAX,
+        }
+        for reason, holds in bars.items():
+            if holds:
+                return reason
         if not progress.send_count:
-            return progress.connect_count < CONNECTS_MAX
-        if progress.runs_count >= job.route.attempts:
-            return False
-        if progress.runs_count and not job.route.may_repeat:
-            return False
-        if progress.send_count >= SENDS_MAX or progress.connect_count > CONNECTS_MAX:
-            return False
+            return ""
         budget = self._state.budget(job.service.name)
-        return budget.take(self._state.fleet().vm_count, now_ms())
+        is_taken = budget.take(self._state.fleet().vm_count, now_ms())
+        return "" if is_taken else "budget"
 
-    def _note_crash(self, job: Job, place: Place, report: AttemptReport) -> None:
+    def _note_end(
+        self, job: Job, place: Place, attempt: Attempt, report: AttemptReport
+    ) -> None:
+        log.info(
+            "attempt_ended",
+            extra={
+                "request": job.facts.request_id,
+                "replica": place.replica_id,
+                "end": report.end.value,
+                "status": attempt.status,
+                "failure": attempt.failure.message if attempt.failure else "",
+                "first_ms": round(report.first_ms),
+                "total_ms": round(report.total_ms),
+                "events": report.event_count,
+            },
+        )
+        self._on_attempt(job, place, report)
         if report.end is AttemptEnd.BROKEN:
             self._on_crash(job, place)
         elif report.end is AttemptEnd.RELAYED:
             self._quarantine.clear(job.fingerprint)
 
 
+def _log_admitted(job: Job) -> None:
+    log.info(
+        "request_admitted",
+        extra={
+            "request": job.facts.request_id,
+            "route": job.route.name,
+            "service": job.service.name,
+            "customer": job.customer_name,
+            "rank": job.rank,
+            "deadline_ms": job.facts.deadline_ms,
+            "prompt_tokens": job.facts.prompt_tokens,
+            "output_tokens": job.facts.expected_output_tokens,
+        },
+    )
+
+
 def _fingerprint(request: CallerRequest, key: str) -> str:
     digest = xxhash.xxh3_128(request.body)
     digest.update(b"\0".join((request.method, request.target, key.encode("latin-1"))))
