--- /dev/null
+++ b/src/hemlocktrestle/cli/_explain.py
@@ -0,0 +1,167 @@
+"""One request's way through the logs of several VMs, and the cause of its end."""
+
+import json
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from hemlocktrestle.errors import ErrorKind, RequestError
+
+Line = dict[str, Any]
+
+
+class Explanation(NamedTuple):
+    """A request's log lines in order of time, and the cause in a sentence."""
+
+    lines: tuple[Line, ...]
+    cause: str
+
+
+def read_lines(paths: Iterable[Path]) -> list[Line]:
+    """Read log files.
+
+    Args:
+        paths: files with one JSON object a line; other lines are passed over, and
+            so is what stands before the object.
+
+    Raises:
+        RequestError: of kind ``SETTINGS_INVALID`` if a file cannot be read.
+    """
+    lines = []
+    for path in paths:
+        try:
+            text = path.read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            raise RequestError(
+                ErrorKind.SETTINGS_INVALID, f"{path}: {error.strerror}"
+            ) from error
+        for row in text.splitlines():
+            start = row.find("{")
+            if start < 0:
+                continue
+            try:
+                line = json.loads(row[start:])
+            except ValueError:
+                # A line of something else that writes to the same file.
+                continue
+            if isinstance(line, dict) and "event" in line:
+                lines.append(line)
+    return lines
+
+
+def explain(request_id: str, lines: Iterable[Line]) -> Explanation:
+    """Put one request's lines in order and name the cause of its end.
+
+    Args:
+        request_id: the request's id.
+        lines: log lines of all VMs.
+
+    Raises:
+        RequestError: of kind ``SETTINGS_INVALID`` if no line names the request.
+    """
+    known = list(lines)
+    own = [line for line in known if line.get("request") == request_id]
+    if not own:
+        raise RequestError(
+            ErrorKind.SETTINGS_INVALID, f"no line names the request {request_id}"
+        )
+    asks = {ask_base(line["ask"]) for line in own if line.get("ask")}
+    told = [
+        line
+        for line in known
+        if line.get("event") in {"ask_refused", "quota_spent"}
+        and ask_base(str(line.get("ask") or line.get("request", ""))) in asks
+        and line not in own
+    ]
+    ordered = sorted([*own, *told], key=lambda line: str(line.get("timestamp", "")))
+    return Explanation(tuple(ordered), _cause(ordered))
+
+
+def ask_base(ask_id: str) -> str:
+    """Return an ask's id without the number of its attempt."""
+    return ask_id.partition(".")[0]
+
+
+def _last(lines: Iterable[Line], event: str) -> Line:
+    found: Line = {}
+    for line in lines:
+        if line.get("event") == event:
+            found = line
+    return found
+
+
+def _cause(lines: list[Line]) -> str:
+    end = _last(lines, "request_ended")
+    if not end:
+        return "The logs end before the request does: its VM stopped or lost lines."
+    outcome = str(end.get("outcome", ""))
+    describe = _CAUSES.get(outcome)
+    if describe is None:
+        return f"It was refused before it was sent: {outcome}."
+    return describe(lines, end)
+
+
+def _answered(lines: list[Line], end: Line) -> str:
+    return (
+        f"It was answered with {end.get('status')} after "
+        f"{end.get('waited_ms')} ms of waiting, the first part at "
+        f"{end.get('first_ms')} ms, by {', '.join(end.get('replicas', []))}."
+    )
+
+
+def _waited(lines: list[Line], end: Line) -> str:
+    refusal = _last(lines, "ask_refused")
+    places = refusal.get("in_hand")
+    return (
+        f"No place became free in the time that it may wait ({end.get('total_ms')} "
+        f"ms); places taken at {refusal.get('vm', 'the keeper')}: {places}."
+    )
+
+
+def _over_quota(lines: list[Line], end: Line) -> str:
+    spent = _last(lines, "quota_spent")
+    return (
+        f"Customer {spent.get('customer')} is over its quota of "
+        f"{spent.get('limit')} a window; spent here {spent.get('spent_here')}, "
+        f"elsewhere {spent.get('spent_elsewhere')}."
+    )
+
+
+def _broke(lines: list[Line], end: Line) -> str:
+    attempt = _last(lines, "attempt_ended")
+    repeat = _last(lines, "request_not_repeated")
+    return (
+        f"Replica {attempt.get('replica')} {attempt.get('end')} after "
+        f"{attempt.get('events')} events and {attempt.get('total_ms')} ms "
+        f"({attempt.get('failure')}); it was not repeated: "
+        f"{repeat.get('reason', 'unknown')}."
+    )
+
+
+def _ran_out(lines: list[Line], end: Line) -> str:
+    attempt = _last(lines, "attempt_ended")
+    return (
+        f"Its time ended at {end.get('total_ms')} ms while replica "
+        f"{attempt.get('replica')} was at work; {end.get('events')} events had come."
+    )
+
+
+def _left(lines: list[Line], end: Line) -> str:
+    return (
+        f"Its caller left after {end.get('total_ms')} ms, with {end.get('events')} "
+        f"events sent."
+    )
+
+
+_CAUSES = {
+    "answered": _answered,
+    "deadline_in_queue": _waited,
+    "rate_limited": _over_quota,
+    "upstream_broken": _broke,
+    "upstream_silent": _broke,
+    "upstream_unreachable": _broke,
+    "no_upstream": _broke,
+    "deadline_running": _ran_out,
+    "caller_gone": _left,
+}
+"""Descriptions by the outcome of a request's last line."""
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -312,6 +312,9 @@
             extra={
                 "request": progress.request_id,
                 "route": progress.route,
+                "service": job.service.name if job else "",
+                "customer": job.customer_name if job else "",
+                "rank": job.rank if job else None,
                 "outcome": served.outcome,
                 "status": served.status,
                 "deadline_ms": job.facts.deadline_ms if job else 0,
@@ -319,6 +322,7 @@
                 "first_ms": round(progress.first_ms),
                 "longest_gap_ms": round(progress.longest_gap_ms),
                 "prompt_tokens": job.facts.prompt_tokens if job else 0,
+                "output_tokens": job.facts.expected_output_tokens if job else 0,
                 "events": progress.event_count,
                 "replicas": progress.replicas,
                 "total_ms": round(now_ms() - job.request.arrived_ms) if job else 0,
--- a/src/hemlocktrestle/edge/_permit_scheduler.py
+++ b/src/hemlocktrestle/edge/_permit_scheduler.py
@@ -81,6 +81,16 @@
         """Return a place for a request as soon as it is its turn."""
         started_ms = now_ms()
         ask = self._ask(job, excluded)
+        log.info(
+            "request_asked",
+            extra={
+                "request": job.facts.request_id,
+                "ask": ask.ask_id,
+                "aim_ms": ask.aim_ms,
+                "hold_ms": ask.deadline_ms,
+                "tier": ask.tier,
+            },
+        )
         try:
             held = await self._asker.obtain(
                 ask,
--- a/src/hemlocktrestle/edge/_serve.py
+++ b/src/hemlocktrestle/edge/_serve.py
@@ -84,7 +84,6 @@
         self.running_count += 1
         try:
             job = self._admit(request, progress)
-            _log_admitted(job)
             with trio.move_on_at(job.deadline_at_ms / 1000) as scope:
                 status = await self._run(job, connection, progress)
                 outcome = "answered"
@@ -268,22 +267,6 @@
             self._quarantine.clear(job.fingerprint)
 
 
-def _log_admitted(job: Job) -> None:
-    log.info(
-        "request_admitted",
-        extra={
-            "request": job.facts.request_id,
-            "route": job.route.name,
-            "service": job.service.name,
-            "customer": job.customer_name,
-            "rank": job.rank,
-            "deadline_ms": job.facts.deadline_ms,
-            "prompt_tokens": job.facts.prompt_tokens,
-            "output_tokens": job.facts.expected_output_tokens,
-        },
-    )
-
-
 def _fingerprint(request: CallerRequest, key: str) -> str:
     digest = xxhash.xxh3_128(request.body)
     digest.update(b"\0".join((request.method, request.target, key.encode("latin-1"))))
