--- a/src/hemlocktrestle/edge/_permit_scheduler.py
+++ b/src/hemlocktrestle/edge/_permit_scheduler.py
@@ -42,6 +42,12 @@
 }
 """What the keeper is told of an attempt, by its end."""
 
+FAR_PENALTY_MS = 120.0
+"""Wait in the own region for which another one is the better choice, in milliseconds.
+
+Asking, connecting and answering take three round trips of 40 ms.
+"""
+
 CAME_BACK_SHARE = 1 - COMES_BACK_SHARE * 2 / 3
 """Share of the longest deadline of a route below which a caller has come back.
 
@@ -237,7 +243,7 @@
                 if pool in record.pools and record.name not in excluded
             }
             return tuple(sorted(regions))
-        return order_zones(loads.values(), tier=job.rank)
+        return order_zones(loads.values(), tier=job.rank, far_penalty_ms=FAR_PENALTY_MS)
 
 
 ANSWER_MS = 200.0
--- a/src/hemlocktrestle/entry/_zone_choice.py
+++ b/src/hemlocktrestle/entry/_zone_choice.py
@@ -26,26 +26,31 @@
     asked_count: int = 0
 
 
-def order_zones(loads: Iterable[ZoneLoad], *, tier: int) -> tuple[str, ...]:
+def order_zones(
+    loads: Iterable[ZoneLoad], *, tier: int, far_penalty_ms: float = FAR_PENALTY_MS
+) -> tuple[str, ...]:
     """Return zones by expected wait; a nearer zone goes first if they are alike.
 
     Args:
         loads: the zones that have upstreams for the request.
         tier: rank of the request's tier; the highest waits behind its like alone.
+        far_penalty_ms: wait by which a zone of another region must be better.
 
     Returns:
         The zones' names, the one to ask first first.
     """
     return tuple(
         load.zone
-        for load in sorted(loads, key=lambda load: (_score_ms(load, tier), load.zone))
+        for load in sorted(
+            loads, key=lambda load: (_score_ms(load, tier, far_penalty_ms), load.zone)
+        )
     )
 
 
-def _score_ms(load: ZoneLoad, tier: int) -> float:
+def _score_ms(load: ZoneLoad, tier: int, far_penalty_ms: float) -> float:
     penalty_ms = 0.0
     if not load.is_own:
-        penalty_ms = FAR_PENALTY_MS if load.is_far else NEAR_PENALTY_MS
+        penalty_ms = far_penalty_ms if load.is_far else NEAR_PENALTY_MS
     summary = load.summary
     if summary is None or summary.free_slots > load.asked_count:
         return penalty_ms
--- a/src/hemlocktrestle/gateway/_quota.py
+++ b/src/hemlocktrestle/gateway/_quota.py
@@ -15,7 +15,7 @@
 ASKED_WINDOW_MS = 2_000.0
 """Time over which asking is averaged, in milliseconds: several heartbeats."""
 
-TOLERANCE_SHARE = 0.6
+TOLERANCE_SHARE = 0.8
 """Share of the tolerated excess over a quota that is used.
 
 The rest covers what requests in flight and late news may add.
