--- a/src/hemlocktrestle/edge/_job.py
+++ b/src/hemlocktrestle/edge/_job.py
@@ -18,6 +18,7 @@
         rank: urgency, 0 the highest.
         fingerprint: digest by which the same request is known when it comes again.
         deadline_at_ms: when it must be answered, by the clock of the process.
+        is_begun: whether a part of its answer has gone out.
     """
 
     request: CallerRequest
@@ -28,6 +29,7 @@
     rank: int
     fingerprint: str
     deadline_at_ms: float
+    is_begun: bool = False
 
     @property
     def amount(self) -> int:
--- a/src/hemlocktrestle/edge/_permit_scheduler.py
+++ b/src/hemlocktrestle/edge/_permit_scheduler.py
@@ -189,7 +189,7 @@
             ask_id=f"{self._fleet.membership.vm.name}/{self._count}",
             pool=job.service.name,
             customer=job.customer_name,
-            tier=job.rank,
+            tier=0 if job.is_begun else job.rank,
             weight=1.0,
             prompt_tokens=facts.prompt_tokens,
             output_tokens=facts.expected_output_tokens if is_engine else PLAIN_TOKENS,
@@ -208,6 +208,9 @@
         Callers count from their first try, and one that came back after the pause
         that it was asked for has much less time left than others of its route.
         """
+        if job.is_begun:
+            # Its caller waits for the next event, not for the first.
+            return job.route.objective_ms
         stated_ms = job.facts.deadline_ms or 0.0
         longest_ms = max(self._longest_ms.get(job.route.name, 0.0), stated_ms)
         self._longest_ms[job.route.name] = longest_ms
--- a/src/hemlocktrestle/edge/_serve.py
+++ b/src/hemlocktrestle/edge/_serve.py
@@ -164,6 +164,8 @@
         failure = RequestError(ErrorKind.NO_UPSTREAM, "no replica takes this work")
         sealed: Sealed | None = None
         while self._may_send(job, progress, failure):
+            if progress.event_count:
+                job = job._replace(is_begun=True)
             try:
                 place = await self._scheduler.obtain(job, excluded=frozenset(excluded))
             except RequestError as error:
