--- a/src/hemlocktrestle/edge/_followers.py
+++ b/src/hemlocktrestle/edge/_followers.py
@@ -72,24 +72,33 @@
         self._state.replicas.store_returned(now_ms())
 
 
+_ANSWERED = frozenset({StoreErrorKind.HISTORY_LOST, StoreErrorKind.LEASE_ENDED})
+"""Failures that show a store that answers."""
+
+
 class _Follower:
     """Repeats a task whenever the store fails it."""
 
     name = ""
 
     def __init__(self, store: PlatformStore, health: StoreHealth) -> None:
+        self.is_over = False
         self._store = store
         self._health = health
         self._jitter = random.Random()
 
     async def run(self) -> None:
-        """Follow until cancelled."""
-        while True:
+        """Follow until cancelled, or until there is nothing left to follow."""
+        while not self.is_over:
             try:
                 await self._follow()
             except StoreError as error:
-                if error.kind is StoreErrorKind.HISTORY_LOST:
-                    log.info("store_history_lost", extra={"caller": self.name})
+                if error.kind in _ANSWERED:
+                    # The store is well; what was known of it is not.
+                    log.info(
+                        "store_followed_anew",
+                        extra={"caller": self.name, "reason": str(error)},
+                    )
                     continue
                 self._health.failed(self.name, error)
                 await trio.sleep(self._jitter.uniform(RETRY_S_MIN, RETRY_S_MAX))
@@ -311,7 +320,8 @@
         self._lease = 0
 
     async def leave(self) -> None:
-        """Remove this VM's entry."""
+        """Remove this VM's entry for good."""
+        self.is_over = True
         try:
             await self._store.end_lease(self._lease)
         except StoreError as error:
@@ -326,6 +336,8 @@
         await self._look(is_stale_fine=False)
         while True:
             await trio.sleep(self._jitter.uniform(0.8, 1.2) * VM_RENEW_S)
+            if self.is_over:
+                return
             await self._store.renew_lease(self._lease)
             await self._look(is_stale_fine=True)
 
--- a/src/hemlocktrestle/gateway/_fleet_demand.py
+++ b/src/hemlocktrestle/gateway/_fleet_demand.py
@@ -107,13 +107,15 @@
             young = max(0.0, keeper.young - own_young)
             _add(others, keeper.demands)
             _take(others, own_demands)
+        area_count = int(is_keeper)
         for area, item in self._areas.items():
             if area != self._area and _is_fresh(item, now_ms):
+                area_count += is_keeper
                 heard_count += item.vm_count
                 young += item.young
                 _add(others, item.demands)
         total_count = max(vm_count, heard_count)
-        return Fleet(total_count, heard_count, others, young, heads)
+        return Fleet(total_count, heard_count, others, young, heads, area_count)
 
 
 def _is_fresh(item: _Heard, now_ms: float) -> bool:
--- a/src/hemlocktrestle/gateway/_quota.py
+++ b/src/hemlocktrestle/gateway/_quota.py
@@ -2,9 +2,12 @@
 
 A quota bounds what a customer spends in any window.  Each VM counts what it spends
 itself and hears from the others what they spent.  Between two looks at the news it
-spends at most its part of half of what was left: the other half covers what the
-others have spent and not told yet.  Parts follow what each VM has told of its
-demand, so that all VMs size them alike, and a share by head is kept for VMs whose
+spends at most its part of a fraction of what was left: the rest covers what the
+others have spent and not told yet.
+
+Keepers count for whole areas and are few: each takes a fraction by area, and leaves
+to the others what they ask for in the next seconds.  Any other VM takes its share by what it has told of
+its demand, so that all size their parts alike, with a part by head for VMs whose
 demand is new.
 """
 
@@ -36,6 +39,15 @@
 Of customers that are not, new processes take so much for spent before them.
 """
 
+RESERVED_MS = 4_000.0
+"""Time for which a keeper leaves to the others what they ask for, in milliseconds."""
+
+AREAS_MIN = 2
+"""Fractions that what is left is cut into at least.
+
+One may be spent by the others before they tell of it.
+"""
+
 WAIT_MS_MIN = 200.0
 """Shortest pause for a customer over its quota, in milliseconds."""
 
@@ -57,6 +69,8 @@
         demands: demand of the VMs that were heard, without this one, by customer.
         young: sum of the others' :meth:`QuotaBook.young`.
         heads: VMs that this one decides for, itself included.
+        area_count: areas whose keepers count for all their VMs, if this VM is one of
+            them, else 0.
     """
 
     vm_count: int
@@ -64,6 +78,7 @@
     demands: dict[str, Demand]
     young: float = 0.0
     heads: int = 1
+    area_count: int = 0
 
 
 class Quota(NamedTuple):
@@ -193,9 +208,7 @@
         account.limit = limit
         room = limit - account.spent - others.spent - before
         if now_ms - account.part_at_ms >= PART_MS:
-            share = _share(account.told_per_s, others.asked_per_s, fleet)
-            untold = 1 / 2 if fleet.vm_count > 1 else 0.0
-            account.part = room * (1 - untold) * share
+            account.part = _part(account, room, others.asked_per_s, fleet, now_ms)
             account.part_at_ms = now_ms
             account.spent_since = 0.0
         if account.spent_since + amount <= account.part:
@@ -255,14 +268,22 @@
     return min(1.0, fleet.heard_count / max(1, fleet.vm_count))
 
 
-def _share(told_per_s: float, others_per_s: float, fleet: Fleet) -> float:
-    """Return the share of what is left that this VM may spend."""
+def _part(
+    account: _Account, room: float, others_per_s: float, fleet: Fleet, now_ms: float
+) -> float:
+    """Return how much of what is left this VM may spend before more news."""
     if fleet.vm_count <= 1:
-        return 1.0
-    asked_per_s = told_per_s + others_per_s
-    by_demand = told_per_s / asked_per_s if asked_per_s else 0.0
+        return room
+    if fleet.area_count:
+        own_per_s = account.asked.at(now_ms)
+        by_demand = room * own_per_s / (own_per_s + others_per_s)
+        reserved = min(room / 2, others_per_s * RESERVED_MS / 1000)
+        return max(by_demand, room - reserved) / max(AREAS_MIN, fleet.area_count)
+    asked_per_s = account.told_per_s + others_per_s
+    by_demand = account.told_per_s / asked_per_s if asked_per_s else 0.0
     by_head = fleet.heads / max(1, fleet.heard_count)
-    return (1 - HEADS_SHARE) * by_demand + HEADS_SHARE * by_head
+    share = (1 - HEADS_SHARE) * by_demand + HEADS_SHARE * by_head
+    return room * share / AREAS_MIN
 
 
 def _wait_ms(account: _Account, missing: float, quota: Quota, now_ms: float) -> float:
--- a/tests/gateway/test_quota.py
+++ b/tests/gateway/test_quota.py
@@ -26,26 +26,40 @@
 
 
 class FleetOfBooks:
-    """VMs that tell each other of their demand twice a second."""
+    """VMs that tell each other of their demand twice a second.
 
-    def __init__(self, count: int) -> None:
+    Args:
+        count: how many there are.
+        are_keepers: whether each is the keeper of an area of its own.
+    """
+
+    def __init__(self, count: int, *, are_keepers: bool = False) -> None:
+        self.are_keepers = are_keepers
         self.books = [QuotaBook(LONG_AGO_MS) for _ in range(count)]
-        self.views = [FleetDemand(f"v{number}", "area") for number in range(count)]
+        self.views = [
+            FleetDemand(f"v{number}", f"a{number}" if are_keepers else "area")
+            for number in range(count)
+        ]
         self.spends: list[tuple[float, float]] = []
 
     def exchange(self, now_ms: float, *, cut: int = -1) -> None:
         """Let each VM hear the others, but for one that is cut off."""
         for number, view in enumerate(self.views):
             for other, book in enumerate(self.books):
-                if other != number and cut not in {number, other}:
-                    view.heard_vm(f"v{other}", book.demands(now_ms), now_ms)
+                if other == number or cut in {number, other}:
+                    continue
+                told = book.demands(now_ms)
+                if self.are_keepers:
+                    view.heard_area(f"a{other}", 1, told, now_ms)
+                else:
+                    view.heard_vm(f"v{other}", told, now_ms)
 
     def ask(self, number: int, amount: float, now_ms: float) -> bool:
         """Ask one VM to spend; returns whether it did."""
         book = self.books[number]
         fleet = self.views[number].fleet(
             book.demands(now_ms),
-            is_keeper=True,
+            is_keeper=self.are_keepers,
             vm_count=len(self.books),
             now_ms=now_ms,
         )
@@ -64,12 +78,13 @@
         per_s=st.integers(2, 40),
         amount=st.integers(20, 900),
         skew=st.integers(1, 4),
+        are_keepers=st.booleans(),
     )
     def test_all_vms_together_keep_to_it(
-        self, vm_count: int, per_s: int, amount: int, skew: int
+        self, vm_count: int, per_s: int, amount: int, skew: int, are_keepers: bool
     ) -> None:
-        """However a flood is spread over the VMs."""
-        fleet = FleetOfBooks(vm_count)
+        """However a flood is spread over the VMs, keepers or not."""
+        fleet = FleetOfBooks(vm_count, are_keepers=are_keepers)
         for step in range(20 * per_s):
             now_ms = step * 1000 / per_s
             if step % max(1, per_s // 2) == 0:
@@ -99,6 +114,16 @@
             fleet.ask(step % 3, 60.0, now_ms)
         self.assertTrue(most_in_window(fleet.spends) <= CHECKED)
 
+    def test_a_new_keeper_serves_calm_customers_at_once(self) -> None:
+        """What the other area asks for leaves enough for what comes here now."""
+        fleet = FleetOfBooks(2, are_keepers=True)
+        for step in range(80):
+            if step % 10 == 0:
+                fleet.exchange(step * 50.0)
+            self.assertTrue(fleet.ask(0, 25.0, step * 50.0))
+        passed = [fleet.ask(1, 25.0, 4_000 + step * 50.0) for step in range(20)]
+        self.assertTrue(all(passed))
+
     def test_a_refusal_says_when_to_come_again(self) -> None:
         """After that time the request passes."""
         book = QuotaBook(LONG_AGO_MS)
