Tell all VMs of requests that crash replicas, and split what had grown

A request that crashes replicas comes again at any VM, and each VM counted for itself: with six VMs twelve runs. A replica that broke off is looked at once; if it takes no connection, every VM hears of it. Ruled out: counting each broken answer, which is mostly a lost answer. Before: not told.

--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -11,15 +11,10 @@
 
 import trio
 
+from hemlocktrestle.edge._crashes import CrashWatch
 from hemlocktrestle.edge._fleet import EdgeFleet
-from hemlocktrestle.edge._followers import (
-    BusyRecorder,
-    ConfigurationFollower,
-    ReplicaFollower,
-    StoreHealth,
-    VmEntry,
-    VmRegistrar,
-)
+from hemlocktrestle.edge._follower import StoreHealth
+from hemlocktrestle.edge._followers import ConfigurationFollower, ReplicaFollower
 from hemlocktrestle.edge._job import Job
 from hemlocktrestle.edge._listeners import (
     DESCRIPTORS_KEPT,
@@ -29,6 +24,7 @@
 )
 from hemlocktrestle.edge._local_scheduler import LocalScheduler
 from hemlocktrestle.edge._metrics import EdgeMetrics, Gauges
+from hemlocktrestle.edge._own_entries import BusyRecorder, VmEntry, VmRegistrar
 from hemlocktrestle.edge._permit_scheduler import ANSWER_MS, PermitScheduler
 from hemlocktrestle.edge._place import AttemptReport, Place
 from hemlocktrestle.edge._quota_gate import EdgeQuotas
@@ -52,6 +48,7 @@
     Release,
     ReplicaNews,
     Running,
+    Suspicion,
     Withdraw,
 )
 
@@ -132,6 +129,7 @@
             gate=quotas,
         )
         self._peers.keeper = self._keeper
+        self._crashes = CrashWatch(self._quarantine, self._network)
         self._asker = Asker(
             membership,
             send=self._network.send,
@@ -151,7 +149,7 @@
             quotas=quotas,
             quarantine=self._quarantine,
             on_served=self._served,
-            on_crash=self._crashed,
+            on_crash=self._crashes.broke,
             on_attempt=self._count_attempt,
         )
         descriptors = settings.descriptors_max - RESERVED_DESCRIPTORS - DESCRIPTORS_KEPT
@@ -215,6 +213,7 @@
             nursery.start_soon(self._keeper.run)
             nursery.start_soon(self._peers.probe)
             nursery.start_soon(self._tell_keepers)
+            nursery.start_soon(self._crashes.run)
             nursery.start_soon(replicas.run)
             nursery.start_soon(replicas.settle)
             nursery.start_soon(self._registrar.run)
@@ -293,6 +292,7 @@
         network.route(Heartbeat, self._peers.heard)
         for news in (ReplicaNews, ConfigurationNews):
             network.route(news, self._peers.heard_news)
+        network.route(Suspicion, self._crashes.heard)
         network.on_opened(self._peers.greeting)
         self.state.tell_configuration = self._peers.tell_configuration
         network.on_dialled_closed(self._asker.link_closed)
@@ -329,23 +329,6 @@
             },
         )
 
-    def _crashed(self, job: Job, place: Place) -> None:
-        entry = self._quarantine.suspect(
-            job.service.name,
-            job.fingerprint,
-            upstream=place.replica_id,
-            request_id=job.facts.request_id,
-            now_ms=now_ms(),
-        )
-        log.warning(
-            "replica_broke_off",
-            extra={
-                "request": job.facts.request_id,
-                "replica": place.replica_id,
-                "crash_count": len(entry.upstreams),
-            },
-        )
-
 
 async def run_edge(
     settings: PlatformSettings,
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -4,7 +4,8 @@
 
 import trio
 
-from hemlocktrestle.edge._followers import VmEntry, take_configuration
+from hemlocktrestle.edge._followers import take_configuration
+from hemlocktrestle.edge._own_entries import VmEntry
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.gateway import (
--- a/src/hemlocktrestle/edge/_logs.py
+++ b/src/hemlocktrestle/edge/_logs.py
@@ -9,8 +9,6 @@
 LINES_PER_S_MAX = 400
 """Lines that are written a second at most; the rest is counted and said."""
 
-PIPE_FULL = BlockingIOError
-
 
 class BoundedHandler(logging.Handler):
     """Writes lines to a descriptor without waiting; drops and counts the rest.
@@ -50,7 +48,8 @@
         data = self._rest + line
         try:
             written = os.write(self._descriptor, data)
-        except PIPE_FULL:
+        except OSError:
+            # The pipe is full or its reader is gone; the process goes on.
             self._drop()
             return
         # A line that was cut is finished first, so that lines stay whole.
--- a/src/hemlocktrestle/gateway/__init__.py
+++ b/src/hemlocktrestle/gateway/__init__.py
@@ -24,7 +24,6 @@
 from hemlocktrestle.gateway._request import (
     AnswerFacts,
     Headers,
-    PromptPart,
     RequestFacts,
 )
 from hemlocktrestle.gateway._retry_budget import RetryBudget
@@ -41,7 +40,6 @@
     "Fleet",
     "FleetDemand",
     "Headers",
-    "PromptPart",
     "Quota",
     "QuotaBook",
     "ReplicaBook",
--- a/src/hemlocktrestle/gateway/_configuration.py
+++ b/src/hemlocktrestle/gateway/_configuration.py
@@ -60,10 +60,9 @@
 
 
 class EngineLimits(NamedTuple):
-    """What a service's engines hold at most, and what one event of them holds."""
+    """Places of a service's engines, and the tokens that an event of them holds."""
 
     slots: int
-    cache_tokens: int
     tokens_per_event: int
 
 
@@ -71,8 +70,6 @@
     """One service; ``engine`` is ``None`` for plain services."""
 
     name: str
-    health_path: str
-    connections_max: int
     engine: EngineLimits | None
 
 
--- a/src/hemlocktrestle/gateway/_quota.py
+++ b/src/hemlocktrestle/gateway/_quota.py
@@ -6,9 +6,9 @@
 others have spent and not told yet.
 
 Keepers count for whole areas and are few: each takes a fraction by area, and leaves
-to the others what they ask for in the next seconds.  Any other VM takes its share by what it has told of
-its demand, so that all size their parts alike, with a part by head for VMs whose
-demand is new.
+to the others what they ask for in the next seconds.  Any other VM takes its share by
+what it has told of its demand, so that all size their parts alike, with a part by
+head for VMs whose demand is new.
 """
 
 import math
--- a/src/hemlocktrestle/gateway/_request.py
+++ b/src/hemlocktrestle/gateway/_request.py
@@ -6,13 +6,6 @@
 """Header lines in order; names in lower case."""
 
 
-class PromptPart(NamedTuple):
-    """A part of a prompt that requests may share."""
-
-    digest: str
-    tokens: int
-
-
 class RequestFacts(NamedTuple):
     """What a caller says of its request in the head.
 
@@ -25,8 +18,6 @@
         prompt_tokens: tokens of the prompt, 0 if not stated.
         output_tokens_max: most tokens to generate, 0 if not stated.
         output_tokens_hint: the caller's estimate of them, 0 if not stated.
-        prompt_parts: parts of the prompt, in order.
-        last_event_id: event after which a stream goes on, empty at its start.
         states_tokens: whether the request states its tokens.
     """
 
@@ -38,8 +29,6 @@
     prompt_tokens: int
     output_tokens_max: int
     output_tokens_hint: int
-    prompt_parts: tuple[PromptPart, ...]
-    last_event_id: str
     states_tokens: bool
 
     @property
@@ -60,12 +49,10 @@
         is_sealed: whether the replica signed the answer.
         is_unrun: whether the replica states that it did not run the request.
         request_id: the id that the answer names, empty if none.
-        replica_id: the replica that answered, empty if not stated.
         is_encoded: whether the body is encoded, which callers do not ask for.
     """
 
     is_sealed: bool
     is_unrun: bool
     request_id: str
-    replica_id: str
     is_encoded: bool
--- a/src/hemlocktrestle/platform/_configuration.py
+++ b/src/hemlocktrestle/platform/_configuration.py
@@ -49,7 +49,6 @@
 @with_config(_OPEN)
 class _Engine(TypedDict):
     slots: Annotated[int, Field(gt=0)]
-    kvCapacityTokens: NotRequired[float]
     # Tokens that one event of a stream holds.
     stride: NotRequired[int]
 
@@ -57,8 +56,6 @@
 @with_config(_OPEN)
 class _Service(TypedDict):
     name: str
-    healthPath: NotRequired[str]
-    maxConns: NotRequired[int]
     engine: NotRequired[_Engine | None]
 
 
@@ -165,12 +162,9 @@
     engine = raw.get("engine")
     return Service(
         name=raw["name"],
-        health_path=raw.get("healthPath", "/health"),
-        connections_max=raw.get("maxConns", 0),
         engine=engine
         and EngineLimits(
             engine["slots"],
-            int(engine.get("kvCapacityTokens", 0)),
             engine.get("stride", 1),
         ),
     )
--- a/src/hemlocktrestle/platform/_dialect.py
+++ b/src/hemlocktrestle/platform/_dialect.py
@@ -1,6 +1,6 @@
 """The platform's header lines, read into facts and written from them."""
 
-from hemlocktrestle.gateway import AnswerFacts, Headers, PromptPart, RequestFacts
+from hemlocktrestle.gateway import AnswerFacts, Headers, RequestFacts
 
 _REQUEST_ID = b"x-attempt-id"
 _DEADLINE = b"x-deadline-ms"
@@ -9,10 +9,8 @@
 # Two numbers: tokens of the prompt, and the most tokens to generate.
 _TOKENS = b"x-token-usage"
 _LENGTH_HINT = b"x-length-hint"
-_PROMPT_PARTS = b"x-prompt-prefix"
 _LAST_EVENT = b"last-event-id"
 _EXPECTED_REPLICA = b"x-expect-instance"
-_REPLICA = b"x-instance-id"
 _SEAL = b"x-response-seal"
 _NOT_RUN = b"x-not-executed"
 
@@ -73,8 +71,6 @@
             prompt_tokens=int(_number(tokens[0]) or 0),
             output_tokens_max=int(_number(tokens[-1]) or 0) if len(tokens) > 1 else 0,
             output_tokens_hint=int(_number(_text(lines, _LENGTH_HINT)) or 0),
-            prompt_parts=_parts(_text(lines, _PROMPT_PARTS)),
-            last_event_id=_text(lines, _LAST_EVENT),
             states_tokens=_TOKENS in lines,
         )
 
@@ -121,7 +117,6 @@
             is_sealed=_SEAL in lines,
             is_unrun=_NOT_RUN in lines,
             request_id=_text(lines, _REQUEST_ID),
-            replica_id=_text(lines, _REPLICA),
             is_encoded=lines.get(b"content-encoding", b"identity") != b"identity",
         )
 
@@ -153,13 +148,3 @@
         return None
     # Not-a-number and negative values say nothing.
     return value if 0 <= value < float("inf") else None
-
-
-def _parts(text: str) -> tuple[PromptPart, ...]:
-    parts = []
-    for entry in text.split(","):
-        digest, _, tokens = entry.partition(":")
-        count = _number(tokens)
-        if digest.strip() and count is not None:
-            parts.append(PromptPart(digest.strip(), int(count)))
-    return tuple(parts)
--- a/src/hemlocktrestle/platform/_settings.py
+++ b/src/hemlocktrestle/platform/_settings.py
@@ -35,19 +35,12 @@
 
 @with_config(_OPEN)
 class _Limits(TypedDict):
-    cpuShare: _Positive
-    cores: _Positive
-    memoryMb: _Positive
     maxFds: Annotated[int, Field(gt=200)]
-    linkMbps: _Positive
 
 
 @with_config(_OPEN)
 class _Bounds(TypedDict):
-    contactMs: _Amount
-    drainMs: _Amount
     graceS: _Positive
-    configApplyMs: _Amount
     budgetRatio: _Amount
     budgetWindowS: _Positive
     budgetSlack: _Amount
@@ -69,7 +62,6 @@
     region: Annotated[str, Field(min_length=1)]
     internalPorts: Annotated[list[int], Field(min_length=2, max_length=2)]
     zones: dict[str, str]
-    heartbeatMs: _Positive
     listen: _Listen
     limits: _Limits
     contractBounds: _Bounds
@@ -83,10 +75,7 @@
     """Limits in time and number that the platform holds the system to.
 
     Args:
-        contact_ms: undisturbed time after which a VM counts as in touch.
-        drain_ms: time after which a leaving replica must get no more work.
         grace_ms: time between the order to stop and the kill.
-        configuration_ms: time in which a configuration must be in force.
         repeat_ratio: repeats allowed for each request to a service.
         repeat_window_ms: window over which repeats are counted.
         repeat_slack: repeats allowed beyond the ratio.
@@ -95,10 +84,7 @@
         quota_slack: excess over a quota that is tolerated in a window.
     """
 
-    contact_ms: float
-    drain_ms: float
     grace_ms: float
-    configuration_ms: float
     repeat_ratio: float
     repeat_window_ms: float
     repeat_slack: float
@@ -118,11 +104,8 @@
         callers_address: where callers connect.
         ready_address: where the balancer asks whether the VM takes callers.
         peer_port: first port that is free for links between VMs.
-        metrics_port: last port that is free, for metrics.
         region_of_zone: region by availability zone, of the whole system.
         store_address: the platform's store.
-        replica_heartbeat_ms: time between a replica's registrations.
-        memory_mb: memory above which the process is killed.
         descriptors_max: descriptors that the process may hold.
         bounds: the platform's limits in time and number.
     """
@@ -134,11 +117,8 @@
     callers_address: str
     ready_address: str
     peer_port: int
-    metrics_port: int
     region_of_zone: dict[str, str]
     store_address: str
-    replica_heartbeat_ms: float
-    memory_mb: float
     descriptors_max: int
     bounds: Bounds
 
@@ -198,17 +178,11 @@
         callers_address=raw["listen"]["front"],
         ready_address=raw["listen"]["readyAddr"],
         peer_port=raw["internalPorts"][0],
-        metrics_port=raw["internalPorts"][1],
         region_of_zone=dict(raw["zones"]),
         store_address=raw["platformSettings"]["address"],
-        replica_heartbeat_ms=raw["heartbeatMs"],
-        memory_mb=raw["limits"]["memoryMb"],
         descriptors_max=raw["limits"]["maxFds"],
         bounds=Bounds(
-            contact_ms=bounds["contactMs"],
-            drain_ms=bounds["drainMs"],
             grace_ms=bounds["graceS"] * 1000,
-            configuration_ms=bounds["configApplyMs"],
             repeat_ratio=bounds["budgetRatio"],
             repeat_window_ms=bounds["budgetWindowS"] * 1000,
             repeat_slack=bounds["budgetSlack"],
--- a/tests/gateway/records.py
+++ b/tests/gateway/records.py
@@ -50,8 +50,8 @@
 
 
 SERVICES = (
-    Service("ledger", "/health", 96, None),
-    Service("assistant", "/health", 360, EngineLimits(12, 100_000, 5)),
+    Service("ledger", None),
+    Service("assistant", EngineLimits(12, 5)),
 )
 
 
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,31 @@
+"""Tests that the platform's names stay in the folder that translates them."""
+
+import re
+from pathlib import Path
+
+from testtools import TestCase
+
+import hemlocktrestle
+
+ROOT = Path(hemlocktrestle.__file__).parent
+
+NAMES = re.compile(
+    r"(?i:x-attempt-id|x-token-usage|x-response-seal|x-expect-instance|"
+    r"x-prompt-prefix|x-not-executed|x-tenant|api-key|kv-(txn|watch|range|lease))|"
+    r"platformSettings|contractBounds|weightedSplit|streamResume|nodeName|"
+    r"internalPorts|targetLatencyMs|coldRemainingMs|healthPath"
+)
+
+
+class BoundaryTests(TestCase):
+    """One folder knows how the platform speaks."""
+
+    def test_no_other_module_knows_its_names(self) -> None:
+        """Neither in code nor in comments."""
+        found = [
+            f"{path.relative_to(ROOT)}: {match.group()}"
+            for path in sorted(ROOT.rglob("*.py"))
+            if path.relative_to(ROOT).parts[0] != "platform"
+            for match in NAMES.finditer(path.read_text(encoding="utf-8"))
+        ]
+        self.assertEqual([], found)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -29,9 +29,7 @@
         self.assertEqual((7, RequestKind.STREAM), (found.version, stream.kind))
         self.assertTrue(stream.may_repeat and not log.may_repeat)
         self.assertEqual((Target("ledger", 90), Target("ledger-2", 10)), log.targets)
-        self.assertEqual(
-            EngineLimits(12, 734175, 5), found.services["assistant"].engine
-        )
+        self.assertEqual(EngineLimits(12, 5), found.services["assistant"].engine)
         owner = found.customer_of("k2")
         self.assertEqual("clinics", owner.name if owner else "")
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -6,7 +6,6 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from hemlocktrestle.gateway import PromptPart
 from hemlocktrestle.platform import Dialect
 
 REQUEST = (
@@ -50,8 +49,6 @@
         self.assertEqual(("9c41", "callers.example", "/advice/x"), facts[:3])
         self.assertEqual((1460, 80, 60), facts[5:8])
         self.assertEqual(1540, facts.tokens)
-        parts = (PromptPart("5c1e", 800), PromptPart("91bd", 410))
-        self.assertEqual(parts, facts.prompt_parts)
 
     @given(lines=LINES)
     def test_no_lines_break_the_reader(self, lines: list[tuple[bytes, bytes]]) -> None:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -29,7 +29,7 @@
         self.assertEqual(("vm-1", "z1", "north"), settings[:3])
         self.assertEqual(8_000, settings.bounds.grace_ms)
         self.assertEqual(10_000, settings.bounds.repeat_window_ms)
-        self.assertEqual((7600, 7615), (settings.peer_port, settings.metrics_port))
+        self.assertEqual(7600, settings.peer_port)
 
     def test_unknown_fields_are_passed_over(self) -> None:
         """The platform adds fields over time."""
