--- a/src/hemlocktrestle/edge/_permit_scheduler.py
+++ b/src/hemlocktrestle/edge/_permit_scheduler.py
@@ -87,6 +87,7 @@
         """Return a place for a request as soon as it is its turn."""
         started_ms = now_ms()
         ask = self._ask(job, excluded)
+        until_ms = started_ms + ask.deadline_ms + ANSWER_MS
         log.info(
             "request_asked",
             extra={
@@ -101,7 +102,7 @@
             held = await self._asker.obtain(
                 ask,
                 zones=self._areas(job, excluded),
-                deadline_at_ms=min(job.deadline_at_ms, started_ms + ask.deadline_ms),
+                deadline_at_ms=min(job.deadline_at_ms, until_ms),
             )
         except RequestError as error:
             if error.kind is ErrorKind.RATE_LIMITED:
--- a/src/hemlocktrestle/peers/_asker.py
+++ b/src/hemlocktrestle/peers/_asker.py
@@ -102,9 +102,10 @@
         for attempt in range(ASK_ATTEMPTS_MAX):
             if zone_index >= len(zones):
                 break
+            # The keeper ends an ask first, so that its refusal says why.
+            hold_ms = self._remaining_ms(deadline_at_ms) - (self._answer_ms or 0.0)
             numbered = ask._replace(
-                ask_id=f"{ask.ask_id}.{attempt}",
-                deadline_ms=int(self._remaining_ms(deadline_at_ms)),
+                ask_id=f"{ask.ask_id}.{attempt}", deadline_ms=max(1, int(hold_ms))
             )
             try:
                 return await self._attempt(numbered, zones[zone_index], deadline_at_ms)
