Name asks by process, so that none meets one of the process before

Cause: explain showed a refusal of a later process under an earlier ask's id. Before: ids of a VM and a count, which starts anew. After: with the boot id.

--- a/src/hemlocktrestle/cli/_explain.py
+++ b/src/hemlocktrestle/cli/_explain.py
@@ -139,10 +139,10 @@
 
 
 def _ran_out(lines: list[Line], end: Line) -> str:
-    attempt = _last(lines, "attempt_ended")
+    permit = _last(lines, "request_permitted")
     return (
         f"Its time ended at {end.get('total_ms')} ms while replica "
-        f"{attempt.get('replica')} was at work; {end.get('events')} events had come."
+        f"{permit.get('replica')} was at work; {end.get('events')} events had come."
     )
 
 
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -112,6 +112,11 @@
         if self.network is not None:
             self.network.sync_peers(self._dialled())
 
+    @property
+    def name_of_process(self) -> str:
+        """Name of this process, which no process before it had."""
+        return f"{self._entry.vm}/{self._entry.boot_id[:6]}"
+
     def replicas_changed(self) -> None:
         """Take in what has changed in the book of replicas, and tell the others."""
         self._tell_replicas(skip="")
--- a/src/hemlocktrestle/edge/_permit_scheduler.py
+++ b/src/hemlocktrestle/edge/_permit_scheduler.py
@@ -187,7 +187,7 @@
         aim_ms = self._aim_ms(job)
         left_ms = job.deadline_at_ms - now_ms()
         return Ask(
-            ask_id=f"{self._fleet.membership.vm.name}/{self._count}",
+            ask_id=f"{self._fleet.name_of_process}/{self._count}",
             pool=job.service.name,
             customer=job.customer_name,
             tier=0 if job.is_begun else job.rank,
