Test the edge as a process before stand-ins of the platform

Start, readiness, whole answers, metrics, a graceful end, configurations that are new, old or broken, and a settings file that is read again. The process logs where it listens, so that port 0 can be given.

--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -19,6 +19,7 @@
 from hemlocktrestle.edge._listeners import (
     DESCRIPTORS_KEPT,
     CallerListener,
+    address_of,
     listen,
     serve_answers,
 )
@@ -231,11 +232,19 @@
             metrics = listen(f"{settings.ip}:{self._metrics_port}")
             answers = {b"/metrics": self._metrics.text}
             nursery.start_soon(serve_answers, metrics, answers)
-            log.info("started", extra={"vm": settings.vm, "boot_id": self._boot_id})
+            log.info(
+                "started",
+                extra={
+                    "boot_id": self._boot_id,
+                    "callers": address_of(callers),
+                    "ready": address_of(ready),
+                    "metrics": address_of(metrics),
+                },
+            )
             await self._stop.wait()
             await self._finish()
             nursery.cancel_scope.cancel()
-        log.info("stopped", extra={"vm": settings.vm})
+        log.info("stopped")
 
     async def _finish(self) -> None:
         """End gracefully: no new callers, then no open connections, then stop."""
@@ -267,7 +276,7 @@
             log.error("settings_refused", extra={"reason": error.message})
             return
         self.state.settings = settings
-        log.info("settings_reloaded", extra={"vm": settings.vm})
+        log.info("settings_reloaded")
 
     def _configuration_version(self) -> float:
         configuration = self.state.configuration
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -80,6 +80,8 @@
     def take_vms(self, entries: list[VmEntry]) -> None:
         """Take in which VMs are registered."""
         known = self._vms
+        if not self._state.has_vms:
+            log.info("vms_read", extra={"vm_count": len(entries)})
         self._state.has_vms = True
         self._vms = {entry.vm: entry for entry in entries}
         self._vms[self._entry.vm] = self._entry
--- a/src/hemlocktrestle/edge/_listeners.py
+++ b/src/hemlocktrestle/edge/_listeners.py
@@ -38,6 +38,12 @@
     return trio.SocketListener(trio.socket.from_stdlib_socket(sock))
 
 
+def address_of(listener: trio.SocketListener) -> str:
+    """Return the address and port that a listener has."""
+    host, port = listener.socket.getsockname()[:2]
+    return f"{host}:{port}"
+
+
 class CallerListener:
     """Accepts callers' connections and closes the idle ones at a shutdown.
 
--- /dev/null
+++ b/tests/edge/test_logs.py
@@ -0,0 +1,94 @@
+"""Tests of logs: bounded, whole lines, and never in the way."""
+
+import logging
+import os
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import trio
+from testtools import TestCase
+
+from hemlocktrestle.edge._logs import BoundedHandler
+from tests.edge.bed import Bed, answer_well
+from tests.support import TrioTestCase
+
+
+@contextmanager
+def pipe() -> Iterator[tuple[int, int]]:
+    """Yield both ends of a pipe."""
+    ours, theirs = os.pipe()
+    try:
+        yield ours, theirs
+    finally:
+        os.close(ours)
+        os.close(theirs)
+
+
+def record(
+    number: int, *, second: int = 100, level: int = logging.INFO
+) -> logging.LogRecord:
+    """Return a record of a moment."""
+    made = logging.LogRecord("x", level, "", 0, f"line {number}", None, None)
+    made.created = float(second)
+    return made
+
+
+class BoundedHandlerTests(TestCase):
+    """Lines beyond the bound, or that nobody reads, are counted and dropped."""
+
+    def emit(self, handler: BoundedHandler, count: int, **fields: int) -> None:
+        """Emit some records."""
+        for number in range(count):
+            handler.emit(record(number, **fields))
+
+    def test_no_more_than_the_bound_is_written_a_second(self) -> None:
+        """The next second starts afresh, and errors are always written."""
+        with pipe() as (ours, theirs):
+            handler = BoundedHandler(theirs, lines_per_s_max=5)
+            self.emit(handler, 9)
+            self.assertEqual(
+                (5, 4), (os.read(ours, 9_999).count(b"\n"), handler.dropped_count)
+            )
+            self.emit(handler, 1, level=logging.ERROR)
+            self.emit(handler, 3, second=101)
+            self.assertEqual(4, os.read(ours, 9_999).count(b"\n"))
+
+    def test_a_pipe_that_nobody_reads_blocks_nothing(self) -> None:
+        """What does not fit is dropped, and lines stay whole."""
+        with pipe() as (ours, theirs):
+            handler = BoundedHandler(theirs, lines_per_s_max=100_000)
+            self.emit(handler, 20_000)
+            self.assertTrue(handler.dropped_count > 0)
+            os.read(ours, 1 << 20)
+            self.emit(handler, 3, second=101)
+            tail = os.read(ours, 9_999).decode()
+            self.assertEqual(["line 0", "line 1", "line 2"], tail.split("\n")[-4:-1])
+
+    def test_a_reader_that_is_gone_blocks_nothing(self) -> None:
+        """The process goes on without logs."""
+        ours, theirs = os.pipe()
+        handler = BoundedHandler(theirs)
+        os.close(ours)
+        self.emit(handler, 3)
+        os.close(theirs)
+        self.assertEqual(3, handler.dropped_count)
+
+
+class BlockedOutputTests(TrioTestCase):
+    """A request is served while nobody reads the logs."""
+
+    async def test_requests_go_on(self) -> None:
+        """With the pipe full from the start, in no time at all."""
+        with pipe() as (_, theirs):
+            handler = BoundedHandler(theirs, lines_per_s_max=100_000)
+            for number in range(20_000):
+                handler.emit(record(number))
+            logger = logging.getLogger("hemlocktrestle.edge")
+            logger.addHandler(handler)
+            self.addCleanup(logger.removeHandler, handler)
+            logger.setLevel(logging.INFO)
+            self.addCleanup(logger.setLevel, logging.NOTSET)
+            started_s = trio.current_time()
+            reply = await Bed(self, {"r1": answer_well}).ask()
+            self.assertEqual(200, reply.status)
+            self.assertTrue(trio.current_time() - started_s < 0.1)
--- /dev/null
+++ b/tests/edge/test_processes.py
@@ -0,0 +1,220 @@
+"""Tests of the edge as a process: started, serving, changed, told to stop."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from functools import partial
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import httpcore
+import trio
+from testtools import TestCase
+
+from tests.platform.documents import CONFIGURATION, SETTINGS, as_bytes, changed
+from tests.standins.http import serve
+from tests.standins.users_replica import UsersReplica
+from tests.standins.users_store import UsersStore
+
+ONE_SERVICE = changed(
+    CONFIGURATION, "routes.1.weightedSplit", [{"service": "ledger", "weight": 1}]
+)
+
+LIMIT_S = 60.0
+"""Time after which a test of a process has failed, in seconds."""
+
+
+def as_toml(document: dict[str, Any]) -> str:
+    """Return a settings document as TOML; JSON's values are TOML's."""
+    plain = {k: v for k, v in document.items() if not isinstance(v, dict)}
+    lines = [f"{name} = {json.dumps(value)}" for name, value in plain.items()]
+    for name, table in document.items():
+        if isinstance(table, dict):
+            lines.append(f"[{name}]")
+            lines += [f"{key} = {json.dumps(value)}" for key, value in table.items()]
+    return "\n".join(lines) + "\n"
+
+
+class Edge:
+    """A running process, and what it has logged."""
+
+    def __init__(self, process: trio.Process, path: Path) -> None:
+        self.process = process
+        self.path = path
+        self.lines: list[dict[str, Any]] = []
+        self._changed = trio.Event()
+
+    async def read(self) -> None:
+        """Collect log lines until the process ends."""
+        assert self.process.stdout is not None
+        rest = b""
+        while data := await self.process.stdout.receive_some(65_536):
+            *whole, rest = (rest + data).split(b"\n")
+            self.lines += [json.loads(line) for line in whole]
+            seen, self._changed = self._changed, trio.Event()
+            seen.set()
+
+    async def logged(self, event: str, **fields: Any) -> dict[str, Any]:
+        """Wait for a log line with some fields and return it."""
+        while True:
+            for line in self.lines:
+                if line["event"] == event and fields.items() <= line.items():
+                    return line
+            await self._changed.wait()
+
+
+class Platform:
+    """The platform's store with an operator, and a replica."""
+
+    def __init__(self) -> None:
+        self.store = UsersStore()
+        self.replica = UsersReplica("i-1")
+        self.addresses: dict[str, str] = {}
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Listen, and write configuration and registration."""
+        nursery.start_soon(self._serve_store)
+        nursery.start_soon(
+            partial(
+                serve,
+                self.replica.handle,
+                announce=lambda at: self.addresses.update(replica=at),
+            )
+        )
+        while len(self.addresses) < 2:
+            await trio.sleep(0.01)
+        self.configure(ONE_SERVICE)
+        for service in ("assistant", "ledger"):
+            entry = self.replica.entry(self.addresses["replica"], service=service)
+            self.store.put(f"servers/{'i-1' if service == 'ledger' else 'i-2'}", entry)
+
+    def configure(self, document: dict[str, Any]) -> None:
+        """Write a configuration as the operator does."""
+        self.store.put("op/config", as_bytes(document))
+
+    async def _serve_store(self) -> None:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        host, port = listeners[0].socket.getsockname()[:2]
+        self.addresses["store"] = f"{host}:{port}"
+        await trio.serve_listeners(self.store.serve, listeners)
+
+
+@asynccontextmanager
+async def running_edge() -> AsyncIterator[tuple[Edge, Platform]]:
+    """Run one edge process before a stand-in of the platform."""
+    with TemporaryDirectory() as folder, trio.fail_after(LIMIT_S):
+        async with trio.open_nursery() as nursery:
+            platform = Platform()
+            await platform.start(nursery)
+            document = {
+                **SETTINGS,
+                "internalPorts": [0, 0],
+                "listen": {"front": "127.0.0.1:0", "readyAddr": "127.0.0.1:0"},
+                "platformSettings": {"address": platform.addresses["store"]},
+            }
+            path = Path(folder) / "settings.toml"
+            path.write_text(as_toml(document), encoding="utf-8")
+            process = await trio.lowlevel.open_process(
+                [sys.executable, "-m", "hemlocktrestle.edge", "--metrics-port", "0"],
+                env={**os.environ, "HEMLOCKTRESTLE_SETTINGS": str(path)},
+                stdout=subprocess.PIPE,
+            )
+            edge = Edge(process, path)
+            try:
+                nursery.start_soon(edge.read)
+                await edge.logged("configuration_taken")
+                await edge.logged("vms_read")
+                yield edge, platform
+            finally:
+                if process.returncode is None:
+                    process.kill()
+                await process.wait()
+                nursery.cancel_scope.cancel()
+
+
+async def fetch(address: str, path: str, **headers: str) -> httpcore.Response:
+    """Fetch a path as a caller does."""
+    lines = [("Host", "callers.example"), ("X-Attempt-Id", "a1"), *headers.items()]
+    async with httpcore.AsyncConnectionPool() as pool:
+        return await pool.request("GET", f"http://{address}{path}", headers=lines)
+
+
+class EdgeProcessTests(TestCase):
+    """The real program, against stand-ins of the platform."""
+
+    def test_it_serves_and_stops(self) -> None:
+        """Ready, whole answers and streams, metrics, and a graceful end."""
+        trio.run(self._serve_and_stop)
+
+    async def _serve_and_stop(self) -> None:
+        async with running_edge() as (edge, platform):
+            started = await edge.logged("started")
+            await edge.logged("replicas_changed")
+            ready = await fetch(started["ready"], "/ready")
+            self.assertEqual(200, ready.status)
+            whole = await fetch(started["callers"], "/log/1")
+            self.assertEqual((200, b"done"), (whole.status, whole.content))
+            refused = await fetch(started["callers"], "/advice/1", **{"Api-Key": "no"})
+            self.assertEqual(401, refused.status)
+            metrics = await fetch(started["metrics"], "/metrics")
+            self.assertIn(b"hemlocktrestle_requests_total", metrics.content)
+            edge.process.send_signal(signal.SIGTERM)
+            await edge.logged("signal_received", signal=15)
+            self.assertEqual(503, (await fetch(started["ready"], "/ready")).status)
+            self.assertEqual(0, await edge.process.wait())
+            left = [key for key in platform.store.entries if "/vms/" in key]
+            self.assertEqual([], left)
+
+    def test_a_new_configuration_is_taken_and_a_broken_one_is_not(self) -> None:
+        """Nothing goes back to an older version."""
+        trio.run(self._configure)
+
+    async def _configure(self) -> None:
+        async with running_edge() as (edge, platform):
+            started = await edge.logged("started")
+            platform.store.put("op/config", b"{broken")
+            await edge.logged("configuration_refused")
+            platform.configure({**ONE_SERVICE, "version": 3})
+            moved = changed(ONE_SERVICE, "routes.1.prefix", "/moved/")
+            platform.configure({**moved, "version": 9})
+            await edge.logged("configuration_taken", version=9)
+            self.assertEqual(404, (await fetch(started["callers"], "/log/1")).status)
+            self.assertEqual(200, (await fetch(started["callers"], "/moved/1")).status)
+            versions = [
+                line["version"]
+                for line in edge.lines
+                if line["event"] == "configuration_taken"
+            ]
+            self.assertEqual([7, 9], versions)
+
+    def test_settings_are_read_again_on_a_signal(self) -> None:
+        """A file that is wrong changes nothing; the process goes on."""
+        trio.run(self._reload)
+
+    async def _reload(self) -> None:
+        async with running_edge() as (edge, _):
+            edge.process.send_signal(signal.SIGHUP)
+            await edge.logged("settings_reloaded")
+            edge.path.write_text("nodeName = 3", encoding="utf-8")
+            edge.process.send_signal(signal.SIGHUP)
+            refused = await edge.logged("settings_refused")
+            self.assertIn("nodeName", refused["reason"])
+            started = await edge.logged("started")
+            self.assertEqual(200, (await fetch(started["callers"], "/log/1")).status)
+
+    def test_wrong_settings_start_nothing(self) -> None:
+        """The field is named, and the exit code says so."""
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.toml"
+            path.write_text(as_toml(changed(SETTINGS, "zone", ...)), encoding="utf-8")
+            command = [sys.executable, "-m", "hemlocktrestle.edge", "--settings"]
+            found = subprocess.run(
+                [*command, str(path)], capture_output=True, text=True, check=False
+            )
+            self.assertEqual(2, found.returncode)
+            self.assertIn("zone", found.stderr)
--- /dev/null
+++ b/tests/relay/test_server.py
@@ -0,0 +1,107 @@
+"""Tests of callers' connections: limits, shutdown, and what is no request."""
+
+import trio
+import trio.testing
+
+from hemlocktrestle.gateway import CallerLimits
+from hemlocktrestle.relay import CallerConnection, CallerRequest
+from tests.support import TrioTestCase
+
+LIMITS = CallerLimits(
+    header_bytes_max=400,
+    body_bytes_max=1_000,
+    header_timeout_ms=3_000,
+    idle_timeout_ms=15_000,
+)
+
+GET = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n"
+
+
+class CallerConnectionTests(TrioTestCase):
+    """What a caller may send, and how its connection ends."""
+
+    def setUp(self) -> None:
+        """Serve requests by an answer that holds their bodies."""
+        super().setUp()
+        self.is_closing = False
+        self.handled: list[CallerRequest] = []
+
+    async def handle(
+        self, request: CallerRequest, connection: CallerConnection
+    ) -> None:
+        """Answer with the request's body."""
+        self.handled.append(request)
+        await connection.whole(200, [], request.body)
+
+    async def talk(self, *pieces: bytes, pause_s: float = 0.0) -> bytes:
+        """Send pieces and return all that comes until the connection closes."""
+        ours, theirs = trio.testing.memory_stream_pair()
+        connection = CallerConnection(
+            theirs, limits=lambda: LIMITS, is_closing=lambda: self.is_closing
+        )
+        received = bytearray()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection.serve, self.handle)
+            for piece in pieces:
+                await ours.send_all(piece)
+                await trio.sleep(pause_s)
+            try:
+                while data := await ours.receive_some():
+                    received += data
+            except trio.BrokenResourceError:
+                pass
+        return bytes(received)
+
+    async def test_one_connection_carries_many_requests(self) -> None:
+        """Also when they come at once."""
+        received = await self.talk(GET + GET + GET)
+        self.assertEqual(3, received.count(b"HTTP/1.1 200"))
+
+    async def test_bodies_come_with_a_length_or_in_chunks(self) -> None:
+        """The handler gets them whole."""
+        post = b"POST /x HTTP/1.1\r\nhost: a\r\n"
+        await self.talk(post + b"content-length: 3\r\n\r\na", b"bc")
+        await self.talk(
+            post + b"transfer-encoding: chunked\r\n\r\n1\r\na\r\n",
+            b"2\r\nbc\r\n0\r\n\r\n",
+        )
+        self.assertEqual([b"abc", b"abc"], [request.body for request in self.handled])
+
+    async def test_limits_have_their_answers(self) -> None:
+        """431, 413, 400 and 408; nothing is handled."""
+        post = b"POST /x HTTP/1.1\r\nhost: a\r\n"
+        cases = {
+            b"431": GET[:-2] + b"x: " + b"y" * 500,
+            b"413": post + b"content-length: 2000\r\n\r\n" + b"z" * 2000,
+            b"400": b"what is this\r\n\r\n",
+            b"408": GET[:-2],
+        }
+        for status, data in cases.items():
+            received = await self.talk(data)
+            self.assertTrue(
+                received.startswith(b"HTTP/1.1 " + status), (status, received)
+            )
+        self.assertEqual([], self.handled)
+
+    async def test_an_idle_connection_is_closed_in_its_time(self) -> None:
+        """Not sooner: callers count on it."""
+        started_s = trio.current_time()
+        await self.talk(GET)
+        self.assertTrue(15 <= trio.current_time() - started_s < 15.1)
+
+    async def test_a_shutdown_ends_a_connection_after_its_answer(self) -> None:
+        """The answer says so, and the next request goes elsewhere."""
+        self.is_closing = True
+        received = await self.talk(GET + GET)
+        self.assertEqual(1, received.count(b"HTTP/1.1 200"))
+        self.assertIn(b"connection: close", received.lower())
+
+    async def test_a_second_request_hidden_in_a_first_is_none(self) -> None:
+        """Length and chunks together leave no room for two readings."""
+        smuggled = (
+            b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n"
+            b"transfer-encoding: chunked\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\n\r\n"
+        )
+        await self.talk(smuggled)
+        self.assertNotIn(b"/hidden", [request.target for request in self.handled[:1]])
+        self.assertTrue(len(self.handled) <= 1)
