Never promise that a request has not run once it may have

Found by reading: after a replica broke off, a second one that did not take the request led to 503, a promise that nothing has run. The test fails without the mend (503 for 502). Ruled out: requests that may run once; they are not sent again.

--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -9,6 +9,7 @@
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.gateway import (
+    Configuration,
     Demand,
     Fleet,
     FleetDemand,
@@ -92,16 +93,14 @@
     def sync(self) -> None:
         """Bring membership and links to what is registered."""
         region_of_zone = self._state.settings.region_of_zone
-        services = (
-            self._state.configuration.services if self._state.configuration else {}
-        )
+        configuration = self._state.configuration
         upstreams = tuple(
             UpstreamRecord(
                 name=record.replica_id,
                 zone=record.zone,
                 region=region_of_zone.get(record.zone, record.zone),
                 address=record.address,
-                kind="engine" if _is_engine(services, record.service) else "plain",
+                kind="engine" if _is_engine(configuration, record.service) else "plain",
                 pools=(record.service,),
                 generation="",
                 is_leaving=record.is_draining,
@@ -123,25 +122,6 @@
         """Take in what has changed in the book of replicas, and tell the others."""
         self._tell_replicas(skip="")
 
-    def _tell_replicas(self, *, skip: str) -> None:
-        news = self._state.replicas.take_news()
-        if not news:
-            return
-        records = self._state.replicas.replicas()
-        log.info(
-            "replicas_changed",
-            extra={
-                "changes": {fact.replica_id: fact.revision for fact in news},
-                "source": skip or "store",
-                "ready": [r.replica_id for r in records if not r.is_draining],
-                "draining": [r.replica_id for r in records if r.is_draining],
-            },
-        )
-        self.sync()
-        if self.network is not None:
-            for fact in news:
-                self.network.broadcast(_news(fact), skip=skip)
-
     def tell_configuration(self, *, skip: str = "") -> None:
         """Tell the others of the configuration in force."""
         self.sync()
@@ -165,6 +145,25 @@
                 self._state, message.document, message.revision, source=vm
             )
 
+    def _tell_replicas(self, *, skip: str) -> None:
+        news = self._state.replicas.take_news()
+        if not news:
+            return
+        records = self._state.replicas.replicas()
+        log.info(
+            "replicas_changed",
+            extra={
+                "changes": {fact.replica_id: fact.revision for fact in news},
+                "source": skip or "store",
+                "ready": [r.replica_id for r in records if not r.is_draining],
+                "draining": [r.replica_id for r in records if r.is_draining],
+            },
+        )
+        self.sync()
+        if self.network is not None:
+            for fact in news:
+                self.network.broadcast(_news(fact), skip=skip)
+
     def _configuration_news(self) -> ConfigurationNews:
         state = self._state
         return ConfigurationNews(
@@ -306,6 +305,6 @@
     return VmRecord(entry.vm, entry.zone, entry.region, entry.address, False)
 
 
-def _is_engine(services: object, service: str) -> bool:
-    found = services.get(service) if isinstance(services, dict) else None
-    return found is not None and found.engine is not None
+def _is_engine(configuration: Configuration | None, name: str) -> bool:
+    service = configuration.services.get(name) if configuration is not None else None
+    return service is not None and service.engine is not None
--- a/src/hemlocktrestle/edge/_serve.py
+++ b/src/hemlocktrestle/edge/_serve.py
@@ -13,7 +13,7 @@
 from hemlocktrestle.edge._place import AttemptEnd, AttemptReport, Place, Scheduler
 from hemlocktrestle.edge._quota_gate import EdgeQuotas, over_quota
 from hemlocktrestle.edge._state import EdgeState, now_ms
-from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.errors import ANSWERS, ErrorKind, RequestError
 from hemlocktrestle.gateway import choose_service, urgency_rank
 from hemlocktrestle.quarantine import QuarantineBook
 from hemlocktrestle.relay import CallerConnection, CallerRequest
@@ -89,7 +89,8 @@
                 outcome = "answered"
             if scope.cancelled_caught:
                 raise _too_late(progress)
-        except RequestError as error:
+        except RequestError as found:
+            error = _truthful(found, progress)
             outcome = error.kind.value
             answer = error_answer(error, bytes_left=progress.bytes_left)
             status = answer.status
@@ -269,6 +270,13 @@
             self._quarantine.clear(job.fingerprint)
 
 
+def _truthful(error: RequestError, progress: Progress) -> RequestError:
+    """Return an error that promises no more than is known."""
+    if not progress.bytes_left or ANSWERS[error.kind].can_follow_send:
+        return error
+    return RequestError(ErrorKind.UPSTREAM_BROKEN, error.message)
+
+
 def _fingerprint(request: CallerRequest, key: str) -> str:
     digest = xxhash.xxh3_128(request.body)
     digest.update(b"\0".join((request.method, request.target, key.encode("latin-1"))))
--- a/tests/edge/test_serve.py
+++ b/tests/edge/test_serve.py
@@ -139,6 +139,13 @@
         self.assertEqual(503, reply.status)
         self.assertTrue(reply.retry_after_ms > 0)
 
+    async def test_what_may_have_run_is_never_promised_not_to_have(self) -> None:
+        """The first replica broke off, and the second did not take it."""
+        turned_away = answer_status(503, is_unrun=True)
+        bed = Bed(self, {"r1": break_off, "r2": turned_away})
+        reply = await bed.ask()
+        self.assertEqual((502, ["r1", "r2"]), (reply.status, bed.ran()))
+
     async def test_replicas_out_of_reach_are_no_run(self) -> None:
         """The next one is tried; if there is none, nothing has run."""
         records = (replica("r0"), replica("r1"))
