--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: proofs-page test check demo up bench capacity proofs proofs-mutants soak format bench-relay
+.PHONY: results proofs-page test check demo up bench capacity proofs proofs-mutants soak format bench-relay
 
 $(STAMP): requirements.lock pyproject.toml
 	python3 -m venv $(VENV)
@@ -53,3 +53,6 @@
 
 bench: $(STAMP)
 	$(BIN)/python -m bench.policy
+
+results: $(STAMP)
+	$(BIN)/python -m bench.results
