--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: results proofs-page test check demo up bench capacity proofs proofs-mutants soak format bench-relay
+.PHONY: bench-edge results proofs-page test check demo up bench capacity proofs proofs-mutants soak format bench-relay
 
 $(STAMP): requirements.lock pyproject.toml
 	python3 -m venv $(VENV)
@@ -56,3 +56,6 @@
 
 results: $(STAMP)
 	$(BIN)/python -m bench.results
+
+bench-edge: $(STAMP)
+	$(BIN)/python -m bench.edge_latency
