Send the configuration only to VMs that lag

Ruled out: news of replicas, which are small. Heartbeats carry the revision in force; a VM that is behind is told once.

--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -303,10 +303,12 @@
             network.route(news, self._peers.heard_news)
         network.route(Suspicion, self._crashes.heard)
         network.on_opened(self._peers.greeting)
-        self.state.tell_configuration = self._peers.tell_configuration
+        self.state.on_configuration = self._peers.sync
         network.on_dialled_closed(self._asker.link_closed)
         network.on_dialled_closed(self._peers.membership.lost)
         network.on_accepted_closed(self._keeper.holder_lost)
+        network.on_accepted_closed(self._peers.forget)
+        network.on_dialled_closed(self._peers.forget)
 
     async def _tell_keepers(self) -> None:
         while True:
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -63,6 +63,7 @@
             _vm_record(entry), area_of=region_of, role_key=KEEPER_ROLE
         )
         self.demand = FleetDemand(entry.vm, entry.region)
+        self._told: dict[str, int] = {}
         self.network: PeerNetwork | None = None
         self.keeper: KeeperTask | None = None
 
@@ -122,18 +123,13 @@
         """Take in what has changed in the book of replicas, and tell the others."""
         self._tell_replicas(skip="")
 
-    def tell_configuration(self, *, skip: str = "") -> None:
-        """Tell the others of the configuration in force."""
-        self.sync()
-        if self.network is not None:
-            self.network.broadcast(self._configuration_news(), skip=skip)
-
     def greeting(self, vm: str) -> list[Message]:
         """Return what a VM may not know yet, for a link that has just opened."""
-        news: list[Message] = [_news(fact) for fact in self._state.replicas.facts()]
-        if self._state.configuration is not None:
-            news.append(self._configuration_news())
-        return news
+        return [_news(fact) for fact in self._state.replicas.facts()]
+
+    def forget(self, vm: str) -> None:
+        """Take note that a link to a VM ended: what it was told may be lost."""
+        self._told.pop(vm, None)
 
     def heard_news(self, vm: str, message: Message) -> None:
         """Take in what another VM knows from the store."""
@@ -164,11 +160,20 @@
             for fact in news:
                 self.network.broadcast(_news(fact), skip=skip)
 
-    def _configuration_news(self) -> ConfigurationNews:
+    def _tell_configuration(self, vm: str, revision: int) -> None:
+        """Send the configuration to a VM that has an older one, once.
+
+        Most VMs have it from the store; it is too large to go to all.
+        """
         state = self._state
-        return ConfigurationNews(
+        known = max(revision, self._told.get(vm, -1))
+        if self.network is None or known >= state.configuration_revision:
+            return
+        news = ConfigurationNews(
             state.configuration_revision, state.configuration_document
         )
+        if self.network.send(vm, news) or self.network.reply(vm, news):
+            self._told[vm] = state.configuration_revision
 
     def fleet(self) -> Fleet:
         """Return what is known of the other VMs' demand."""
@@ -194,7 +199,7 @@
         vm_count, total = self.demand.area_total(own, now)
         is_keeper = self.membership.keeper_of("", self.membership.area, now)
         return Heartbeat(
-            0,
+            max(0, self._state.configuration_revision),
             "",
             0,
             self._state.is_draining,
@@ -212,6 +217,7 @@
         if not isinstance(message, Heartbeat):
             return
         now = now_ms()
+        self._tell_configuration(vm, message.tree_revision)
         self.membership.heard(
             vm,
             now,
--- a/src/hemlocktrestle/edge/_followers.py
+++ b/src/hemlocktrestle/edge/_followers.py
@@ -108,7 +108,7 @@
             "customer_count": len(configuration.customers),
         },
     )
-    state.tell_configuration()
+    state.on_configuration()
     return True
 
 
--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -49,7 +49,7 @@
         self.configuration: Configuration | None = None
         self.configuration_document = b""
         self.configuration_revision = -1
-        self.tell_configuration: Callable[[], None] = lambda: None
+        self.on_configuration: Callable[[], None] = lambda: None
         self.replicas = ReplicaBook()
         self.has_replicas = False
         self.has_vms = False
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -73,6 +73,8 @@
 class Heartbeat(NamedTuple):
     """Sign of life; ``tree_age_ms`` is the time since the revision was confirmed.
 
+    On the users' platform ``tree_revision`` is that of the operator's configuration.
+
     ``demands`` are the sender's own; ``area_demands`` are what it has heard of all
     VMs of its area, ``area_vm_count`` of them, itself included.  ``young`` is the
     share of a quota's window that lies before the start of the sender's process.
--- /dev/null
+++ b/tests/edge/test_fleet.py
@@ -0,0 +1,81 @@
+"""Tests of what VMs tell each other."""
+
+from typing import Any
+
+from hemlocktrestle.edge._fleet import EdgeFleet
+from hemlocktrestle.edge._own_entries import VmEntry
+from hemlocktrestle.edge._state import EdgeState
+from hemlocktrestle.gateway import Fleet
+from hemlocktrestle.platform import decode_settings
+from hemlocktrestle.wire import ConfigurationNews, Heartbeat, Message, ReplicaNews
+from tests.gateway.records import configuration
+from tests.platform.documents import CONFIGURATION, SETTINGS, as_bytes
+from tests.support import TrioTestCase
+
+HERE = VmEntry("vm-1", "z1", "north", "10.0.0.1:7600", "b1")
+
+
+class _Links:
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, Message]] = []
+
+    def send(self, vm: str, message: Message) -> bool:
+        self.sent.append((vm, message))
+        return True
+
+    def sync_peers(self, peers: object) -> None:
+        """Keep no links."""
+
+    def broadcast(self, message: Message, *, skip: str = "") -> None:
+        self.sent.append((f"all but {skip}", message))
+
+
+class EdgeFleetTests(TrioTestCase):
+    """News goes to those that lack it, and is taken from those that have it."""
+
+    def fleet(self) -> tuple[EdgeFleet, EdgeState, _Links]:
+        """Return a fleet whose VM has the configuration of revision 40."""
+        state = EdgeState(
+            decode_settings(SETTINGS, source="test"), fleet=lambda: Fleet(1, 1, {})
+        )
+        state.configuration = configuration()
+        state.configuration_document = b"document"
+        state.configuration_revision = 40
+        fleet = EdgeFleet(state, HERE)
+        links: Any = _Links()
+        fleet.network = links
+        return fleet, state, links
+
+    async def test_a_vm_that_lags_gets_the_configuration_once(self) -> None:
+        """Others, which have it from the store, do not."""
+        fleet, _, links = self.fleet()
+        for _ in range(3):
+            fleet.heard("vm-2", Heartbeat(39, "", 0, False))
+            fleet.heard("vm-3", Heartbeat(40, "", 0, False))
+        self.assertEqual([("vm-2", ConfigurationNews(40, b"document"))], links.sent)
+
+    async def test_after_a_broken_link_it_is_told_again(self) -> None:
+        """What was sent may be lost."""
+        fleet, _, links = self.fleet()
+        fleet.heard("vm-2", Heartbeat(39, "", 0, False))
+        fleet.forget("vm-2")
+        fleet.heard("vm-2", Heartbeat(39, "", 0, False))
+        self.assertEqual(2, len(links.sent))
+
+    async def test_a_configuration_of_another_vm_is_taken_if_it_is_newer(self) -> None:
+        """Never an older one."""
+        fleet, state, _ = self.fleet()
+        document = as_bytes({**CONFIGURATION, "version": 7})
+        fleet.heard_news("vm-2", ConfigurationNews(39, document))
+        self.assertEqual(40, state.configuration_revision)
+        fleet.heard_news("vm-2", ConfigurationNews(41, document))
+        self.assertEqual(41, state.configuration_revision)
+
+    async def test_word_of_a_replica_is_passed_on_once(self) -> None:
+        """Not to where it came from."""
+        fleet, state, links = self.fleet()
+        news = ReplicaNews("i-1", 50, False, "ledger", "10.0.0.9:80", "z1", 4, True)
+        fleet.heard_news("vm-2", news)
+        fleet.heard_news("vm-3", news)
+        self.assertEqual([("all but vm-2", news)], links.sent)
+        self.assertTrue(state.replicas.replicas()[0].is_draining)
