Keep one copy of what two queues and two modules had

Found by reading the change once more: ObjectiveQueue and FifoQueue took asks out by the same lines, which now stand with what they share; the tool had its own copy of the prefix under which VMs register; PeerNetwork.dialled was read by nobody. Behaviour stays as it was.

--- a/src/hemlocktrestle/cli/_platform_commands.py
+++ b/src/hemlocktrestle/cli/_platform_commands.py
@@ -7,6 +7,7 @@
 
 from hemlocktrestle.cli._context import Context
 from hemlocktrestle.cli._registry import command
+from hemlocktrestle.edge._own_entries import VM_PREFIX
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import Configuration, urgency_rank
 from hemlocktrestle.platform import (
@@ -19,9 +20,6 @@
     read_settings,
 )
 
-VMS_PREFIX = "hemlocktrestle/vms/"
-"""Start of the keys under which VMs register."""
-
 
 def _at(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("--at", required=True, help="address of the platform's store")
@@ -112,7 +110,7 @@
     """Print each VM's entry."""
     shown = {
         name: json.loads(value)
-        for name, value in await _items(context.options.at, VMS_PREFIX)
+        for name, value in await _items(context.options.at, VM_PREFIX)
     }
     lines = [
         f"{name:24} {entry['region']:12} {entry['zone']:14} {entry['address']}"
--- a/src/hemlocktrestle/keeper/_objective_queue.py
+++ b/src/hemlocktrestle/keeper/_objective_queue.py
@@ -39,15 +39,6 @@
             if is_open(class_of(waiting.ask), waiting.ask.tier):
                 yield waiting
 
-    def take(self, ask_id: str) -> Waiting | None:
-        """Take out an ask that is served."""
-        return self.remove(ask_id)
-
-    def remove(self, ask_id: str) -> Waiting | None:
-        """Take out an ask that is not served, and return it if it was there."""
-        entry = self._present.pop(ask_id, None)
-        return entry.waiting if entry is not None else None
-
     def last(self) -> Waiting | None:
         """Return the ask to shed first, or ``None``."""
         return max(self.waiting(), key=self._key, default=None)
--- a/src/hemlocktrestle/keeper/_queue.py
+++ b/src/hemlocktrestle/keeper/_queue.py
@@ -145,6 +145,15 @@
             if waiting.ask.ask_id in self._present:
                 return
 
+    def take(self, ask_id: str) -> Waiting | None:
+        """Take out an ask that is served."""
+        return self.remove(ask_id)
+
+    def remove(self, ask_id: str) -> Waiting | None:
+        """Take out an ask that is not served, and return it if it was there."""
+        entry = self._present.pop(ask_id, None)
+        return entry.waiting if entry is not None else None
+
     def advance(self, now_ms: float) -> None:
         """Take in the time, on which the order does not depend."""
 
@@ -196,15 +205,6 @@
                 best = entry
         return self.get(best[1]) if best is not None else None
 
-    def take(self, ask_id: str) -> Waiting | None:
-        """Take out an ask that is served."""
-        return self.remove(ask_id)
-
-    def remove(self, ask_id: str) -> Waiting | None:
-        """Take out an ask that is not served, and return it if it was there."""
-        entry = self._present.pop(ask_id, None)
-        return entry.waiting if entry is not None else None
-
     def last(self) -> Waiting | None:
         """Return the ask to shed first, or ``None``."""
         entry = self._newest.peek()
--- a/src/hemlocktrestle/peers/_network.py
+++ b/src/hemlocktrestle/peers/_network.py
@@ -78,11 +78,6 @@
             if vm != skip:
                 link.post(message)
 
-    @property
-    def dialled(self) -> frozenset[str]:
-        """The VMs that this VM has an open link to."""
-        return frozenset(self._dialled)
-
     def send(self, vm: str, message: Message) -> bool:
         """Send a message to a peer or to this VM itself; ``False`` if it cannot."""
         return self._post(self._dialled, vm, message)
