--- a/src/hemlocktrestle/edge/_permit_scheduler.py
+++ b/src/hemlocktrestle/edge/_permit_scheduler.py
@@ -183,7 +183,7 @@
     def _ask(self, job: Job, excluded: frozenset[str]) -> Ask:
         self._count += 1
         facts, route = job.facts, job.route
-        engine = job.service.engine
+        is_engine = job.service.engine is not None
         aim_ms = self._aim_ms(job)
         left_ms = job.deadline_at_ms - now_ms()
         return Ask(
@@ -193,16 +193,14 @@
             tier=0 if job.is_begun else job.rank,
             weight=1.0,
             prompt_tokens=facts.prompt_tokens,
-            output_tokens=facts.expected_output_tokens if engine else PLAIN_TOKENS,
+            output_tokens=facts.expected_output_tokens if is_engine else PLAIN_TOKENS,
             prefix_digest=0,
             deadline_ms=int(min(left_ms, route.objective_ms * HOLD_OBJECTIVES)),
             excluded=tuple(sorted(excluded)),
             aim_ms=int(max(0.0, aim_ms)),
             route=route.name,
             # A request that comes here again has been counted.
-            amount=job.amount if engine and not excluded else 0,
-            pause_ms=int(route.gap_ms),
-            part_tokens=engine.tokens_per_event if engine else 1,
+            amount=job.amount if is_engine and not excluded else 0,
         )
 
     def _aim_ms(self, job: Job) -> float:
--- a/src/hemlocktrestle/keeper/_chooser.py
+++ b/src/hemlocktrestle/keeper/_chooser.py
@@ -1,6 +1,6 @@
 """Ways to choose an upstream for an ask, in a registry by name."""
 
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from hemlocktrestle.keeper._queue import Waiting
@@ -11,10 +11,6 @@
 class Upstreams(Protocol):
     """The upstreams of a pool."""
 
-    def __iter__(self) -> Iterator[UpstreamModel]:
-        """Return all that take work."""
-        ...
-
     def candidates(self, ask: Ask) -> list[UpstreamModel]:
         """Return a few with room for an ask: the least loaded, and its prefix's."""
         ...
@@ -45,27 +41,6 @@
     return _first_to_finish(waiting.ask, upstreams.candidates(waiting.ask), now_ms)
 
 
-@chooser("short_pauses")
-def by_short_pauses(
-    waiting: Waiting, upstreams: Upstreams, now_ms: float
-) -> UpstreamModel | None:
-    """Choose the first to finish of those that read the prompt within a pause.
-
-    Long prompts are kept from slow engines, where all streams beside them would be
-    late; an ask rather waits for a place on a quicker one.
-    """
-    ask = waiting.ask
-    free = upstreams.candidates(ask)
-    quick = [model for model in free if model.pauses_in_time(ask)]
-    if not quick and any(
-        model.pauses_in_time(ask)
-        for model in upstreams
-        if model.record.name not in ask.excluded
-    ):
-        return None
-    return _first_to_finish(ask, quick or free, now_ms)
-
-
 @chooser("least_outstanding")
 def by_least_outstanding(
     waiting: Waiting, upstreams: Upstreams, now_ms: float
--- a/src/hemlocktrestle/keeper/_policy.py
+++ b/src/hemlocktrestle/keeper/_policy.py
@@ -62,7 +62,6 @@
     """
     return PoolPolicy(
         queue="objective",
-        chooser="short_pauses",
         early_refusal="none",
         prefill_share=1.0,
     )
--- a/src/hemlocktrestle/keeper/_rates.py
+++ b/src/hemlocktrestle/keeper/_rates.py
@@ -15,16 +15,6 @@
 """Spread of batch sizes that is assumed beside the observed, against wild slopes."""
 
 
-TELLING_PROMPT_TOKENS = 1_000
-"""Prompt tokens from which reading them outweighs an engine's present step."""
-
-UNDISTURBED_QUANTILE = 0.25
-"""Share of first tokens that come about as early as if nothing else was read."""
-
-QUANTILE_STEP = 0.2
-"""Relative step of the estimate of a quantile for one observation."""
-
-
 class PrefillFit:
     """Milliseconds per prompt token: all time seen over all tokens, newer more.
 
@@ -50,35 +40,6 @@
         return self._ms / self._tokens
 
 
-class UndisturbedPrefill:
-    """Milliseconds per prompt token of an engine that reads one prompt at a time.
-
-    A low quantile of what was seen: most first tokens also waited for other prompts.
-    """
-
-    __slots__ = ("_ms_per_token",)
-
-    def __init__(self) -> None:
-        self._ms_per_token = 0.0
-
-    def learn(self, tokens: int, first_ms: float) -> None:
-        """Take in the time to the first token behind this many prompt tokens."""
-        if tokens < TELLING_PROMPT_TOKENS:
-            return
-        seen = first_ms / tokens
-        if not self._ms_per_token:
-            self._ms_per_token = seen
-        elif seen < self._ms_per_token:
-            self._ms_per_token *= 1 - QUANTILE_STEP * (1 - UNDISTURBED_QUANTILE)
-        else:
-            self._ms_per_token *= 1 + QUANTILE_STEP * UNDISTURBED_QUANTILE
-
-    @property
-    def ms_per_token(self) -> float:
-        """The estimate, 0 until a long prompt was read."""
-        return self._ms_per_token
-
-
 class DecodeFit:
     """Milliseconds per token as a line over the batch size, by tokens, newer more."""
 
@@ -111,11 +72,10 @@
 class Rates:
     """Speed of one engine when nothing disturbs it."""
 
-    __slots__ = ("decode", "prefill", "undisturbed")
+    __slots__ = ("decode", "prefill")
 
     def __init__(self) -> None:
         self.prefill = PrefillFit()
-        self.undisturbed = UndisturbedPrefill()
         self.decode = DecodeFit()
 
     def copied(self) -> "Rates":
--- a/src/hemlocktrestle/keeper/_upstream.py
+++ b/src/hemlocktrestle/keeper/_upstream.py
@@ -205,17 +205,6 @@
         is_untried = self.learned_count < LEARNED_COUNT and not self.in_hand
         return total_ms * UNTRIED_FACTOR if is_untried else total_ms
 
-    def pauses_in_time(self, ask: Ask) -> bool:
-        """Tell whether an ask and what runs beside it pause no longer than allowed.
-
-        While an engine reads a prompt, its other streams wait.
-        """
-        if not ask.pause_ms:
-            return True
-        read_ms = ask.prompt_tokens * self.rates.undisturbed.ms_per_token
-        part_ms = ask.part_tokens * self._decode_ms(ask)
-        return not read_ms or read_ms + part_ms <= ask.pause_ms
-
     def nominal_ms(self) -> float:
         """Estimate the time of an ordinary request at the present load."""
         count = len(self.in_hand) + 1
@@ -275,7 +264,6 @@
             token_ms = (release.total_ms - first_ms) / output_tokens
             if output_tokens < TELLING_TOKENS:
                 token_ms = 0.0
-            self.rates.undisturbed.learn(item.prompt_tokens, first_ms)
             own_ms = item.first_ms - item.ahead_ms
             if item.ahead_ms <= own_ms / 2:
                 # With more ahead, the estimate would mostly learn from itself.
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -101,9 +101,7 @@
     the ask is sent; ``excluded`` names upstreams that the holder will not use;
     ``aim_ms`` is what remains until the first part of the answer is late, or
     ``NO_AIM``; asks of one ``route`` are alike in what they take; ``amount`` is
-    what it counts against its customer's quota, 0 if it has been counted;
-    ``pause_ms`` is the longest pause in its answer that is in time, 0 if none is
-    set, and ``part_tokens`` the output tokens that one part of it holds.
+    what it counts against its customer's quota, 0 if it has been counted.
     """
 
     ask_id: str
@@ -119,8 +117,6 @@
     aim_ms: int = NO_AIM
     route: str = ""
     amount: int = 0
-    pause_ms: int = 0
-    part_tokens: int = 1
 
 
 @message("queued")
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -82,8 +82,6 @@
   aimMs @10 :Int64 = -1;
   route @11 :Text;
   amount @12 :UInt32;
-  pauseMs @13 :UInt32;
-  partTokens @14 :UInt32 = 1;
 }
 
 struct ReplicaNews {
