Show waits by customer and replica, ages of beliefs, and what quotas leave

Cause: from metrics alone one could not tell which customer waited, how old the configuration and the book of replicas were, or whether a quota or the budget for repeats was used up. Change: histograms by customer and replica (the first 64 of each, the rest in one series), quantiles by service and rank from HDR histograms, gauges of ages, queues, quotas and repeats left.

--- a/src/hemlocktrestle/adapters/__init__.py
+++ b/src/hemlocktrestle/adapters/__init__.py
@@ -16,7 +16,6 @@
 )
 from hemlocktrestle.adapters._telemetry import (
     FileSpanExporter,
-    Latencies,
     configure_logs,
     make_tracer,
 )
@@ -28,7 +27,6 @@
     "FileSpanExporter",
     "HttpPlatformList",
     "HttpUpstreamClient",
-    "Latencies",
     "Metrics",
     "Responder",
     "Sources",
--- a/src/hemlocktrestle/adapters/_metrics.py
+++ b/src/hemlocktrestle/adapters/_metrics.py
@@ -7,7 +7,7 @@
 from prometheus_client.core import GaugeMetricFamily, Metric, SummaryMetricFamily
 from prometheus_client.registry import Collector
 
-from hemlocktrestle.adapters._telemetry import Latencies
+from hemlocktrestle.latency import Latencies
 from hemlocktrestle.wire import PoolSummary
 
 NO_KIND = "none"
@@ -31,7 +31,7 @@
         sources: where gauges are read from.
     """
 
-    def __init__(self, latencies: Latencies, sources: Sources) -> None:
+    def __init__(self, latencies: Latencies[str], sources: Sources) -> None:
         self.registry = CollectorRegistry()
         self._requests = Counter(
             "hemlocktrestle_requests",
@@ -49,7 +49,7 @@
 class _GaugeCollector(Collector):
     """Reads gauges and latencies from their sources."""
 
-    def __init__(self, latencies: Latencies, sources: Sources) -> None:
+    def __init__(self, latencies: Latencies[str], sources: Sources) -> None:
         self._latencies = latencies
         self._sources = sources
 
@@ -101,10 +101,11 @@
             "Quantiles of those latencies, in milliseconds.",
             labels=("name", "quantile"),
         )
-        for name, shown in self._latencies.percentiles().items():
-            family.add_metric((name,), int(shown["count"]), shown["sum_ms"])
-            for quantile in ("p50", "p95", "p99"):
-                quantiles.add_metric((name, quantile), shown[f"{quantile}_ms"])
+        for name, shown in sorted(self._latencies.percentiles().items()):
+            family.add_metric((name,), shown.total_count, shown.sum_ms)
+            quantiles.add_metric((name, "p50"), shown.p50_ms)
+            quantiles.add_metric((name, "p95"), shown.p95_ms)
+            quantiles.add_metric((name, "p99"), shown.p99_ms)
         yield family
         yield quantiles
 
--- a/src/hemlocktrestle/adapters/_telemetry.py
+++ b/src/hemlocktrestle/adapters/_telemetry.py
@@ -1,4 +1,4 @@
-"""Logs, traces and latency histograms."""
+"""Logs and traces."""
 
 import json
 import logging
@@ -8,7 +8,6 @@
 from pathlib import Path
 from typing import TextIO
 
-from hdrh.histogram import HdrHistogram
 from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
@@ -20,12 +19,6 @@
 from opentelemetry.trace import Tracer
 from pythonjsonlogger.json import JsonFormatter
 
-LATENCY_MS_MAX = 3_600_000
-"""Largest latency that a histogram holds, in milliseconds."""
-
-SIGNIFICANT_DIGITS = 2
-"""Precision of the histograms."""
-
 EXPORT_DELAY_MS = 200
 """Longest time that an ended span waits for export, in milliseconds."""
 
@@ -110,31 +103,3 @@
         )
     stack.callback(provider.shutdown)
     return provider.get_tracer("hemlocktrestle")
-
-
-class Latencies:
-    """Latency histograms by name, in milliseconds."""
-
-    def __init__(self) -> None:
-        self._histograms: dict[str, HdrHistogram] = {}
-
-    def record(self, name: str, value_ms: float) -> None:
-        """Count one latency."""
-        histogram = self._histograms.get(name)
-        if histogram is None:
-            histogram = HdrHistogram(1, LATENCY_MS_MAX, SIGNIFICANT_DIGITS)
-            self._histograms[name] = histogram
-        histogram.record_value(max(1, min(LATENCY_MS_MAX, int(value_ms))))
-
-    def percentiles(self) -> dict[str, dict[str, float]]:
-        """Return count, sum, median, 95th and 99th percentile of each histogram."""
-        return {
-            name: {
-                "count": histogram.get_total_count(),
-                "sum_ms": histogram.get_mean_value() * histogram.get_total_count(),
-                "p50_ms": histogram.get_value_at_percentile(50),
-                "p95_ms": histogram.get_value_at_percentile(95),
-                "p99_ms": histogram.get_value_at_percentile(99),
-            }
-            for name, histogram in sorted(self._histograms.items())
-        }
--- a/src/hemlocktrestle/daemon/_daemon.py
+++ b/src/hemlocktrestle/daemon/_daemon.py
@@ -18,7 +18,6 @@
     EtcdStore,
     HttpPlatformList,
     HttpUpstreamClient,
-    Latencies,
     Metrics,
     Sources,
     make_tracer,
@@ -40,6 +39,7 @@
 from hemlocktrestle.daemon._upstream_prober import UpstreamProber
 from hemlocktrestle.daemon._vm_settings import VmSettings, read_secret
 from hemlocktrestle.keeper import POLICY_DEFAULT
+from hemlocktrestle.latency import Latencies
 from hemlocktrestle.membership import Membership, VmRecord
 from hemlocktrestle.peers._asker import Asker
 from hemlocktrestle.peers._keeper_task import KeeperTask
@@ -100,7 +100,7 @@
             vm["name"], vm["zone"], vm["region"], address_of(listeners.peers), False
         )
         self.membership = Membership(record)
-        self._latencies = Latencies()
+        self._latencies = Latencies[str]()
         self._security = Security(settings["security"])
         self._metrics = Metrics(
             self._latencies,
--- a/src/hemlocktrestle/daemon/_entry.py
+++ b/src/hemlocktrestle/daemon/_entry.py
@@ -10,7 +10,7 @@
 from opentelemetry import propagate, trace
 from opentelemetry.trace import Span, Tracer
 
-from hemlocktrestle.adapters import Latencies, Responder
+from hemlocktrestle.adapters import Responder
 from hemlocktrestle.claims import (
     TICKET_MS,
     ClaimBook,
@@ -39,6 +39,7 @@
     RequestError,
     outcome_of,
 )
+from hemlocktrestle.latency import Latencies
 from hemlocktrestle.membership import Membership
 from hemlocktrestle.peers._asker import Asker
 from hemlocktrestle.ports import UpstreamClient
@@ -90,7 +91,7 @@
         claims: ClaimBook,
         tickets: TicketDesk,
         tracer: Tracer,
-        latencies: Latencies,
+        latencies: Latencies[str],
         count: CountRequest = _count_nothing,
         now_ms: Callable[[], float],
     ) -> None:
--- a/src/hemlocktrestle/daemon/_status.py
+++ b/src/hemlocktrestle/daemon/_status.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from hemlocktrestle.adapters import Latencies
 from hemlocktrestle.daemon._entry import Entry
 from hemlocktrestle.daemon._list_follower import ListFollower
 from hemlocktrestle.daemon._tree_service import TreeService
 from hemlocktrestle.daemon._vm_settings import SecuritySection
+from hemlocktrestle.latency import Latencies
 from hemlocktrestle.membership import Membership
 from hemlocktrestle.peers._keeper_task import KeeperTask
 
@@ -23,7 +23,7 @@
     keeper: KeeperTask
     entry: Entry
     listed: ListFollower
-    latencies: Latencies
+    latencies: Latencies[str]
     now_ms: Callable[[], float]
 
 
@@ -50,7 +50,10 @@
         ],
         "doubted_entries": sources.listed.doubted,
         "pools": [summary._asdict() for summary in sources.keeper.summaries()],
-        "latencies": sources.latencies.percentiles(),
+        "latencies": {
+            name: shown._asdict()
+            for name, shown in sorted(sources.latencies.percentiles().items())
+        },
     }
 
 
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -24,7 +24,7 @@
     serve_answers,
 )
 from hemlocktrestle.edge._local_scheduler import LocalScheduler
-from hemlocktrestle.edge._metrics import EdgeMetrics, Gauges
+from hemlocktrestle.edge._metrics import EdgeMetrics, Gauges, LabelledGauges
 from hemlocktrestle.edge._own_entries import BusyRecorder, VmEntry, VmRegistrar
 from hemlocktrestle.edge._permit_scheduler import ANSWER_MS, PermitScheduler
 from hemlocktrestle.edge._place import AttemptReport, Place
@@ -166,23 +166,7 @@
             on_vms=self._peers.take_vms,
             on_busy=self._peers.take_busy,
         )
-        self._metrics = EdgeMetrics(
-            Gauges(
-                running=lambda: self._server.running_count,
-                connections=lambda: self._callers.connection_count,
-                configuration_version=self._configuration_version,
-                replicas_ready=lambda: sum(
-                    not record.is_draining for record in self.state.replicas.replicas()
-                ),
-                store_is_lost=lambda: float(self._health.is_lost),
-                store_calls=lambda: self._store.call_count,
-                vms_heard=lambda: self._fleet().heard_count,
-                asks_queued=lambda: sum(
-                    summary.queued_count for summary in self._keeper.summaries()
-                ),
-                log_lines_dropped=dropped_count,
-            )
-        )
+        self._metrics = EdgeMetrics(self._gauges(dropped_count), self._labelled())
         self._route()
 
     async def run(self) -> None:
@@ -278,6 +262,38 @@
         self.state.settings = settings
         log.info("settings_reloaded")
 
+    def _gauges(self, dropped_count: Callable[[], int]) -> Gauges:
+        health = self._health
+        return Gauges(
+            running=lambda: self._server.running_count,
+            connections=lambda: self._callers.connection_count,
+            configuration_version=self._configuration_version,
+            configuration_age_ms=lambda: health.age_ms(ConfigurationFollower.name),
+            replicas_ready=lambda: sum(
+                not record.is_draining for record in self.state.replicas.replicas()
+            ),
+            replicas_age_ms=lambda: health.age_ms(ReplicaFollower.name),
+            store_is_lost=lambda: float(health.is_lost),
+            store_answered_age_ms=health.age_ms,
+            store_calls=lambda: self._store.call_count,
+            vms_heard=lambda: self._fleet().heard_count,
+            asks_over_quota=lambda: self._keeper.over_quota_count,
+            log_lines_dropped=dropped_count,
+        )
+
+    def _labelled(self) -> LabelledGauges:
+        summaries = self._keeper.summaries
+        return LabelledGauges(
+            pool_queued_asks=lambda: {
+                found.pool: found.queued_count for found in summaries()
+            },
+            pool_free_slots=lambda: {
+                found.pool: found.free_slots for found in summaries()
+            },
+            customer_quota_left=lambda: self.state.quotas.left(self._fleet(), now_ms()),
+            service_repeats_left=self.state.repeats_left,
+        )
+
     def _configuration_version(self) -> float:
         configuration = self.state.configuration
         return float(configuration.version) if configuration is not None else 0.0
--- a/src/hemlocktrestle/edge/_follower.py
+++ b/src/hemlocktrestle/edge/_follower.py
@@ -1,6 +1,7 @@
 """What every follower of the platform's store shares."""
 
 import logging
+import math
 import random
 
 import trio
@@ -30,6 +31,15 @@
         self._state = state
         self.is_lost = False
         self.lost_count = 0
+        self._answered_ms: dict[str, float] = {}
+
+    def age_ms(self, *callers: str) -> float:
+        """Return the time since the store last answered one of some callers.
+
+        Infinite if it has not answered any.
+        """
+        times = [self._answered_ms.get(caller, -math.inf) for caller in callers]
+        return now_ms() - max(times or self._answered_ms.values(), default=-math.inf)
 
     def failed(self, caller: str, error: StoreError) -> None:
         """Note a call that brought no result."""
@@ -41,6 +51,7 @@
 
     def answered(self, caller: str) -> None:
         """Note a call that was answered."""
+        self._answered_ms[caller] = now_ms()
         if self.is_lost:
             self.is_lost = False
             log.info("store_back", extra={"caller": caller})
--- a/src/hemlocktrestle/edge/_metrics.py
+++ b/src/hemlocktrestle/edge/_metrics.py
@@ -10,6 +10,7 @@
 from hemlocktrestle.edge._job import Job
 from hemlocktrestle.edge._place import AttemptReport, Place
 from hemlocktrestle.edge._serve import Served
+from hemlocktrestle.latency import Latencies
 
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
@@ -17,41 +18,127 @@
 """Upper ends of the buckets of all histograms, in seconds."""
 
 
+_Kind = tuple[str, str]
+"""Service and rank of a request."""
+
+_TIMES = {
+    "first": "Time from a request's arrival to the first part of its answer.",
+    "permit_wait": "Time that requests waited for their permits.",
+}
+"""What is timed for each request, with its help."""
+
+SERIES_MAX = 64
+"""Customers or replicas with a series of their own; the rest share one.
+
+Each histogram series takes some kilobytes, and customers are many.
+"""
+
+OTHERS = "others"
+"""Label of the series that customers or replicas beyond the bound share."""
+
+Labels = dict[str, float]
+"""Values by the one label of a metric."""
+
+
 class Gauges(NamedTuple):
     """Functions that return present values; ages are in milliseconds."""
 
     running: Callable[[], float]
     connections: Callable[[], float]
     configuration_version: Callable[[], float]
+    configuration_age_ms: Callable[[], float]
     replicas_ready: Callable[[], float]
+    replicas_age_ms: Callable[[], float]
     store_is_lost: Callable[[], float]
+    store_answered_age_ms: Callable[[], float]
     store_calls: Callable[[], float]
     vms_heard: Callable[[], float]
-    asks_queued: Callable[[], float]
+    asks_over_quota: Callable[[], float]
     log_lines_dropped: Callable[[], float]
 
 
+class LabelledGauges(NamedTuple):
+    """Functions that return present values by their label."""
+
+    pool_queued_asks: Callable[[], Labels]
+    pool_free_slots: Callable[[], Labels]
+    customer_quota_left: Callable[[], Labels]
+    service_repeats_left: Callable[[], Labels]
+
+
 _HELP = {
     "running": "Requests in hand.",
     "connections": "Connections of callers that are open.",
     "configuration_version": "Version of the configuration in force, 0 for none.",
+    "configuration_age_ms": "Time since the configuration was last confirmed.",
     "replicas_ready": "Replicas that are believed to take work.",
+    "replicas_age_ms": "Time since the book of replicas was last confirmed.",
     "store_is_lost": "Whether the last call to the store failed.",
+    "store_answered_age_ms": "Time since the store last answered.",
     "store_calls": "Calls to the store since the start.",
     "vms_heard": "VMs whose demand is known, this one included.",
-    "asks_queued": "Asks that wait at the keeper on this VM.",
+    "asks_over_quota": "Asks that wait for quota at the keeper on this VM.",
     "log_lines_dropped": "Log lines that were not written, since the start.",
+    "pool_queued_asks": "Asks that wait in front of a pool kept here.",
+    "pool_free_slots": "Requests that a pool kept here may still be given.",
+    "customer_quota_left": "What a customer may still spend in this window.",
+    "service_repeats_left": "Repeats that this VM may still send to a service.",
 }
 
 
 class _Present(Collector):
-    def __init__(self, gauges: Gauges) -> None:
+    def __init__(self, gauges: Gauges, labelled: LabelledGauges) -> None:
         self._gauges = gauges
+        self._labelled = labelled
 
     def collect(self) -> Iterator[GaugeMetricFamily]:
         """Yield the present values."""
         for name, value in self._gauges._asdict().items():
             yield GaugeMetricFamily(f"hemlocktrestle_{name}", _HELP[name], value())
+        for name, values in self._labelled._asdict().items():
+            label = name.partition("_")[0]
+            family = GaugeMetricFamily(
+                f"hemlocktrestle_{name}", _HELP[name], labels=(label,)
+            )
+            for key, present in sorted(values().items()):
+                family.add_metric((key,), present)
+            yield family
+
+
+class _Quantiles(Collector):
+    """Quantiles that need no choice of buckets, by service and rank."""
+
+    def __init__(self, name: str, text: str, latencies: Latencies[_Kind]) -> None:
+        self._name = name
+        self._text = text
+        self._latencies = latencies
+
+    def collect(self) -> Iterator[GaugeMetricFamily]:
+        """Yield the quantiles since the start of the process."""
+        family = GaugeMetricFamily(
+            self._name, self._text, labels=("service", "rank", "quantile")
+        )
+        for kind, shown in sorted(self._latencies.percentiles().items()):
+            family.add_metric((*kind, "p50"), shown.p50_ms)
+            family.add_metric((*kind, "p95"), shown.p95_ms)
+            family.add_metric((*kind, "p99"), shown.p99_ms)
+        yield family
+
+
+class _BoundedLabels:
+    """Names that have a series of their own; the first so many."""
+
+    def __init__(self) -> None:
+        self._names: set[str] = set()
+
+    def label(self, name: str) -> str:
+        """Return the label under which a name is counted."""
+        if name in self._names:
+            return name
+        if len(self._names) >= SERIES_MAX:
+            return OTHERS
+        self._names.add(name)
+        return name
 
 
 class EdgeMetrics:
@@ -59,11 +146,14 @@
 
     Args:
         gauges: functions that return present values.
+        labelled: functions that return present values by a label.
     """
 
-    def __init__(self, gauges: Gauges) -> None:
+    def __init__(self, gauges: Gauges, labelled: LabelledGauges) -> None:
         self._registry = CollectorRegistry()
-        self._registry.register(_Present(gauges))
+        self._registry.register(_Present(gauges, labelled))
+        self._customer_labels = _BoundedLabels()
+        self._replica_labels = _BoundedLabels()
         self._requests = Counter(
             "hemlocktrestle_requests",
             "Requests by the way that they ended.",
@@ -82,17 +172,29 @@
             ("replica", "end"),
             registry=self._registry,
         )
-        self._first = Histogram(
-            "hemlocktrestle_first_seconds",
-            "Time from a request's arrival to the first part of its answer.",
-            ("service", "rank"),
-            buckets=BUCKETS_S,
-            registry=self._registry,
+        self._by_kind = {
+            name: self._times(name, text, ("service", "rank"))
+            for name, text in _TIMES.items()
+        }
+        self._by_customer = {
+            name: self._times(f"customer_{name}", text, ("customer",))
+            for name, text in _TIMES.items()
+        }
+        self._by_replica = self._times(
+            "replica_first", "Time from an attempt to its first part.", ("replica",)
         )
-        self._waits = Histogram(
-            "hemlocktrestle_permit_wait_seconds",
-            "Time that requests waited for their permits.",
-            ("service", "rank"),
+        self._quantiles: dict[str, Latencies[_Kind]] = {}
+        for name, text in _TIMES.items():
+            found = self._quantiles[name] = Latencies[_Kind]()
+            self._registry.register(
+                _Quantiles(f"hemlocktrestle_{name}_quantile_ms", text, found)
+            )
+
+    def _times(self, name: str, text: str, labels: tuple[str, ...]) -> Histogram:
+        return Histogram(
+            f"hemlocktrestle_{name}_seconds",
+            text,
+            labels,
             buckets=BUCKETS_S,
             registry=self._registry,
         )
@@ -106,15 +208,24 @@
         self._requests.labels(service, rank, served.outcome, status).inc()
         if job is None:
             return
-        self._customers.labels(job.customer_name, served.outcome).inc()
+        customer = self._customer_labels.label(job.customer_name)
+        self._customers.labels(customer, served.outcome).inc()
         if progress.replicas:
-            self._waits.labels(service, rank).observe(progress.waited_ms / 1000)
+            self._observe("permit_wait", (service, rank), customer, progress.waited_ms)
         if progress.first_ms:
-            self._first.labels(service, rank).observe(progress.first_ms / 1000)
+            self._observe("first", (service, rank), customer, progress.first_ms)
 
     def attempt(self, job: Job, place: Place, report: AttemptReport) -> None:
         """Count an attempt at its end."""
-        self._attempts.labels(place.replica_id, report.end.value).inc()
+        replica = self._replica_labels.label(place.replica_id)
+        self._attempts.labels(replica, report.end.value).inc()
+        if report.first_ms:
+            self._by_replica.labels(replica).observe(report.first_ms / 1000)
+
+    def _observe(self, name: str, kind: _Kind, customer: str, value_ms: float) -> None:
+        self._quantiles[name].record(kind, value_ms)
+        self._by_kind[name].labels(*kind).observe(value_ms / 1000)
+        self._by_customer[name].labels(customer).observe(value_ms / 1000)
 
     def text(self) -> tuple[int, bytes, bytes]:
         """Return status, content type and all values as text."""
--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -86,6 +86,14 @@
             and not self.is_draining
         )
 
+    def repeats_left(self) -> dict[str, float]:
+        """Return the repeats that this VM may still send, by service."""
+        vm_count = self.fleet().vm_count
+        return {
+            service: budget.left(vm_count, now_ms())
+            for service, budget in self._budgets.items()
+        }
+
     def budget(self, service: str) -> RetryBudget:
         """Return this VM's budget for repeats to a service."""
         budget = self._budgets.get(service)
--- a/src/hemlocktrestle/gateway/_retry_budget.py
+++ b/src/hemlocktrestle/gateway/_retry_budget.py
@@ -34,12 +34,16 @@
 
     def take(self, vm_count: int, now_ms: float) -> bool:
         """Spend one repeat; ``False`` if the budget is used up."""
+        if self.left(vm_count, now_ms) < 1:
+            return False
+        self._repeats.append(now_ms)
+        return True
+
+    def left(self, vm_count: int, now_ms: float) -> float:
+        """Return how many repeats this VM may still send in the present window."""
         start_ms = now_ms - self._window_ms
         for times in (self._requests, self._repeats):
             while times and times[0] < start_ms:
                 times.popleft()
         allowed = self._ratio * len(self._requests) + self._slack / max(1, vm_count)
-        if len(self._repeats) + 1 > allowed:
-            return False
-        self._repeats.append(now_ms)
-        return True
+        return allowed - len(self._repeats)
--- a/tests/adapters/test_metrics.py
+++ b/tests/adapters/test_metrics.py
@@ -4,7 +4,8 @@
 from testtools import TestCase
 from testtools.matchers import Contains
 
-from hemlocktrestle.adapters import Latencies, Metrics, Sources
+from hemlocktrestle.adapters import Metrics, Sources
+from hemlocktrestle.latency import Latencies
 from hemlocktrestle.wire import PoolSummary
 
 
@@ -13,7 +14,7 @@
 
     def test_counters_gauges_and_latencies_are_shown(self) -> None:
         """Each kind of metric stands in the text with its labels."""
-        latencies = Latencies()
+        latencies = Latencies[str]()
         latencies.record("total.high", 120)
         pools = [PoolSummary("assistant", 3, 40, 2)]
         metrics = Metrics(
--- /dev/null
+++ b/tests/latency/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the latency histograms."""
--- a/tests/support/_world.py
+++ b/tests/support/_world.py
@@ -10,13 +10,14 @@
 import trio
 from opentelemetry.trace import NoOpTracer
 
-from hemlocktrestle.adapters import Latencies, Responder
+from hemlocktrestle.adapters import Responder
 from hemlocktrestle.claims import ClaimBook, TicketTable
 from hemlocktrestle.daemon._crash_watch import CrashWatch
 from hemlocktrestle.daemon._entry import Entry
 from hemlocktrestle.daemon._tickets import TicketDesk
 from hemlocktrestle.daemon._upstream_prober import UpstreamProber
 from hemlocktrestle.entry import CallerRequest
+from hemlocktrestle.latency import Latencies
 from hemlocktrestle.membership import Listing, Membership, UpstreamRecord, VmRecord
 from hemlocktrestle.peers._asker import Asker
 from hemlocktrestle.peers._keeper_task import KeeperTask
@@ -136,7 +137,7 @@
             ),
             tickets=self.tickets,
             tracer=NoOpTracer(),
-            latencies=Latencies(),
+            latencies=Latencies[str](),
             now_ms=world.now_ms,
         )
         self.prober = UpstreamProber(
