--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -277,7 +277,6 @@
             store_answered_age_ms=health.age_ms,
             store_calls=lambda: self._store.call_count,
             vms_heard=lambda: self._fleet().heard_count,
-            asks_over_quota=lambda: self._keeper.over_quota_count,
             log_lines_dropped=dropped_count,
         )
 
--- a/src/hemlocktrestle/edge/_metrics.py
+++ b/src/hemlocktrestle/edge/_metrics.py
@@ -53,7 +53,6 @@
     store_answered_age_ms: Callable[[], float]
     store_calls: Callable[[], float]
     vms_heard: Callable[[], float]
-    asks_over_quota: Callable[[], float]
     log_lines_dropped: Callable[[], float]
 
 
@@ -77,7 +76,6 @@
     "store_answered_age_ms": "Time since the store last answered.",
     "store_calls": "Calls to the store since the start.",
     "vms_heard": "VMs whose demand is known, this one included.",
-    "asks_over_quota": "Asks that wait for quota at the keeper on this VM.",
     "log_lines_dropped": "Log lines that were not written, since the start.",
     "pool_queued_asks": "Asks that wait in front of a pool kept here.",
     "pool_free_slots": "Requests that a pool kept here may still be given.",
--- a/src/hemlocktrestle/edge/_quota_gate.py
+++ b/src/hemlocktrestle/edge/_quota_gate.py
@@ -35,12 +35,12 @@
     def __init__(self, state: EdgeState) -> None:
         self._state = state
 
-    def admit(self, ask: Ask, *, is_new: bool = True) -> float | None:
+    def admit(self, ask: Ask) -> float | None:
         """Count an ask; returns the time to come again in if it is over the quota."""
         customer = self._customer(ask.customer)
         if customer is None:
             return None
-        return self.spend(customer, ask.amount, request_id=ask.ask_id, is_new=is_new)
+        return self.spend(customer, ask.amount, request_id=ask.ask_id)
 
     def refund(self, ask: Ask) -> None:
         """Give back what an ask counted that got no permit."""
@@ -48,12 +48,7 @@
             self._state.quotas.refund(ask.customer, ask.amount, now_ms())
 
     def spend(
-        self,
-        customer: Customer,
-        amount: float,
-        *,
-        request_id: str,
-        is_new: bool = True,
+        self, customer: Customer, amount: float, *, request_id: str
     ) -> float | None:
         """Count a request here.
 
@@ -61,7 +56,6 @@
             customer: whose quota it counts against.
             amount: what it counts.
             request_id: its id, for the log.
-            is_new: whether it was not counted before.
 
         Returns:
             ``None``, or the time in milliseconds to come again in.
@@ -84,9 +78,8 @@
             fleet=fleet,
             now_ms=now_ms(),
             was_busy=customer.name in self._state.busy_customers,
-            is_new=is_new,
         )
-        if wait_ms is not None and is_new:
+        if wait_ms is not None:
             log.info(
                 "quota_spent",
                 extra={
--- a/src/hemlocktrestle/gateway/_quota.py
+++ b/src/hemlocktrestle/gateway/_quota.py
@@ -178,7 +178,6 @@
         fleet: Fleet,
         now_ms: float,
         was_busy: bool = True,
-        is_new: bool = True,
     ) -> float | None:
         """Spend from a customer's quota.
 
@@ -190,8 +189,6 @@
             now_ms: time of the process in milliseconds.
             was_busy: whether the customer may have spent all of its quota before
                 the processes that are young started.
-            is_new: whether the request is tried for the first time, so that it
-                counts as asked for.
 
         Returns:
             ``None`` if the request is within the quota, else the time in
@@ -201,8 +198,7 @@
         if account is None:
             account = self._accounts[customer] = _Account(now_ms)
         self._window_ms = quota.window_ms
-        if is_new:
-            account.asked.add(amount, now_ms)
+        account.asked.add(amount, now_ms)
         account.expire(now_ms - quota.window_ms)
         others = fleet.demands.get(customer) or Demand(customer, 0.0, 0.0)
         limit = quota.limit * _heard_share(fleet)
--- a/src/hemlocktrestle/peers/_keeper_task.py
+++ b/src/hemlocktrestle/peers/_keeper_task.py
@@ -10,7 +10,6 @@
 from hemlocktrestle.errors import ErrorKind
 from hemlocktrestle.keeper import POLICY_DEFAULT, Outgoing, PoolKeeper, policy_named
 from hemlocktrestle.membership import Membership
-from hemlocktrestle.peers._quota_queue import OverQuota, QuotaQueue
 from hemlocktrestle.wire import (
     Ask,
     Message,
@@ -42,11 +41,8 @@
 class QuotaGate(Protocol):
     """Counts asks against the quotas of customers."""
 
-    def admit(self, ask: Ask, *, is_new: bool = True) -> float | None:
-        """Count an ask; returns the time to come again in if it is over the quota.
-
-        One that was over and is tried again is not new.
-        """
+    def admit(self, ask: Ask) -> float | None:
+        """Count an ask; returns the time to come again in if it is over the quota."""
         ...
 
     def refund(self, ask: Ask) -> None:
@@ -57,7 +53,7 @@
 class OpenGate:
     """Lets every ask pass."""
 
-    def admit(self, ask: Ask, *, is_new: bool = True) -> float | None:
+    def admit(self, ask: Ask) -> float | None:
         """Return ``None``."""
         return None
 
@@ -103,18 +99,12 @@
         self._reply = reply
         self._now_ms = now_ms
         self._policy = policy
-        self._over_quota = QuotaQueue()
         self._pools: dict[str, PoolKeeper] = {}
         self._lost_ms: dict[str, float] = {}
         self._inbox: deque[_Letter | _HolderLost] = deque()
         self._is_draining = False
         self._has_mail = trio.Event()
 
-    @property
-    def over_quota_count(self) -> int:
-        """How many asks wait for quota."""
-        return len(self._over_quota)
-
     def received(self, vm: str, message: Message) -> None:
         """Queue a holder's message."""
         self._post(_Letter(vm, message))
@@ -140,17 +130,6 @@
         for pool, keeper in list(self._pools.items()):
             if not self._keeps(pool):
                 self._send(keeper, keeper.close())
-        self._hand_over_quota()
-
-    def _hand_over_quota(self) -> None:
-        if not self._membership.is_draining:
-            return
-        for waiting in self._over_quota.take_all():
-            if self._keeps(waiting.ask.pool):
-                self._over_quota.push(waiting)
-            else:
-                kind = ErrorKind.KEEPER_GONE.value
-                self._reply(waiting.vm, Refusal(waiting.ask.ask_id, kind))
 
     async def run(self) -> None:
         """Handle messages and time until cancelled."""
@@ -185,7 +164,6 @@
 
     def _handle(self, item: _Letter | _HolderLost) -> None:
         if isinstance(item, _HolderLost):
-            self._over_quota.holder_lost(item.vm)
             for keeper in self._pools.values():
                 self._send(keeper, keeper.holder_lost(item.vm, self._now_ms()))
             return
@@ -195,39 +173,14 @@
         if not self._keeps(ask.pool):
             self._reply(vm, Refusal(ask.ask_id, ErrorKind.KEEPER_GONE.value))
             return
+        keeper = self._keeper(ask.pool)
         if ask.amount:
             wait_ms = self._gate.admit(ask)
             if wait_ms is not None:
-                self._wait_for_quota(OverQuota(vm, ask, self._now_ms(), wait_ms))
+                kind = ErrorKind.RATE_LIMITED.value
+                self._reply(vm, Refusal(ask.ask_id, kind, int(wait_ms)))
                 return
             self._counted[ask.ask_id] = ask
-        self._queue(vm, ask)
-
-    def _wait_for_quota(self, waiting: OverQuota) -> None:
-        if not self._over_quota.push(waiting):
-            self._refuse_over_quota(waiting)
-        elif self._acknowledges:
-            self._reply(waiting.vm, Queued(waiting.ask.ask_id))
-
-    def _refuse_over_quota(self, waiting: OverQuota) -> None:
-        kind = ErrorKind.RATE_LIMITED.value
-        refusal = Refusal(waiting.ask.ask_id, kind, int(waiting.wait_ms))
-        self._reply(waiting.vm, refusal)
-
-    def _admit_over_quota(self) -> None:
-        """Queue asks whose customers' quotas have room again; refuse the expired."""
-        now_ms = self._now_ms()
-        for waiting in self._over_quota.expired(now_ms):
-            self._refuse_over_quota(waiting)
-        for waiting in self._over_quota.admitted(self._admit_again):
-            self._counted[waiting.ask.ask_id] = waiting.ask
-            self._queue(waiting.vm, waiting.at(now_ms))
-
-    def _admit_again(self, ask: Ask) -> float | None:
-        return self._gate.admit(ask, is_new=False)
-
-    def _queue(self, vm: str, ask: Ask) -> None:
-        keeper = self._keeper(ask.pool)
         self._send(keeper, keeper.ask(vm, ask, self._now_ms()))
         if self._acknowledges and keeper.holds(ask.ask_id):
             self._reply(vm, Queued(ask.ask_id))
@@ -241,8 +194,6 @@
 
     def _withdraw(self, vm: str, withdraw: Withdraw) -> None:
         keeper = self._keeper(withdraw.pool)
-        if self._over_quota.withdraw(withdraw.ask_id):
-            return
         self._refund(withdraw.ask_id)
         self._send(keeper, keeper.withdraw(withdraw, self._now_ms()))
 
@@ -284,7 +235,6 @@
             await trio.sleep(TICK_S)
             ticks += 1
             self.hand_over()
-            self._admit_over_quota()
             for pool, keeper in list(self._pools.items()):
                 if ticks % TICKS_PER_REFRESH == 0:
                     self._refresh(pool)
