Bound the memory of bodies, check edge settings, and test freezes and silence

Changes: bodies share a quarter of the stated memory, and what finds no room is refused unread with 503; the status of an unread request comes from the one table of errors; an ask does not pause beyond its deadline; unused wall_ms is gone. Found by the new tests: a refusal could come up to 50 ms after the deadline, as the asker paused without looking at it.

--- a/src/hemlocktrestle/daemon/__main__.py
+++ b/src/hemlocktrestle/daemon/__main__.py
@@ -13,6 +13,7 @@
 from hemlocktrestle.daemon._run import run_daemon
 from hemlocktrestle.daemon._vm_settings import read_secret, read_vm_settings
 from hemlocktrestle.errors import RequestError
+from hemlocktrestle.platform import is_edge_settings, read_settings
 
 EXIT_SETTINGS = 2
 """Exit code when the settings are wrong; nothing was started."""
@@ -43,6 +44,8 @@
     """
     options = build_parser().parse_args(arguments)
     try:
+        if is_edge_settings(options.settings):
+            return _check_for_edge(options.settings, is_check=options.check)
         settings = read_vm_settings(options.settings)
         read_secret(
             settings["security"]["operator_token_file"],
@@ -59,5 +62,18 @@
     return 0
 
 
+def _check_for_edge(path: Path, *, is_check: bool) -> int:
+    """Check a settings file of the users' platform, on which the edge runs."""
+    read_settings(path)
+    if not is_check:
+        print(
+            f"{path}: settings of the users' platform; run hemlocktrestle-edge",
+            file=sys.stderr,
+        )
+        return EXIT_SETTINGS
+    print(f"{path}: settings are valid (hemlocktrestle-edge)")
+    return 0
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -34,8 +34,9 @@
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.gateway import Fleet
 from hemlocktrestle.peers import Asker, KeeperTask, PeerNetwork
-from hemlocktrestle.platform import PlatformSettings, PlatformStore, read_settings
+from hemlocktrestle.platform import EdgeSettings, PlatformStore, read_settings
 from hemlocktrestle.quarantine import QuarantineBook
+from hemlocktrestle.relay import BodyRoom
 from hemlocktrestle.wire import (
     PROTOCOL_VERSION,
     Ask,
@@ -67,6 +68,12 @@
 DESCRIPTORS_PER_CALLER = 2
 """Descriptors that one caller needs: its connection and one to a replica."""
 
+BODIES_SHARE = 0.25
+"""Share of the process's memory that bodies of requests may take.
+
+The process itself takes up to 40 MB, and a body is held twice while it is sent.
+"""
+
 RESERVED_DESCRIPTORS = 200
 """Descriptors that the platform reserves for files."""
 
@@ -83,7 +90,7 @@
 
     def __init__(
         self,
-        settings: PlatformSettings,
+        settings: EdgeSettings,
         path: Path,
         *,
         metrics_port: int,
@@ -158,6 +165,7 @@
             self.state,
             self._server.serve,
             connections_max=descriptors // DESCRIPTORS_PER_CALLER,
+            body_room=BodyRoom(int(settings.memory_bytes * BODIES_SHARE)),
         )
         self._registrar = VmRegistrar(
             entry,
@@ -357,7 +365,7 @@
 
 
 async def run_edge(
-    settings: PlatformSettings,
+    settings: EdgeSettings,
     path: Path,
     *,
     metrics_port: int,
--- a/src/hemlocktrestle/edge/_listeners.py
+++ b/src/hemlocktrestle/edge/_listeners.py
@@ -10,7 +10,7 @@
 import trio
 
 from hemlocktrestle.edge._state import EdgeState
-from hemlocktrestle.relay import CallerConnection, CallerRequest
+from hemlocktrestle.relay import BodyRoom, CallerConnection, CallerRequest
 
 log = logging.getLogger(__name__)
 
@@ -51,6 +51,7 @@
         state: what the process believes.
         handle: answers one request.
         connections_max: connections that are held at once.
+        body_room: memory for the bodies of all their requests.
     """
 
     def __init__(
@@ -59,7 +60,9 @@
         handle: Callable[[CallerRequest, CallerConnection], Awaitable[None]],
         *,
         connections_max: int,
+        body_room: BodyRoom,
     ) -> None:
+        self._body_room = body_room
         self._state = state
         self._handle = handle
         self._room = trio.CapacityLimiter(connections_max)
@@ -97,6 +100,7 @@
             stream,
             limits=lambda: self._state.limits,
             is_closing=lambda: self._state.is_draining,
+            body_room=self._body_room,
         )
         try:
             with trio.CancelScope() as scope:
--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -1,6 +1,5 @@
 """What one edge process believes and holds."""
 
-import time
 from collections.abc import Callable
 
 import trio
@@ -13,7 +12,7 @@
     ReplicaBook,
     RetryBudget,
 )
-from hemlocktrestle.platform import Dialect, PlatformSettings
+from hemlocktrestle.platform import Dialect, EdgeSettings
 
 NOTICE_MS = 2_800.0
 """Time after the order to stop in which requests are still taken, in milliseconds.
@@ -27,11 +26,6 @@
     return trio.current_time() * 1000
 
 
-def wall_ms() -> int:
-    """Return the time in milliseconds since the epoch; it may jump."""
-    return time.time_ns() // 1_000_000
-
-
 class EdgeState:
     """State that the tasks of one process share.
 
@@ -40,9 +34,7 @@
         fleet: returns what is known of the other VMs.
     """
 
-    def __init__(
-        self, settings: PlatformSettings, *, fleet: Callable[[], Fleet]
-    ) -> None:
+    def __init__(self, settings: EdgeSettings, *, fleet: Callable[[], Fleet]) -> None:
         self.settings = settings
         self.fleet = fleet
         self.dialect = Dialect()
--- a/src/hemlocktrestle/peers/_asker.py
+++ b/src/hemlocktrestle/peers/_asker.py
@@ -116,7 +116,9 @@
             if last.kind in _NEXT_ZONE_KINDS:
                 zone_index += 1
             else:
-                await trio.sleep(self._jitter.uniform(0, RETRY_MS_MAX) / 1000)
+                pause_ms = self._jitter.uniform(0, RETRY_MS_MAX)
+                left_ms = max(0.0, deadline_at_ms - self._now_ms())
+                await trio.sleep(min(pause_ms, left_ms) / 1000)
         raise last
 
     def release(self, held: HeldPermit, release: Release) -> None:
--- a/src/hemlocktrestle/platform/__init__.py
+++ b/src/hemlocktrestle/platform/__init__.py
@@ -5,8 +5,9 @@
 from hemlocktrestle.platform._registrations import decode_registration
 from hemlocktrestle.platform._settings import (
     Bounds,
-    PlatformSettings,
+    EdgeSettings,
     decode_settings,
+    is_edge_settings,
     read_settings,
     settings_path,
 )
@@ -27,9 +28,9 @@
     "REGISTRATIONS_PREFIX",
     "Bounds",
     "Dialect",
+    "EdgeSettings",
     "Item",
     "Page",
-    "PlatformSettings",
     "PlatformStore",
     "Removed",
     "StoreError",
@@ -38,6 +39,7 @@
     "decode_configuration",
     "decode_registration",
     "decode_settings",
+    "is_edge_settings",
     "read_settings",
     "settings_path",
 ]
--- a/src/hemlocktrestle/platform/_settings.py
+++ b/src/hemlocktrestle/platform/_settings.py
@@ -20,6 +20,9 @@
 QUOTA_WINDOW_S = 10
 """Window over which quotas are counted if the platform states none, in seconds."""
 
+_OWN_FIELDS = frozenset({"nodeName", "platformSettings", "contractBounds"})
+"""Fields of the platform's files that files of the project never have."""
+
 # The platform adds fields over time, so unknown ones are passed over.
 _OPEN = ConfigDict(extra="ignore")
 _Address = Annotated[str, Field(pattern=r"^[^\s:]+:\d{1,5}$")]
@@ -36,6 +39,7 @@
 @with_config(_OPEN)
 class _Limits(TypedDict):
     maxFds: Annotated[int, Field(gt=200)]
+    memoryMb: Annotated[float, Field(gt=0)]
 
 
 @with_config(_OPEN)
@@ -93,7 +97,7 @@
     quota_slack: float
 
 
-class PlatformSettings(NamedTuple):
+class EdgeSettings(NamedTuple):
     """What one process learns from the platform.
 
     Args:
@@ -120,6 +124,7 @@
     region_of_zone: dict[str, str]
     store_address: str
     descriptors_max: int
+    memory_bytes: int
     bounds: Bounds
 
 
@@ -128,7 +133,7 @@
     return Path(environment.get(SETTINGS_VARIABLE, SETTINGS_PATH_DEFAULT))
 
 
-def read_settings(path: Path) -> PlatformSettings:
+def read_settings(path: Path) -> EdgeSettings:
     """Read and check a settings file.
 
     Args:
@@ -140,14 +145,26 @@
     Raises:
         RequestError: of kind ``SETTINGS_INVALID``; the message names the field.
     """
+    return decode_settings(_parsed(path), source=str(path))
+
+
+def is_edge_settings(path: Path) -> bool:
+    """Tell whether a file is one that the platform writes for a process.
+
+    Raises:
+        RequestError: of kind ``SETTINGS_INVALID`` if it cannot be read as TOML.
+    """
+    return not _OWN_FIELDS.isdisjoint(_parsed(path))
+
+
+def _parsed(path: Path) -> dict[str, Any]:
     try:
-        document = tomllib.loads(path.read_text(encoding="utf-8"))
+        return tomllib.loads(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise RequestError(ErrorKind.SETTINGS_INVALID, f"{path}: {error}") from error
-    return decode_settings(document, source=str(path))
 
 
-def decode_settings(document: dict[str, Any], *, source: str) -> PlatformSettings:
+def decode_settings(document: dict[str, Any], *, source: str) -> EdgeSettings:
     """Check a settings document and translate it.
 
     Args:
@@ -170,7 +187,7 @@
             ErrorKind.SETTINGS_INVALID, f"{source}: {field}: {reason}"
         ) from error
     bounds = raw["contractBounds"]
-    return PlatformSettings(
+    return EdgeSettings(
         vm=raw["nodeName"],
         zone=raw["zone"],
         region=raw["region"],
@@ -181,6 +198,7 @@
         region_of_zone=dict(raw["zones"]),
         store_address=raw["platformSettings"]["address"],
         descriptors_max=raw["limits"]["maxFds"],
+        memory_bytes=int(raw["limits"]["memoryMb"] * 1_000_000),
         bounds=Bounds(
             grace_ms=bounds["graceS"] * 1000,
             repeat_ratio=bounds["budgetRatio"],
--- a/src/hemlocktrestle/relay/__init__.py
+++ b/src/hemlocktrestle/relay/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 towards callers and replicas, with control over each connection."""
 
+from hemlocktrestle.relay._body_room import BodyRoom
 from hemlocktrestle.relay._client import (
     ReplicaAnswer,
     ReplicaRequest,
@@ -9,6 +10,7 @@
 from hemlocktrestle.relay._server import CallerConnection, CallerRequest
 
 __all__ = [
+    "BodyRoom",
     "CallerConnection",
     "CallerRequest",
     "ReplicaAnswer",
--- a/src/hemlocktrestle/relay/_server.py
+++ b/src/hemlocktrestle/relay/_server.py
@@ -7,8 +7,9 @@
 import h11
 import trio
 
-from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.errors import ANSWERS, ErrorKind, RequestError
 from hemlocktrestle.gateway import CallerLimits, Headers
+from hemlocktrestle.relay._body_room import BodyRoom
 
 log = logging.getLogger(__name__)
 
@@ -50,6 +51,7 @@
         stream: the connection.
         limits: returns the limits in force.
         is_closing: whether connections close after the answer in hand.
+        body_room: memory for bodies, shared with other connections.
     """
 
     def __init__(
@@ -58,7 +60,10 @@
         *,
         limits: Callable[[], CallerLimits],
         is_closing: Callable[[], bool],
+        body_room: BodyRoom,
     ) -> None:
+        self._body_room = body_room
+        self._body_bytes = 0
         self._stream = stream
         self._limits = limits
         self._is_closing = is_closing
@@ -120,6 +125,7 @@
             reason = str(errors.exceptions[0])
             log.warning("answer_not_sendable", extra={"reason": reason})
         finally:
+            self._forget_body()
             await trio.aclose_forcefully(self._stream)
 
     async def _serve_all(
@@ -132,6 +138,7 @@
             self.is_answer_started = False
             self._is_head = request.method == b"HEAD"
             await self._handle_watched(handle, request)
+            self._forget_body()
             states = {self._machine.our_state, self._machine.their_state}
             if states != {h11.DONE} or self._is_closing():
                 return
@@ -182,6 +189,7 @@
                 await self._send(self._machine.send(go_on))
             body = await self._read_body()
         except RequestError as error:
+            self._forget_body()
             await self._refuse(error)
             return None
         if body is None:
@@ -240,6 +248,7 @@
                     ErrorKind.BAD_REQUEST, "body cannot be read"
                 ) from error
             if isinstance(event, h11.Data):
+                self._keep_body(len(event.data))
                 pieces += event.data
                 if len(pieces) > bytes_max:
                     raise RequestError(
@@ -257,13 +266,29 @@
             else:
                 return None
 
+    def _keep_body(self, count: int) -> None:
+        if not self._body_room.take(count):
+            raise RequestError(ErrorKind.SHED, "no memory is left for bodies")
+        self._body_bytes += count
+
+    def _forget_body(self) -> None:
+        self._body_room.give_back(self._body_bytes)
+        self._body_bytes = 0
+
     async def _refuse(self, error: RequestError) -> None:
         """Answer a request that cannot be read, and close."""
         if self._machine.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
         self._is_head = False
-        status = _UNREADABLE_STATUS[error.kind]
-        await self.whole(status, [(b"connection", b"close")], b"")
+        answer = ANSWERS[error.kind]
+        lines = [(b"connection", b"close")]
+        if answer.retry_after_s is not None:
+            lines.append((b"retry-after", str(answer.retry_after_s).encode()))
+        log.info(
+            "request_unread",
+            extra={"reason": error.kind.value, "status": answer.status},
+        )
+        await self.whole(answer.status, lines, b"")
 
     async def _send(self, data: bytes | None) -> None:
         if not data:
@@ -272,11 +297,3 @@
             await self._stream.send_all(data)
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("caller took in too little")
-
-
-_UNREADABLE_STATUS = {
-    ErrorKind.BAD_REQUEST: 400,
-    ErrorKind.SLOW_SENDER: 408,
-    ErrorKind.BODY_TOO_LARGE: 413,
-    ErrorKind.HEADERS_TOO_LARGE: 431,
-}
--- /dev/null
+++ b/tests/deploy/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what is deployed on the users' platform."""
--- a/tests/edge/bed.py
+++ b/tests/edge/bed.py
@@ -19,7 +19,7 @@
 from hemlocktrestle.gateway import Configuration, Fleet, ReplicaFact, ReplicaRecord
 from hemlocktrestle.platform import decode_settings
 from hemlocktrestle.quarantine import QuarantineBook
-from hemlocktrestle.relay import CallerConnection
+from hemlocktrestle.relay import BodyRoom, CallerConnection
 from tests.gateway.records import configuration, replica
 from tests.platform.documents import SETTINGS
 from tests.standins.http import Connection, GoneError, Request
@@ -173,6 +173,7 @@
                 theirs,
                 limits=lambda: self.state.limits,
                 is_closing=lambda: self.state.is_draining,
+                body_room=BodyRoom(1_000_000),
             )
             nursery.start_soon(connection.serve, self.server.serve)
             machine = h11.Connection(h11.CLIENT)
--- a/tests/edge/test_processes.py
+++ b/tests/edge/test_processes.py
@@ -192,6 +192,32 @@
             ]
             self.assertEqual([7, 9], versions)
 
+    def test_a_frozen_process_catches_up(self) -> None:
+        """What changed meanwhile is in force, and what was asked is answered."""
+        trio.run(self._freeze)
+
+    async def _freeze(self) -> None:
+        async with running_edge() as (edge, platform):
+            started = await edge.logged("started")
+            await edge.logged("replicas_changed")
+            edge.process.send_signal(signal.SIGSTOP)
+            moved = changed(ONE_SERVICE, "routes.1.prefix", "/moved/")
+            platform.configure({**moved, "version": 9})
+            statuses: list[int] = []
+
+            async def ask() -> None:
+                statuses.append((await fetch(started["callers"], "/log/1")).status)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                # Long enough for the store's answer and the request to have come.
+                await trio.sleep(0.3)
+                edge.process.send_signal(signal.SIGCONT)
+                await edge.logged("configuration_taken", version=9)
+            self.assertIn(statuses[0], {200, 404})
+            self.assertEqual(404, (await fetch(started["callers"], "/log/1")).status)
+            self.assertEqual(200, (await fetch(started["callers"], "/moved/1")).status)
+
     def test_settings_are_read_again_on_a_signal(self) -> None:
         """A file that is wrong changes nothing; the process goes on."""
         trio.run(self._reload)
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -17,6 +17,21 @@
 )
 
 
+TIME_OF_DAY = re.compile(r"\btime\.time|\btime_ns\b|\bdatetime\b")
+
+STEADY = (
+    "edge",
+    "gateway",
+    "keeper",
+    "membership",
+    "peers",
+    "platform",
+    "quarantine",
+    "relay",
+)
+"""Packages that run on the users' platform, where clocks jump."""
+
+
 class BoundaryTests(TestCase):
     """One folder knows how the platform speaks."""
 
@@ -29,3 +44,13 @@
             for match in NAMES.finditer(path.read_text(encoding="utf-8"))
         ]
         self.assertEqual([], found)
+
+    def test_nothing_depends_on_the_time_of_day(self) -> None:
+        """Durations and ages come from the steady clock alone."""
+        found = [
+            f"{path.relative_to(ROOT)}: {match.group()}"
+            for name in STEADY
+            for path in sorted((ROOT / name).rglob("*.py"))
+            for match in TIME_OF_DAY.finditer(path.read_text(encoding="utf-8"))
+        ]
+        self.assertEqual([], found)
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -4,7 +4,8 @@
 import trio.testing
 
 from hemlocktrestle.gateway import CallerLimits
-from hemlocktrestle.relay import CallerConnection, CallerRequest
+from hemlocktrestle.relay import BodyRoom, CallerConnection, CallerRequest
+from hemlocktrestle.relay._server import BODY_SILENCE_S, READER_SILENCE_S
 from tests.support import TrioTestCase
 
 LIMITS = CallerLimits(
@@ -24,6 +25,7 @@
         """Serve requests by an answer that holds their bodies."""
         super().setUp()
         self.is_closing = False
+        self.body_room = BodyRoom(2_500)
         self.handled: list[CallerRequest] = []
 
     async def handle(
@@ -37,14 +39,20 @@
         """Send pieces and return all that comes until the connection closes."""
         ours, theirs = trio.testing.memory_stream_pair()
         connection = CallerConnection(
-            theirs, limits=lambda: LIMITS, is_closing=lambda: self.is_closing
+            theirs,
+            limits=lambda: LIMITS,
+            is_closing=lambda: self.is_closing,
+            body_room=self.body_room,
         )
         received = bytearray()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(connection.serve, self.handle)
-            for piece in pieces:
-                await ours.send_all(piece)
-                await trio.sleep(pause_s)
+            try:
+                for piece in pieces:
+                    await ours.send_all(piece)
+                    await trio.sleep(pause_s)
+            except trio.BrokenResourceError:
+                pass  # It was refused before it was whole.
             try:
                 while data := await ours.receive_some():
                     received += data
@@ -105,3 +113,43 @@
         await self.talk(smuggled)
         self.assertNotIn(b"/hidden", [request.target for request in self.handled[:1]])
         self.assertTrue(len(self.handled) <= 1)
+
+    async def test_bodies_share_one_room(self) -> None:
+        """What finds none is refused unread and has not run; room comes back."""
+        post = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 900\r\n\r\n"
+        statuses = []
+
+        async def slowly(request: bytes) -> None:
+            received = await self.talk(request, b"z" * 450, pause_s=1.0)
+            statuses.append(received[9:12])
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(6):
+                nursery.start_soon(slowly, post + b"z" * 450)
+        self.assertEqual([b"200", b"503"], sorted(set(statuses)))
+        self.assertTrue(2 <= statuses.count(b"200") <= 5, statuses)
+        self.assertEqual(statuses.count(b"200"), len(self.handled))
+        self.assertEqual(2_500, self.body_room.left)
+        self.assertIn(b"200", await self.talk(post + b"z" * 900))
+
+    async def test_a_body_that_falls_silent_is_refused(self) -> None:
+        """With 408 after a bounded time, and its memory is free again."""
+        post = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 900\r\n\r\n"
+        started_s = trio.current_time()
+        received = await self.talk(post + b"z" * 450)
+        self.assertTrue(received.startswith(b"HTTP/1.1 408"), received)
+        self.assertTrue(trio.current_time() - started_s <= BODY_SILENCE_S + 0.1)
+        self.assertEqual(2_500, self.body_room.left)
+
+    async def test_a_caller_that_takes_in_nothing_is_left(self) -> None:
+        """Its connection ends after a bounded time, though it stays open."""
+        _, theirs = trio.testing.lockstep_stream_pair()
+        connection = CallerConnection(
+            theirs,
+            limits=lambda: LIMITS,
+            is_closing=lambda: False,
+            body_room=self.body_room,
+        )
+        with self.assertRaises(trio.BrokenResourceError):
+            await connection.whole(200, [], b"x")
+        self.assertEqual(READER_SILENCE_S, round(trio.current_time(), 1))
