Soak the edge with faults from outside, and check its promises

What was missing: the soak ran the product's own daemons only. The new one runs four edge processes in two regions before our stand-ins of the store and of replicas, behind relays that cut, silence, slow and swallow one way; processes are killed, stopped, frozen and told to reload; the store refuses, falls silent, loses answers, forgets, and lets entries lapse; replicas crash, drain and answer badly; configurations change and break. Faults come in series that overlap. Found on the way, in the rig: a port of loopback that was free at the start was taken while its process was down; each process has an address of its own now.

--- /dev/null
+++ b/tests/soak/_bed.py
@@ -0,0 +1,300 @@
+"""A small deployment: edge processes, replicas, a store, and links between them."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Callable
+from functools import partial
+from itertools import cycle
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from tests.edge.test_processes import as_toml
+from tests.platform.documents import CONFIGURATION, SETTINGS, as_bytes, changed
+from tests.soak._timeline import STORE, Timeline
+from tests.standins.http import serve
+from tests.standins.relay import RelayedLink
+from tests.standins.users_replica import Run, UsersReplica
+from tests.standins.users_store import UsersStore
+
+VM_NAMES = ("vm-0", "vm-1", "vm-2", "vm-3")
+REPLICA_COUNT = 4
+LEDGER_COUNT = 3
+
+VM_PREFIX = "hemlocktrestle/vms/"
+
+EVENT_COUNT = 8
+"""Events of a stream."""
+
+KEY = "k1"
+TENANT = "clinics"
+
+PEER_PORT = 7600
+"""Where processes listen for each other; each has an address of its own."""
+
+START_S = 30.0
+"""Time in which a process must be up, in seconds; many may start at once."""
+
+
+def own_ip(number: int) -> str:
+    """Return a loopback address of this soak alone, so that ports stay free."""
+    high, low = divmod(os.getpid() % 60_000, 250)
+    return f"127.{high + 1}.{low + 1}.{number + 1}"
+
+
+async def open_link(nursery: trio.Nursery, target: str) -> tuple[RelayedLink, str]:
+    """Relay to a target; returns the link and the address to use instead."""
+    link = RelayedLink(target)
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    nursery.start_soon(trio.serve_listeners, link.accept, listeners)
+    return link, f"127.0.0.1:{port}"
+
+
+class Vm:
+    """One machine with its edge process, which may be down.
+
+    Args:
+        name: its name.
+        ip: its address.
+        zone: its availability zone.
+        bed: the deployment.
+        folder: where its settings file is.
+    """
+
+    def __init__(self, name: str, ip: str, zone: str, bed: "Bed", folder: Path) -> None:
+        self.name = name
+        self.ip = ip
+        self.zone = zone
+        self._bed = bed
+        self._path = folder / f"{name}.toml"
+        self.process: trio.Process | None = None
+        self.addresses: dict[str, str] = {}
+        self.unexpected: list[str] = []
+        self.overdue_count = 0
+        self.store_link: RelayedLink | None = None
+        self.peer_link: RelayedLink | None = None
+        self.store_address = ""
+        self.peer_address = ""
+        self._is_ending = False
+
+    @property
+    def is_up(self) -> bool:
+        """Whether its process runs and serves."""
+        return self.process is not None and "callers" in self.addresses
+
+    async def start(self) -> None:
+        """Start its process and wait until it has its addresses."""
+        document = {
+            **SETTINGS,
+            "nodeName": self.name,
+            "zone": self.zone,
+            "region": SETTINGS["zones"][self.zone],
+            "ipAddr": self.ip,
+            "internalPorts": [PEER_PORT, PEER_PORT],
+            "listen": {"front": "127.0.0.1:0", "readyAddr": "127.0.0.1:0"},
+            "platformSettings": {"address": self.store_address},
+        }
+        self._path.write_text(as_toml(document), encoding="utf-8")
+        self.addresses = {}
+        self._is_ending = False
+        self.process = await trio.lowlevel.open_process(
+            [sys.executable, "-m", "hemlocktrestle.edge", "--metrics-port", "0"],
+            env={**os.environ, "HEMLOCKTRESTLE_SETTINGS": str(self._path)},
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
+        self._bed.nursery.start_soon(self._read, self.process)
+        self._bed.nursery.start_soon(self._watch, self.process)
+        with trio.fail_after(START_S):
+            while not self.is_up:
+                await trio.sleep(0.02)
+
+    def send(self, number: int) -> None:
+        """Send a signal; one that ends the process is expected to."""
+        if self.process is None:
+            return
+        if number in {signal.SIGKILL, signal.SIGTERM}:
+            self._is_ending = True
+        self.process.send_signal(number)
+
+    async def wait(self) -> int:
+        """Wait for its process to end; returns the exit code."""
+        process = self.process
+        assert process is not None
+        code = await process.wait()
+        self.process = None
+        self.addresses = {}
+        return code
+
+    async def _read(self, process: trio.Process) -> None:
+        assert process.stdout is not None
+        rest = b""
+        while data := await process.stdout.receive_some(65_536):
+            *whole, rest = (rest + data).split(b"\n")
+            for text in whole:
+                self._take(json.loads(text))
+
+    def _take(self, line: dict[str, Any]) -> None:
+        self._bed.log(line)
+        if line["event"] == "started":
+            self.addresses = {name: line[name] for name in ("callers", "ready")}
+
+    async def _watch(self, process: trio.Process) -> None:
+        """Keep what a process says on its way out that nobody asked for."""
+        assert process.stderr is not None
+        said = b""
+        while data := await process.stderr.receive_some(65_536):
+            said += data
+        code = await process.wait()
+        if said or not self._is_ending:
+            text = said.decode(errors="replace")[-800:]
+            self.unexpected.append(f"exit {code}: {text}")
+
+
+class Replica:
+    """One replica behind a link, and its entry in the store."""
+
+    def __init__(self, standin: UsersReplica, service: str) -> None:
+        self.standin = standin
+        self.service = service
+        self.link: RelayedLink | None = None
+        self.address = ""
+        self.leaves_s = float("inf")
+        self.scope = trio.CancelScope()
+
+    @property
+    def key(self) -> str:
+        """Key of its entry."""
+        return f"servers/{self.standin.replica_id}"
+
+    def entry(self, state: str = "ready") -> bytes:
+        """Return its entry."""
+        return self.standin.entry(self.address, service=self.service, state=state)
+
+
+class Bed:
+    """The deployment of one soak.
+
+    Args:
+        nursery: runs all tasks.
+        folder: for settings files.
+        log: told each log line of the processes.
+    """
+
+    def __init__(
+        self, nursery: trio.Nursery, folder: Path, log: Callable[[dict[str, Any]], None]
+    ) -> None:
+        self.nursery = nursery
+        self.log = log
+        self.timeline = Timeline()
+        self.store = UsersStore()
+        self.store_address = ""
+        zones = cycle(sorted(SETTINGS["zones"]))
+        self.vms = {
+            name: Vm(name, own_ip(number), zone, self, folder)
+            for (number, name), zone in zip(enumerate(VM_NAMES), zones, strict=False)
+        }
+        self.replicas: dict[str, Replica] = {}
+        self.left: list[Replica] = []
+        self.version = 0
+        self.versions: list[tuple[float, int]] = []
+        self._replica_count = 0
+
+    async def start(self) -> None:
+        """Start everything."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        host, port = listeners[0].socket.getsockname()[:2]
+        self.store_address = f"{host}:{port}"
+        self.nursery.start_soon(trio.serve_listeners, self.store.serve, listeners)
+        self.configure()
+        for number in range(REPLICA_COUNT + LEDGER_COUNT):
+            await self.add_replica("assistant" if number < REPLICA_COUNT else "ledger")
+        for vm in self.vms.values():
+            vm.store_link, vm.store_address = await open_link(
+                self.nursery, self.store_address
+            )
+            vm.peer_link, vm.peer_address = await open_link(
+                self.nursery, f"{vm.ip}:{PEER_PORT}"
+            )
+        self.store.on_put = self._with_link
+        async with trio.open_nursery() as nursery:
+            for vm in self.vms.values():
+                nursery.start_soon(vm.start)
+
+    def configure(self) -> None:
+        """Write the next version; each has a route of its own."""
+        self.version += 1
+        advice, log = CONFIGURATION["routes"]
+        ledger = {"service": "ledger", "weightedSplit": None}
+        routes = [
+            advice,
+            {**log, "weightedSplit": [{"service": "ledger", "weight": 1}]},
+            {**log, **ledger, "name": "r-read", "prefix": "/read/"},
+            {**log, **ledger, "name": "r-own", "prefix": f"/v{self.version}/"},
+        ]
+        for route in routes[2:]:
+            route |= {"kind": "idempotent", "attempts": 2}
+            del route["weightedSplit"]
+        document = changed(CONFIGURATION, "routes", routes)
+        document = changed(document, "version", self.version)
+        document = changed(document, "tenants.0.ratePerS", 0)
+        self.store.put("op/config", as_bytes(document))
+        self.versions.append((trio.current_time(), self.version))
+
+    async def add_replica(self, service: str) -> Replica:
+        """Start a replica and register it."""
+        self._replica_count += 1
+        zones = sorted(SETTINGS["zones"])
+        standin = UsersReplica(
+            f"i-{self._replica_count}",
+            zone=zones[self._replica_count % len(zones)],
+            event_count=EVENT_COUNT,
+            event_ms=25.0,
+            work_ms=30.0,
+        )
+        replica = Replica(standin, service)
+        found: list[str] = []
+        self.nursery.start_soon(self._serve_replica, replica, found.append)
+        while not found:
+            await trio.sleep(0.01)
+        replica.link, replica.address = await open_link(self.nursery, found[0])
+        self.replicas[standin.replica_id] = replica
+        self.store.put(replica.key, replica.entry())
+        return replica
+
+    def remove_replica(self, replica: Replica) -> None:
+        """End a replica at once."""
+        self.replicas.pop(replica.standin.replica_id, None)
+        self.left.append(replica)
+        replica.scope.cancel()
+
+    def runs(self) -> list[Run]:
+        """Return all that replicas ran, those that are gone too."""
+        return [
+            run
+            for replica in [*self.replicas.values(), *self.left]
+            for run in replica.standin.runs
+        ]
+
+    async def _serve_replica(
+        self, replica: Replica, announce: Callable[[str], None]
+    ) -> None:
+        with replica.scope:
+            await partial(serve, replica.standin.handle, announce=announce)()
+
+    def _with_link(self, key: str, value: bytes) -> bytes:
+        """Let VMs find each other behind their links."""
+        vm = self.vms.get(key.removeprefix(VM_PREFIX))
+        if vm is None or not key.startswith(VM_PREFIX):
+            return value
+        entry = json.loads(value)
+        return json.dumps({**entry, "address": vm.peer_address}).encode()
+
+    def is_store_calm(self, from_s: float, until_s: float) -> bool:
+        """Tell whether the store was undisturbed for a whole span."""
+        return self.timeline.is_calm(STORE, from_s, until_s)
--- /dev/null
+++ b/tests/soak/_callers.py
@@ -0,0 +1,183 @@
+"""Callers that keep connections open, and what they saw."""
+
+import random
+from typing import NamedTuple
+
+import h11
+import trio
+
+from tests.soak._bed import KEY, Bed, Vm
+
+DEADLINE_MS = 2_000
+PATIENCE_S = 3.5
+"""Time after which a caller gives a silent connection up, in seconds."""
+
+LEAVES_SHARE = 0.1
+"""Share of the requests whose callers leave early."""
+
+LEAVE_S = 0.12
+"""When they leave, in seconds."""
+
+PAUSE_S = 0.05
+
+KINDS = ("log", "read", "advice", "own")
+"""Kinds of requests, by the route that they take."""
+
+
+class Seen(NamedTuple):
+    """One request as its caller saw it; times are in seconds.
+
+    ``status`` is 0 if no answer came; ``is_whole`` tells whether it ended as
+    complete; ``left_s`` is when the caller left, if it did.
+    """
+
+    attempt: str
+    kind: str
+    path: str
+    vm: str
+    at_s: float
+    ended_s: float
+    status: int
+    seal: str
+    echoed: str
+    body: bytes
+    is_whole: bool
+    left_s: float | None
+
+
+class Caller:
+    """One caller, with one kept connection a VM.
+
+    Args:
+        number: which caller it is.
+        bed: the deployment.
+        chance: source of its choices.
+        seen: where it puts what it saw.
+    """
+
+    def __init__(
+        self, number: int, bed: Bed, chance: random.Random, seen: list[Seen]
+    ) -> None:
+        self._number = number
+        self._bed = bed
+        self._chance = chance
+        self._seen = seen
+        self._count = 0
+        self._open: dict[str, tuple[trio.SocketStream, h11.Connection]] = {}
+
+    async def run(self) -> None:
+        """Send requests, one after the other, until cancelled."""
+        while True:
+            vm = self._bed.vms[self._chance.choice(sorted(self._bed.vms))]
+            kind = self._chance.choice(KINDS)
+            leaves = self._chance.random() < LEAVES_SHARE
+            if vm.is_up:
+                await self._request(vm, kind, leaves=leaves)
+            await trio.sleep(self._chance.uniform(0.2, 1.8) * PAUSE_S)
+
+    async def _request(self, vm: Vm, kind: str, *, leaves: bool) -> None:
+        self._count += 1
+        attempt = f"a{self._number}-{self._count}"
+        path = f"/{kind}/{attempt}"
+        if kind == "own":
+            path = f"/v{self._bed.version}/{attempt}"
+        answer = _Answer()
+        started_s = trio.current_time()
+        try:
+            connection = await self._connection(vm)
+            if connection is not None:
+                with trio.move_on_after(LEAVE_S if leaves else PATIENCE_S):
+                    await _exchange(*connection, path, attempt, answer)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            # The process or the connection has gone; what came is noted below.
+            answer.is_reusable = False
+        ended_s = trio.current_time()
+        if not answer.is_reusable:
+            await self._drop(vm)
+        self._seen.append(
+            Seen(
+                attempt,
+                kind,
+                path,
+                vm.name,
+                started_s,
+                ended_s,
+                answer.status,
+                answer.seal,
+                answer.echoed,
+                bytes(answer.body),
+                answer.is_whole,
+                ended_s if leaves and not answer.is_whole else None,
+            )
+        )
+
+    async def _connection(
+        self, vm: Vm
+    ) -> tuple[trio.SocketStream, h11.Connection] | None:
+        known = self._open.get(vm.name)
+        if known is not None:
+            return known
+        host, _, port = vm.addresses["callers"].rpartition(":")
+        with trio.move_on_after(1.0):
+            stream = await trio.open_tcp_stream(host, int(port))
+            self._open[vm.name] = stream, h11.Connection(h11.CLIENT)
+        return self._open.get(vm.name)
+
+    async def _drop(self, vm: Vm) -> None:
+        known = self._open.pop(vm.name, None)
+        if known is not None:
+            await trio.aclose_forcefully(known[0])
+
+
+class _Answer:
+    """What came of an answer."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.seal = ""
+        self.echoed = ""
+        self.body = bytearray()
+        self.is_whole = False
+        self.is_reusable = False
+
+
+async def _exchange(
+    stream: trio.SocketStream,
+    machine: h11.Connection,
+    path: str,
+    attempt: str,
+    answer: _Answer,
+) -> None:
+    headers = [
+        ("host", "callers.example"),
+        ("x-attempt-id", attempt),
+        ("x-deadline-ms", str(DEADLINE_MS)),
+        ("api-key", KEY),
+    ]
+    head = h11.Request(method="GET", target=path, headers=headers)
+    data = (machine.send(head) or b"") + (machine.send(h11.EndOfMessage()) or b"")
+    await stream.send_all(data)
+    while True:
+        try:
+            event = machine.next_event()
+            if event is h11.NEED_DATA:
+                machine.receive_data(bytes(await stream.receive_some(65_536)))
+                continue
+        except h11.RemoteProtocolError:
+            # The answer was cut, which its missing end shows.
+            return
+        if isinstance(event, h11.Response):
+            answer.status = event.status_code
+            lines = dict(event.headers)
+            answer.seal = lines.get(b"x-response-seal", b"").decode()
+            answer.echoed = lines.get(b"x-attempt-id", b"").decode()
+        elif isinstance(event, h11.Data):
+            answer.body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            answer.is_whole = True
+            break
+        else:
+            return
+    if {machine.our_state, machine.their_state} == {h11.DONE}:
+        machine.start_next_cycle()
+        answer.is_reusable = True
--- /dev/null
+++ b/tests/soak/_checks.py
@@ -0,0 +1,243 @@
+"""Promises that a soak checks from what callers and replicas saw, in a registry."""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from tests.platform.documents import SETTINGS
+from tests.soak._bed import EVENT_COUNT, TENANT, Bed
+from tests.soak._callers import DEADLINE_MS, Seen
+from tests.standins.users_replica import WHOLE, Run
+
+BOUNDS = SETTINGS["contractBounds"]
+TOUCH_S = BOUNDS["contactMs"] / 1000
+DRAIN_S = BOUNDS["drainMs"] / 1000
+APPLY_S = BOUNDS["configApplyMs"] / 1000
+
+ATTEMPTS_MAX = 2
+"""Replicas that a request may run on, by the routes of the soak."""
+
+SLACK_S = 0.5
+"""Time by which bounds may be passed on the way, in seconds, as the rules state."""
+
+PROMISED_UNRUN = frozenset({408, 421, 429, 503})
+
+
+class Evidence(NamedTuple):
+    """All that was seen; runs by attempt, in order."""
+
+    bed: Bed
+    seen: list[Seen]
+    runs: dict[str, list[Run]]
+
+    def is_calm(self, vm: str, at_s: float) -> bool:
+        """Tell whether a machine was in touch with a calm store."""
+        from_s = at_s - TOUCH_S
+        calm = self.bed.timeline.is_calm
+        return calm(vm, from_s, at_s) and self.bed.is_store_calm(from_s, at_s)
+
+
+Check = Callable[[Evidence], Iterator[str]]
+
+CHECKS: dict[str, Check] = {}
+"""Promises that hold at any time."""
+
+TIMED_CHECKS: dict[str, Check] = {}
+"""Promises with a bound in time, which need a machine with time to spare."""
+
+
+def check(registry: dict[str, Check]) -> Callable[[Check], Check]:
+    """Register a check under its function's name."""
+
+    def register(function: Check) -> Check:
+        registry[function.__name__] = function
+        return function
+
+    return register
+
+
+@check(CHECKS)
+def once_at_most(evidence: Evidence) -> Iterator[str]:
+    """A request that may not be repeated runs once."""
+    for seen in evidence.seen:
+        runs = evidence.runs.get(seen.attempt, [])
+        if seen.kind == "log" and len(runs) > 1:
+            yield f"{seen.attempt} ran {len(runs)} times"
+
+
+@check(CHECKS)
+def refused_means_not_run(evidence: Evidence) -> Iterator[str]:
+    """What was refused as not run never runs."""
+    for seen in evidence.seen:
+        is_promised = seen.status in PROMISED_UNRUN and seen.kind == "log"
+        if is_promised and evidence.runs.get(seen.attempt):
+            yield f"{seen.attempt} got {seen.status} and ran"
+
+
+@check(CHECKS)
+def answers_are_the_replicas(evidence: Evidence) -> Iterator[str]:
+    """A success is whole, of its own request, with the seal of one that ran it."""
+    for seen in evidence.seen:
+        if seen.status != 200 or seen.kind == "advice":
+            continue
+        seals = {f"seal-{run.replica}" for run in evidence.runs.get(seen.attempt, [])}
+        if seen.seal not in seals or seen.echoed != seen.attempt:
+            yield f"{seen.attempt} got seal {seen.seal} of {sorted(seals)}"
+        elif seen.is_whole and seen.body != WHOLE:
+            yield f"{seen.attempt} got body {seen.body!r}"
+
+
+@check(CHECKS)
+def streams_are_in_order(evidence: Evidence) -> Iterator[str]:
+    """No event is missing, doubled or of another stream; only all of them end it."""
+    for seen in evidence.seen:
+        if seen.status != 200 or seen.kind != "advice":
+            continue
+        events = seen.body.decode().split("\n\n")
+        whole, rest = events[:-1], events[-1]
+        expected = [
+            f"id: {number}\ndata: {seen.attempt}" for number in range(1, len(whole) + 1)
+        ]
+        if whole != expected:
+            yield f"{seen.attempt} got {whole}"
+        if seen.is_whole and (rest or len(whole) != EVENT_COUNT):
+            yield f"{seen.attempt} ended after {len(whole)} events and {rest!r}"
+
+
+@check(CHECKS)
+def attempts_are_bounded(evidence: Evidence) -> Iterator[str]:
+    """A request runs on no more replicas than its route allows."""
+    for attempt, runs in evidence.runs.items():
+        if len(runs) > ATTEMPTS_MAX:
+            yield f"{attempt} ran on {[run.replica for run in runs]}"
+
+
+@check(CHECKS)
+def nothing_runs_unasked(evidence: Evidence) -> Iterator[str]:
+    """Replicas run what callers sent, with its path, and no key."""
+    paths = {seen.attempt: seen.path for seen in evidence.seen}
+    for attempt, runs in evidence.runs.items():
+        for run in runs:
+            if attempt in paths and paths[attempt] != run.target:
+                yield f"{attempt} ran as {run.target}"
+            if "api-key" in run.headers:
+                yield f"{attempt} ran with a key"
+            expected = TENANT if run.target.startswith("/advice/") else None
+            if run.headers.get("x-tenant") != expected:
+                yield f"{attempt} ran for {run.headers.get('x-tenant')}"
+
+
+@check(CHECKS)
+def processes_live(evidence: Evidence) -> Iterator[str]:
+    """None ends by itself or says what nobody handles."""
+    for vm in evidence.bed.vms.values():
+        for what in vm.unexpected:
+            yield f"{vm.name}: {what}"
+
+
+@check(TIMED_CHECKS)
+def most_is_served(evidence: Evidence) -> Iterator[str]:
+    """A soak in which nothing is served checks nothing."""
+    statuses = Counter(seen.status for seen in evidence.seen)
+    if statuses[200] * 4 < len(evidence.seen):
+        yield f"200 for {statuses[200]} of {len(evidence.seen)}"
+
+
+@check(TIMED_CHECKS)
+def draining_replicas_get_nothing(evidence: Evidence) -> Iterator[str]:
+    """From machines in touch, once the bound is over."""
+    bed = evidence.bed
+    vms = {seen.attempt: seen for seen in evidence.seen}
+    for replica in [*bed.replicas.values(), *bed.left]:
+        known_s = replica.leaves_s + DRAIN_S
+        for run in replica.standin.runs:
+            seen = vms.get(run.attempt)
+            if run.at_s <= known_s or seen is None:
+                continue
+            if seen.at_s > known_s and _calm_since(evidence, seen, replica.leaves_s):
+                late_s = run.at_s - known_s
+                yield f"{run.attempt} by {seen.vm} {late_s:.2f} s late at {run.replica}"
+
+
+@check(TIMED_CHECKS)
+def new_routes_are_in_force(evidence: Evidence) -> Iterator[str]:
+    """A route that the newest version added is served, at machines in touch."""
+    for seen in evidence.seen:
+        if seen.kind != "own" or seen.status != 404:
+            continue
+        version = int(seen.path.split("/")[1][1:])
+        written_s = {v: at_s for at_s, v in evidence.bed.versions}[version]
+        is_newest = not any(
+            at_s <= seen.ended_s for at_s, v in evidence.bed.versions if v > version
+        )
+        is_due = seen.at_s > written_s + APPLY_S and is_newest
+        if is_due and _calm_since(evidence, seen, written_s):
+            yield f"{seen.attempt} at {seen.vm} got 404 for version {version}"
+
+
+@check(TIMED_CHECKS)
+def nothing_goes_back(evidence: Evidence) -> Iterator[str]:
+    """Machines in touch serve no route that was dropped, once the bound is over."""
+    dropped = {
+        version: at_s
+        for (at_s, _), (_, version) in zip(
+            evidence.bed.versions[1:], evidence.bed.versions, strict=False
+        )
+    }
+    for seen in evidence.seen:
+        if seen.kind != "own" or seen.status != 200:
+            continue
+        at_s = dropped.get(int(seen.path.split("/")[1][1:]))
+        if at_s is None or seen.at_s <= at_s + APPLY_S:
+            continue
+        if _calm_since(evidence, seen, at_s):
+            yield f"{seen.attempt} at {seen.vm} ran on a dropped route"
+
+
+@check(TIMED_CHECKS)
+def processes_end_in_time(evidence: Evidence) -> Iterator[str]:
+    """One that is told to stop has ended when its grace is over."""
+    for vm in evidence.bed.vms.values():
+        if vm.overdue_count:
+            yield f"{vm.name}: {vm.overdue_count} times"
+
+
+@check(TIMED_CHECKS)
+def all_is_answered(evidence: Evidence) -> Iterator[str]:
+    """A request ends by its deadline, with an answer, at machines in touch."""
+    for seen in evidence.seen:
+        over_s = seen.ended_s - seen.at_s - DEADLINE_MS / 1000
+        is_calm = evidence.is_calm(seen.vm, seen.ended_s)
+        if seen.left_s is None and over_s > SLACK_S and is_calm:
+            yield f"{seen.attempt} at {seen.vm} took {over_s:.2f} s more than it had"
+
+
+@check(TIMED_CHECKS)
+def deadlines_are_handed_on(evidence: Evidence) -> Iterator[str]:
+    """A replica is told what is left, not more."""
+    by_attempt = {seen.attempt: seen for seen in evidence.seen}
+    for attempt, runs in evidence.runs.items():
+        seen = by_attempt.get(attempt)
+        for run in runs:
+            told_ms = float(run.headers.get("x-deadline-ms", "inf"))
+            if seen is not None and evidence.is_calm(seen.vm, run.at_s):
+                ends_s = run.at_s + told_ms / 1000
+                if ends_s > seen.at_s + DEADLINE_MS / 1000 + SLACK_S:
+                    yield f"{attempt} was told {told_ms} ms"
+
+
+def _calm_since(evidence: Evidence, seen: Seen, from_s: float) -> bool:
+    """Tell whether a machine was in touch from a change until a request ended."""
+    from_s = min(from_s, seen.at_s) - TOUCH_S
+    calm = evidence.bed.timeline.is_calm
+    return calm(seen.vm, from_s, seen.ended_s) and evidence.bed.is_store_calm(
+        from_s, seen.ended_s
+    )
+
+
+def gather(bed: Bed, seen: list[Seen]) -> Evidence:
+    """Join what callers and replicas saw."""
+    runs: dict[str, list[Run]] = defaultdict(list)
+    for run in sorted(bed.runs(), key=lambda run: run.at_s):
+        runs[run.attempt].append(run)
+    return Evidence(bed, seen, dict(runs))
--- /dev/null
+++ b/tests/soak/_edge.py
@@ -0,0 +1,108 @@
+"""A soak of the edge: series of faults that overlap, then a check of all promises."""
+
+import json
+import random
+from collections import Counter
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any, NamedTuple
+
+import trio
+
+from tests.soak._bed import Bed
+from tests.soak._callers import Caller, Seen
+from tests.soak._checks import CHECKS, TIMED_CHECKS, Evidence, gather
+from tests.soak._faults import FAULTS
+
+CALLER_COUNT = 12
+
+PAUSE_S = (0.2, 1.5)
+"""Shortest and longest pause between the beginnings of two faults, in seconds."""
+
+CALM_S = 4.0
+"""Time without faults at the end, after which requests must be served, in seconds."""
+
+RECOVERED_SHARE = 0.5
+"""Share of the requests in the last second that must be served."""
+
+
+class Report(NamedTuple):
+    """What one soak showed; ``broken`` names the promise and what broke it."""
+
+    statuses: Counter[int]
+    faults: Counter[str]
+    broken: list[str]
+
+
+async def soak_edge(
+    seconds: float, seed: int, *, is_timed: bool = True, log_path: Path | None = None
+) -> Report:
+    """Run one soak.
+
+    Args:
+        seconds: how long faults come.
+        seed: seed of all choices.
+        is_timed: whether bounds in time are checked too.
+        log_path: where the log lines of all processes go, if anywhere.
+
+    Returns:
+        What it showed.
+    """
+    chance = random.Random(seed)
+    lines: list[dict[str, Any]] = []
+    seen: list[Seen] = []
+    injected: Counter[str] = Counter()
+    broken: list[str] = []
+    with TemporaryDirectory() as folder:
+        async with trio.open_nursery() as nursery:
+            bed = Bed(nursery, Path(folder), lines.append)
+            await bed.start()
+            for number in range(CALLER_COUNT):
+                caller = Caller(number, bed, random.Random(f"{seed}/{number}"), seen)
+                nursery.start_soon(caller.run)
+            await trio.sleep(1.0)
+            await _inject(bed, chance, seconds, injected)
+            await trio.sleep(CALM_S)
+            if is_timed:
+                broken += _unrecovered(seen)
+            evidence = gather(bed, seen)
+            for vm in bed.vms.values():
+                vm.send(9)
+            nursery.cancel_scope.cancel()
+    broken += _judge(evidence, is_timed=is_timed)
+    if log_path is not None:
+        log_path.write_text("\n".join(map(json.dumps, lines)), encoding="utf-8")
+    return Report(Counter(one.status for one in seen), injected, broken)
+
+
+async def _inject(
+    bed: Bed, chance: random.Random, seconds: float, injected: Counter[str]
+) -> None:
+    """Begin faults one after the other; each ends in its own time."""
+    end_s = trio.current_time() + seconds
+    async with trio.open_nursery() as nursery:
+        while trio.current_time() < end_s:
+            name = chance.choice(sorted(FAULTS))
+            injected[name] += 1
+            # Each fault has choices of its own, whatever runs beside it.
+            own = random.Random(chance.random())
+            nursery.start_soon(FAULTS[name], bed, own)
+            await trio.sleep(chance.uniform(*PAUSE_S))
+
+
+def _unrecovered(seen: list[Seen]) -> list[str]:
+    last_s = trio.current_time() - 1.0
+    recent = [one for one in seen if one.at_s > last_s and one.left_s is None]
+    served = [one for one in recent if one.status == 200]
+    if len(served) >= len(recent) * RECOVERED_SHARE:
+        return []
+    return [f"recovery: {len(served)} of {len(recent)} served after the faults"]
+
+
+def _judge(evidence: Evidence, *, is_timed: bool) -> list[str]:
+    checks = {**CHECKS, **(TIMED_CHECKS if is_timed else {})}
+    return [
+        f"{name}: {what}"
+        for name, function in checks.items()
+        for what in function(evidence)
+    ]
--- /dev/null
+++ b/tests/soak/_faults.py
@@ -0,0 +1,282 @@
+"""Faults from outside the processes, in a registry by name."""
+
+import random
+import signal
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+
+import trio
+
+from tests.platform.documents import SETTINGS
+from tests.soak._bed import VM_PREFIX, Bed, Replica, Vm
+from tests.soak._timeline import STORE
+
+GRACE_S = SETTINGS["contractBounds"]["graceS"]
+DRAIN_S = SETTINGS["contractBounds"]["drainMs"] / 1000
+
+END_SLACK_S = 1.0
+"""Time beyond its grace in which a process must have ended, in seconds."""
+
+LINK_MODES = ("cut", "silent", "hole", "one_way", "slow")
+
+REPLICA_MODES = ("break", "mute", "fail", "garbage", "late", "full")
+
+Fault = Callable[[Bed, random.Random], Awaitable[None]]
+
+FAULTS: dict[str, Fault] = {}
+
+
+def fault(function: Fault) -> Fault:
+    """Register a fault under its function's name."""
+    FAULTS[function.__name__] = function
+    return function
+
+
+@contextmanager
+def disturbed(bed: Bed, name: str) -> Iterator[None]:
+    """Note that something is disturbed meanwhile."""
+    from_s = trio.current_time()
+    bed.timeline.note(name, from_s, float("inf"))
+    try:
+        yield
+    finally:
+        bed.timeline.settle(name, from_s, trio.current_time())
+
+
+def _vm(bed: Bed, chance: random.Random) -> Vm:
+    return bed.vms[chance.choice(sorted(bed.vms))]
+
+
+def _replica(bed: Bed, chance: random.Random) -> Replica:
+    return bed.replicas[chance.choice(sorted(bed.replicas))]
+
+
+async def _restart(vm: Vm, chance: random.Random) -> None:
+    await trio.sleep(chance.uniform(0.05, 1.5))
+    await vm.start()
+
+
+@fault
+async def kill_a_process(bed: Bed, chance: random.Random) -> None:
+    """One process is killed and started again."""
+    vm = _vm(bed, chance)
+    if not vm.is_up:
+        return
+    with disturbed(bed, vm.name):
+        vm.send(signal.SIGKILL)
+        await vm.wait()
+        await _restart(vm, chance)
+
+
+@fault
+async def kill_all_processes(bed: Bed, chance: random.Random) -> None:
+    """All processes are killed at once and come back one after the other."""
+    async with trio.open_nursery() as nursery:
+        for vm in bed.vms.values():
+            if vm.is_up:
+                nursery.start_soon(_kill_and_restart, bed, vm, chance)
+
+
+async def _kill_and_restart(bed: Bed, vm: Vm, chance: random.Random) -> None:
+    with disturbed(bed, vm.name):
+        vm.send(signal.SIGKILL)
+        await vm.wait()
+        await _restart(vm, chance)
+
+
+@fault
+async def stop_a_process(bed: Bed, chance: random.Random) -> None:
+    """One process is told to stop, ends in its time, and is started again."""
+    vm = _vm(bed, chance)
+    if not vm.is_up:
+        return
+    with disturbed(bed, vm.name):
+        vm.send(signal.SIGTERM)
+        with trio.move_on_after(GRACE_S + END_SLACK_S) as scope:
+            await vm.wait()
+        if scope.cancelled_caught:
+            if bed.timeline.is_calm(f"frozen {vm.name}", 0.0, trio.current_time()):
+                vm.overdue_count += 1
+            vm.send(signal.SIGKILL)
+            await vm.wait()
+        await _restart(vm, chance)
+
+
+@fault
+async def freeze_a_process(bed: Bed, chance: random.Random) -> None:
+    """One process stands still."""
+    vm = _vm(bed, chance)
+    if not vm.is_up:
+        return
+    process = vm.process
+    with disturbed(bed, vm.name), disturbed(bed, f"frozen {vm.name}"):
+        vm.send(signal.SIGSTOP)
+        await trio.sleep(chance.uniform(0.3, 3.0))
+        if vm.process is process:
+            vm.send(signal.SIGCONT)
+
+
+@fault
+async def reload_a_process(bed: Bed, chance: random.Random) -> None:
+    """One process is told to read its settings again."""
+    vm = _vm(bed, chance)
+    if vm.is_up:
+        vm.send(signal.SIGHUP)
+
+
+@fault
+async def disturb_a_link_to_the_store(bed: Bed, chance: random.Random) -> None:
+    """One machine does not reach the store, or only one way, or late."""
+    vm = _vm(bed, chance)
+    assert vm.store_link is not None
+    with disturbed(bed, vm.name):
+        vm.store_link.set_mode(chance.choice(LINK_MODES))
+        await trio.sleep(chance.uniform(0.5, 4.0))
+        vm.store_link.set_mode("pass")
+
+
+@fault
+async def disturb_a_link_to_a_process(bed: Bed, chance: random.Random) -> None:
+    """The other processes do not reach one, or only one way, or late."""
+    vm = _vm(bed, chance)
+    assert vm.peer_link is not None
+    with disturbed(bed, vm.name):
+        vm.peer_link.set_mode(chance.choice(LINK_MODES))
+        await trio.sleep(chance.uniform(0.5, 4.0))
+        vm.peer_link.set_mode("pass")
+
+
+@fault
+async def disturb_a_link_to_a_replica(bed: Bed, chance: random.Random) -> None:
+    """One replica is not reached, or only one way, or late."""
+    replica = _replica(bed, chance)
+    assert replica.link is not None
+    with disturbed(bed, replica.key):
+        replica.link.set_mode(chance.choice(LINK_MODES))
+        await trio.sleep(chance.uniform(0.5, 3.0))
+        replica.link.set_mode("pass")
+
+
+@fault
+async def refuse_calls_to_the_store(bed: Bed, chance: random.Random) -> None:
+    """The store answers 503 or 429."""
+    with disturbed(bed, STORE):
+        bed.store.status = chance.choice([503, 429])
+        await trio.sleep(chance.uniform(0.5, 4.0))
+        bed.store.status = 0
+
+
+@fault
+async def silence_the_store(bed: Bed, chance: random.Random) -> None:
+    """The store takes calls and answers none."""
+    with disturbed(bed, STORE):
+        bed.store.silent = True
+        await trio.sleep(chance.uniform(0.5, 4.0))
+        bed.store.silent = False
+
+
+@fault
+async def lose_answers_of_the_store(bed: Bed, chance: random.Random) -> None:
+    """Some writes are done and not answered."""
+    with disturbed(bed, STORE):
+        bed.store.lose_answers = chance.randint(1, 4)
+        await trio.sleep(3.0)
+        bed.store.lose_answers = 0
+
+
+@fault
+async def spoil_answers_of_the_store(bed: Bed, chance: random.Random) -> None:
+    """The store's answers cannot be read."""
+    with disturbed(bed, STORE):
+        bed.store.garbage = True
+        await trio.sleep(chance.uniform(0.3, 2.0))
+        bed.store.garbage = False
+
+
+@fault
+async def forget_history_of_the_store(bed: Bed, chance: random.Random) -> None:
+    """Watches have to begin again."""
+    with disturbed(bed, STORE):
+        bed.store.forget()
+        await trio.sleep(0.2)
+
+
+@fault
+async def lapse_entries_in_the_store(bed: Bed, chance: random.Random) -> None:
+    """The store is down, and some entries of replicas go and come back after it."""
+    with disturbed(bed, STORE):
+        bed.store.status = 503
+        await trio.sleep(chance.uniform(0.5, 2.0))
+        lapsed = [replica for replica in bed.replicas.values() if chance.random() < 0.5]
+        for replica in lapsed:
+            bed.store.remove(replica.key)
+        for key in [key for key in bed.store.entries if key.startswith(VM_PREFIX)]:
+            bed.store.end_lease(bed.store.entries[key].lease)
+        bed.store.status = 0
+        await trio.sleep(chance.uniform(0.2, 1.5))
+        for replica in lapsed:
+            if replica.standin.replica_id in bed.replicas:
+                bed.store.put(replica.key, replica.entry())
+
+
+@fault
+async def spoil_a_replica(bed: Bed, chance: random.Random) -> None:
+    """One replica runs what it gets and answers badly."""
+    replica = _replica(bed, chance)
+    with disturbed(bed, replica.key):
+        replica.standin.mode = chance.choice(REPLICA_MODES)
+        await trio.sleep(chance.uniform(0.5, 3.0))
+        replica.standin.mode = ""
+
+
+@fault
+async def crash_a_replica(bed: Bed, chance: random.Random) -> None:
+    """One replica is gone; its entry goes later, and another one comes."""
+    replica = _replica(bed, chance)
+    bed.remove_replica(replica)
+    await trio.sleep(chance.uniform(0.5, 3.0))
+    bed.store.remove(replica.key)
+    await bed.add_replica(replica.service)
+
+
+@fault
+async def drain_a_replica(bed: Bed, chance: random.Random) -> None:
+    """One replica says that it leaves, or its entry goes; it serves on for a while."""
+    replica = _replica(bed, chance)
+    if replica.leaves_s < float("inf"):
+        return
+    await bed.add_replica(replica.service)
+    replica.leaves_s = trio.current_time()
+    if chance.random() < 0.7:
+        bed.store.put(replica.key, replica.entry("draining"))
+    else:
+        bed.store.remove(replica.key)
+    await trio.sleep(DRAIN_S + chance.uniform(0.5, 2.0))
+    bed.remove_replica(replica)
+    bed.store.remove(replica.key)
+
+
+@fault
+async def change_the_configuration(bed: Bed, chance: random.Random) -> None:
+    """New versions, one after the other, or several at once."""
+    for _ in range(chance.randint(1, 4)):
+        bed.configure()
+        await trio.sleep(chance.choice([0.02, 0.5]))
+
+
+@fault
+async def write_a_broken_configuration(bed: Bed, chance: random.Random) -> None:
+    """What cannot be read changes nothing."""
+    good = bed.store.entries["op/config"].value
+    bed.store.put("op/config", good[: len(good) // 2])
+    await trio.sleep(0.3)
+    bed.configure()
+
+
+@fault
+async def register_garbage(bed: Bed, chance: random.Random) -> None:
+    """An entry of another writer names no replica."""
+    key = f"servers/x-{chance.randint(1, 999)}"
+    bed.store.put(key, chance.choice([b"{", b'{"service": 3}', b"\xff\x00", b"[]"]))
+    await trio.sleep(1.0)
+    bed.store.remove(key)
--- /dev/null
+++ b/tests/soak/test_checks.py
@@ -0,0 +1,109 @@
+"""Tests that each check of the soak finds the promise that was broken."""
+
+from pathlib import Path
+from typing import Any
+
+import trio
+from testtools.matchers import Contains
+
+from tests.soak._bed import EVENT_COUNT, Bed, Replica
+from tests.soak._callers import Seen
+from tests.soak._checks import CHECKS, TIMED_CHECKS, gather
+from tests.soak._timeline import STORE
+from tests.standins.users_replica import Run, UsersReplica
+from tests.support import TrioTestCase
+
+
+def seen(attempt: str = "a1", **fields: Any) -> Seen:
+    """Return an ordinary request, long after anything was disturbed."""
+    values: dict[str, Any] = {
+        "attempt": attempt,
+        "kind": "log",
+        "path": f"/{fields.get('kind', 'log')}/{attempt}",
+        "vm": "vm-0",
+        "at_s": 100.0,
+        "ended_s": 100.2,
+        "status": 200,
+        "seal": "seal-i-1",
+        "echoed": attempt,
+        "body": b"done",
+        "is_whole": True,
+        "left_s": None,
+    }
+    return Seen(**{**values, **fields})
+
+
+def stream(last: int, **fields: Any) -> Seen:
+    """Return a stream that ended after an event."""
+    events = "".join(f"id: {n}\ndata: a1\n\n" for n in range(1, last + 1))
+    return seen(kind="advice", body=events.encode(), **fields)
+
+
+class CheckTests(TrioTestCase):
+    """What is as promised passes; each breach is found by its check."""
+
+    async def _broken(
+        self, one: Seen, *runs: dict[str, Any], store_at_s: float = 0.0, **bed: Any
+    ) -> list[str]:
+        async with trio.open_nursery() as nursery:
+            deployment = Bed(nursery, Path(), lambda line: None)
+        deployment.timeline.note(STORE, store_at_s, store_at_s + 1)
+        standin = UsersReplica("i-1")
+        replica = Replica(standin, "ledger")
+        replica.leaves_s = bed.pop("leaves_s", float("inf"))
+        deployment.replicas["i-1"] = replica
+        deployment.versions = bed.pop("versions", [])
+        tenant = {"x-tenant": "clinics"} if one.kind == "advice" else {}
+        for fields in runs:
+            values = {
+                "attempt": one.attempt,
+                "replica": "i-1",
+                "headers": {"x-deadline-ms": "1900", **tenant},
+                "target": one.path,
+                "at_s": 100.1,
+            }
+            standin.runs.append(Run(**{**values, **fields}))
+        evidence = gather(deployment, [one])
+        checks = {**CHECKS, **TIMED_CHECKS}
+        return [name for name, found in checks.items() if list(found(evidence))]
+
+    async def test_what_is_as_promised_passes(self) -> None:
+        """Whole answers, whole streams, and refusals of what never ran."""
+        for one in (seen(), stream(EVENT_COUNT)):
+            self.assertEqual([], await self._broken(one, {}))
+        refused = seen(status=503, seal="", echoed="", body=b"")
+        self.assertThat(await self._broken(refused), Contains("most_is_served"))
+
+    async def test_each_breach_is_found(self) -> None:
+        """By the check of its promise."""
+        key = {"headers": {"api-key": "k1"}}
+        cases: dict[str, tuple[Seen, tuple[dict[str, Any], ...]]] = {
+            "once_at_most": (seen(), ({}, {})),
+            "refused_means_not_run": (seen(status=503), ({},)),
+            "answers_are_the_replicas": (seen(body=b"dong"), ({},)),
+            "streams_are_in_order": (stream(EVENT_COUNT - 1), ({},)),
+            "attempts_are_bounded": (seen(kind="read"), ({}, {}, {})),
+            "nothing_runs_unasked": (seen(), (key,)),
+            "deadlines_are_handed_on": (
+                seen(),
+                ({"headers": {"x-deadline-ms": "9000"}},),
+            ),
+            "all_is_answered": (seen(ended_s=103.0), ({},)),
+        }
+        for name, (one, runs) in cases.items():
+            self.assertThat(await self._broken(one, *runs), Contains(name))
+
+    async def test_bounds_bind_calm_machines_alone(self) -> None:
+        """Draining replicas and configurations, with a calm store and without."""
+        late = {"leaves_s": 90.0}
+        name = "draining_replicas_get_nothing"
+        self.assertThat(await self._broken(seen(), {}, **late), Contains(name))
+        self.assertEqual([], await self._broken(seen(), {}, store_at_s=88, **late))
+        versions = [(50.0, 1), (60.0, 2)]
+        old = seen(kind="own", path="/v1/a1")
+        new = seen(kind="own", path="/v2/a1", status=404, seal="")
+        for one, name in ((old, "nothing_goes_back"), (new, "new_routes_are_in_force")):
+            found = await self._broken(one, {}, versions=versions)
+            self.assertThat(found, Contains(name))
+            calmed = await self._broken(one, {}, versions=versions, store_at_s=59)
+            self.assertNotIn(name, calmed)
