Name an address that nobody can listen on, and let one fault end a process at a time

Cause, found by soak seed 101: two faults of the rig ended the same process and both started it again; the second start died of an address in use, with a traceback of two exceptions instead of a reason. Changes: the edge listens on all its addresses before it starts anything, and names the one that it cannot have; the rig restarts a process once.

--- a/src/hemlocktrestle/edge/__main__.py
+++ b/src/hemlocktrestle/edge/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import gc
+import logging
 import sys
 from collections.abc import Sequence
 from functools import partial
@@ -18,6 +19,8 @@
 METRICS_PORT = 9464
 """Port on which metrics are served, as exporters of traces and metrics use it."""
 
+log = logging.getLogger(__name__)
+
 EXIT_SETTINGS = 2
 """Exit code when the settings are wrong; nothing was started."""
 
@@ -76,7 +79,12 @@
         metrics_port=options.metrics_port,
         dropped_count=lambda: handler.dropped_count,
     )
-    trio.run(run)
+    try:
+        trio.run(run)
+    except RequestError as error:
+        log.error("not_started", extra={"reason": error.message})
+        print(error.message, file=sys.stderr)
+        return EXIT_SETTINGS
     return 0
 
 
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -184,6 +184,8 @@
             await stack.enter_async_context(self._store)
             callers = listen(settings.callers_address)
             ready = listen(settings.ready_address)
+            peers = listen(f"{settings.ip}:{settings.peer_port}")
+            metrics = listen(f"{settings.ip}:{self._metrics_port}")
             nursery = await stack.enter_async_context(trio.open_nursery())
             signals = stack.enter_context(
                 trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP)
@@ -198,7 +200,6 @@
                 self._health,
                 on_change=self._peers.replicas_changed,
             )
-            peers = listen(f"{settings.ip}:{settings.peer_port}")
             nursery.start_soon(self._network.run)
             nursery.start_soon(
                 partial(trio.serve_listeners, self._network.accept, [peers])
@@ -221,7 +222,6 @@
             )
             nursery.start_soon(serve_answers, ready, {b"/ready": self._ready})
             nursery.start_soon(self._callers.run, callers)
-            metrics = listen(f"{settings.ip}:{self._metrics_port}")
             answers = {b"/metrics": self._metrics.text}
             nursery.start_soon(serve_answers, metrics, answers)
             log.info(
@@ -380,7 +380,7 @@
         dropped_count: returns how many log lines were not written.
 
     Raises:
-        OSError: if an address cannot be listened on.
+        RequestError: of kind ``SETTINGS_INVALID`` if an address cannot be listened on.
     """
     await EdgeDaemon(
         settings, path, metrics_port=metrics_port, dropped_count=dropped_count
--- a/src/hemlocktrestle/edge/_listeners.py
+++ b/src/hemlocktrestle/edge/_listeners.py
@@ -10,6 +10,7 @@
 import trio
 
 from hemlocktrestle.edge._state import EdgeState
+from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.relay import BodyRoom, CallerConnection, CallerRequest
 
 log = logging.getLogger(__name__)
@@ -28,12 +29,22 @@
 
 
 def listen(address: str) -> trio.SocketListener:
-    """Return a listener on an address and port."""
+    """Return a listener on an address and port.
+
+    Raises:
+        RequestError: of kind ``SETTINGS_INVALID`` if nobody can listen there.
+    """
     host, _, port = address.rpartition(":")
     sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((host, int(port)))
-    sock.listen(BACKLOG)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, int(port)))
+        sock.listen(BACKLOG)
+    except OSError as error:
+        sock.close()
+        raise RequestError(
+            ErrorKind.SETTINGS_INVALID, f"cannot listen on {address}: {error}"
+        ) from error
     sock.setblocking(False)
     return trio.SocketListener(trio.socket.from_stdlib_socket(sock))
 
--- a/tests/edge/test_processes.py
+++ b/tests/edge/test_processes.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import AsyncIterator
@@ -244,3 +245,20 @@
             )
             self.assertEqual(2, found.returncode)
             self.assertIn("zone", found.stderr)
+
+    def test_an_address_in_use_is_named(self) -> None:
+        """Nothing is started, and no traceback hides the reason."""
+        with TemporaryDirectory() as folder, socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            address = f"127.0.0.1:{taken.getsockname()[1]}"
+            path = Path(folder) / "settings.toml"
+            document = changed(SETTINGS, "listen.front", address)
+            path.write_text(as_toml(document), encoding="utf-8")
+            command = [sys.executable, "-m", "hemlocktrestle.edge", "--settings"]
+            found = subprocess.run(
+                [*command, str(path)], capture_output=True, text=True, check=False
+            )
+            self.assertEqual(2, found.returncode)
+            self.assertIn(address, found.stderr)
+            self.assertNotIn("Traceback", found.stderr)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -24,6 +24,8 @@
     options = parser.parse_args()
     if options.program == "daemons":
         return soak_daemons(options.seconds, options.seed)
+    if options.logs:
+        options.logs.mkdir(parents=True, exist_ok=True)
     is_broken = False
     for seed in range(options.seed, options.seed + options.count):
         path = options.logs / f"soak-{seed}.log" if options.logs else None
--- a/tests/soak/_bed.py
+++ b/tests/soak/_bed.py
@@ -80,6 +80,7 @@
         self.peer_link: RelayedLink | None = None
         self.store_address = ""
         self.peer_address = ""
+        self.is_restarting = False
         self._is_ending = False
 
     @property
@@ -110,9 +111,12 @@
         )
         self._bed.nursery.start_soon(self._read, self.process)
         self._bed.nursery.start_soon(self._watch, self.process)
-        with trio.fail_after(START_S):
-            while not self.is_up:
+        process = self.process
+        with trio.move_on_after(START_S):
+            while self.process is process and not self.is_up:
                 await trio.sleep(0.02)
+        if self.process is process and not self.is_up:
+            self.unexpected.append(f"not up within {START_S} s")
 
     def send(self, number: int) -> None:
         """Send a signal; one that ends the process is expected to."""
@@ -226,6 +230,11 @@
             for vm in self.vms.values():
                 nursery.start_soon(vm.start)
 
+    def end(self) -> None:
+        """End all processes that were started here."""
+        for vm in self.vms.values():
+            vm.send(signal.SIGKILL)
+
     def configure(self) -> None:
         """Write the next version; each has a route of its own."""
         self.version += 1
--- a/tests/soak/_edge.py
+++ b/tests/soak/_edge.py
@@ -56,18 +56,21 @@
     with TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
             bed = Bed(nursery, Path(folder), lines.append)
-            await bed.start()
-            for number in range(CALLER_COUNT):
-                caller = Caller(number, bed, random.Random(f"{seed}/{number}"), seen)
-                nursery.start_soon(caller.run)
-            await trio.sleep(1.0)
-            await _inject(bed, chance, seconds, injected)
-            await trio.sleep(CALM_S)
-            if is_timed:
-                broken += _unrecovered(seen)
-            evidence = gather(bed, seen)
-            for vm in bed.vms.values():
-                vm.send(9)
+            try:
+                await bed.start()
+                for number in range(CALLER_COUNT):
+                    caller = Caller(
+                        number, bed, random.Random(f"{seed}/{number}"), seen
+                    )
+                    nursery.start_soon(caller.run)
+                await trio.sleep(1.0)
+                await _inject(bed, chance, seconds, injected)
+                await trio.sleep(CALM_S)
+                if is_timed:
+                    broken += _unrecovered(seen)
+                evidence = gather(bed, seen)
+            finally:
+                bed.end()
             nursery.cancel_scope.cancel()
     broken += _judge(evidence, is_timed=is_timed)
     if log_path is not None:
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -51,21 +51,42 @@
     return bed.replicas[chance.choice(sorted(bed.replicas))]
 
 
-async def _restart(vm: Vm, chance: random.Random) -> None:
-    await trio.sleep(chance.uniform(0.05, 1.5))
-    await vm.start()
+async def _end_and_restart(
+    bed: Bed,
+    vm: Vm,
+    chance: random.Random,
+    end: Callable[[Bed, Vm], Awaitable[None]],
+) -> None:
+    """End a process and start it again, unless another fault is at it."""
+    if vm.is_restarting or not vm.is_up:
+        return
+    vm.is_restarting = True
+    with disturbed(bed, vm.name):
+        await end(bed, vm)
+        await trio.sleep(chance.uniform(0.05, 1.5))
+        await vm.start()
+    vm.is_restarting = False
+
+
+async def _kill(bed: Bed, vm: Vm) -> None:
+    vm.send(signal.SIGKILL)
+    await vm.wait()
+
+
+async def _stop(bed: Bed, vm: Vm) -> None:
+    vm.send(signal.SIGTERM)
+    with trio.move_on_after(GRACE_S + END_SLACK_S):
+        await vm.wait()
+        return
+    if bed.timeline.is_calm(f"frozen {vm.name}", 0.0, trio.current_time()):
+        vm.overdue_count += 1
+    await _kill(bed, vm)
 
 
 @fault
 async def kill_a_process(bed: Bed, chance: random.Random) -> None:
     """One process is killed and started again."""
-    vm = _vm(bed, chance)
-    if not vm.is_up:
-        return
-    with disturbed(bed, vm.name):
-        vm.send(signal.SIGKILL)
-        await vm.wait()
-        await _restart(vm, chance)
+    await _end_and_restart(bed, _vm(bed, chance), chance, _kill)
 
 
 @fault
@@ -73,33 +94,13 @@
     """All processes are killed at once and come back one after the other."""
     async with trio.open_nursery() as nursery:
         for vm in bed.vms.values():
-            if vm.is_up:
-                nursery.start_soon(_kill_and_restart, bed, vm, chance)
-
-
-async def _kill_and_restart(bed: Bed, vm: Vm, chance: random.Random) -> None:
-    with disturbed(bed, vm.name):
-        vm.send(signal.SIGKILL)
-        await vm.wait()
-        await _restart(vm, chance)
+            nursery.start_soon(_end_and_restart, bed, vm, chance, _kill)
 
 
 @fault
 async def stop_a_process(bed: Bed, chance: random.Random) -> None:
     """One process is told to stop, ends in its time, and is started again."""
-    vm = _vm(bed, chance)
-    if not vm.is_up:
-        return
-    with disturbed(bed, vm.name):
-        vm.send(signal.SIGTERM)
-        with trio.move_on_after(GRACE_S + END_SLACK_S) as scope:
-            await vm.wait()
-        if scope.cancelled_caught:
-            if bed.timeline.is_calm(f"frozen {vm.name}", 0.0, trio.current_time()):
-                vm.overdue_count += 1
-            vm.send(signal.SIGKILL)
-            await vm.wait()
-        await _restart(vm, chance)
+    await _end_and_restart(bed, _vm(bed, chance), chance, _stop)
 
 
 @fault
--- a/tests/standins/users_store.py
+++ b/tests/standins/users_store.py
@@ -5,9 +5,10 @@
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
+import h11
 import trio
 
-from tests.standins.http import Connection, Request
+from tests.standins.http import Connection, GoneError, Request
 
 PAGE_COUNT = 3
 """Items of a page: few, so that tests meet more than one page."""
@@ -73,11 +74,14 @@
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve one connection."""
         connection = Connection(stream)
-        while (request := await connection.next_request()) is not None:
-            if not await self._handle(connection, request):
-                await stream.aclose()
+        async with stream:
+            try:
+                while (request := await connection.next_request()) is not None:
+                    if not await self._handle(connection, request):
+                        return
+                    connection.machine.start_next_cycle()
+            except (GoneError, h11.ProtocolError, trio.BrokenResourceError):
                 return
-            connection.machine.start_next_cycle()
 
     async def _handle(self, connection: Connection, request: Request) -> bool:
         url = urlsplit(request.target)
