Log when a process did not run, draw the results, and forget lost holders

Changes: the edge logs process_stalled with the processor time of the stall; the soak counts a machine that stood still as out of touch, and one whose own code blocked it as in touch. Ruled out: stalls of the soak itself, which it notes.

--- a/bench/results.py
+++ b/bench/results.py
@@ -1,10 +1,13 @@
-"""Makes docs/RESULTS.md from the entries of the users' bench in journal/."""
+"""Makes docs/RESULTS.md and its plots from the users' bench's entries in journal/."""
 
 import json
 import sys
 from pathlib import Path
 from typing import Any, NamedTuple
 
+import matplotlib as mpl
+from matplotlib.figure import Figure
+
 ROOT = Path(__file__).parent.parent
 
 HEAD = """# Results on the users' bench
@@ -16,6 +19,32 @@
 """
 
 
+RELAY = {
+    "taa-safi": {
+        "quiet-1": 0.644,
+        "trouble-1": 0.420,
+        "scale-1": 0.056,
+        "trouble-2": 0.516,
+        "scale-2": 0.057,
+        "trouble-3": 0.269,
+    },
+    "pbr-fleet": {
+        "quiet-1": 0.481,
+        "trouble-1": 0.487,
+        "scale-1": 0.222,
+        "trouble-2": 0.455,
+        "scale-2": 0.166,
+        "trouble-3": 0.256,
+    },
+    "pbr-fleet-grown": {"quiet-1": 0.335},
+    "taa-safi-grown": {"quiet-1": 0.342},
+}
+"""Worth of a plain relay by site and day, from the users' notes."""
+
+INCHES = (9.0, 4.0)
+"""Width and height of a plot."""
+
+
 class Score(NamedTuple):
     """One score of a site.
 
@@ -61,7 +90,10 @@
     for site in sorted({score.site for score in scores}):
         rounds = [score for score in scores if score.site == site]
         names = list(rounds[0].days)
-        parts.append(f"\n## {site}\n\n| round | {' | '.join(names)} | mean |")
+        parts.append(f"\n## {site}\n")
+        parts.append(f"![worth by day](plots/{site}-days.svg)\n")
+        parts.append(f"![mean by round](plots/{site}-rounds.svg)\n")
+        parts.append(f"| round | {' | '.join(names)} | mean |")
         parts.append("|---" * (len(names) + 2) + "|")
         for mark, label in (("naive", "zero"), ("top", "one")):
             values = [rounds[0].days[name][mark] for name in names]
@@ -81,9 +113,53 @@
     return f"| {label} | {' | '.join(cells)} | {mean:.3f} |"
 
 
+def draw(site: str, rounds: list[Score], folder: Path) -> None:
+    """Draw worth by day, and its mean by round, of one site."""
+    names = list(rounds[0].days)
+    ones = [rounds[0].days[name]["top"] for name in names]
+    relay = [RELAY.get(site, {}).get(name, float("nan")) for name in names]
+    figure = Figure(figsize=INCHES, layout="constrained")
+    axes = figure.add_subplot()
+    lines = (
+        ("reference relay", relay, "s:"),
+        ("mark one", ones, "k--"),
+        ("first score", _worth(rounds[0], names), "o-"),
+        ("last score", _worth(rounds[-1], names), "D-"),
+    )
+    for label, values, style in lines:
+        axes.plot(names, values, style, label=label)
+    _finish(figure, f"{site}: worth by day", folder / f"{site}-days.svg")
+    figure = Figure(figsize=INCHES, layout="constrained")
+    axes = figure.add_subplot()
+    numbers = range(1, len(rounds) + 1)
+    axes.plot(numbers, [score.mean for score in rounds], "o-", label="mean worth")
+    axes.axhline(sum(ones) / len(ones), color="k", ls="--", label="mean of marks one")
+    axes.set_xlabel("score, trials among them")
+    _finish(figure, f"{site}: mean worth by round", folder / f"{site}-rounds.svg")
+
+
+def _worth(score: Score, names: list[str]) -> list[float]:
+    return [score.days[name]["G"] if name in score.days else 0.0 for name in names]
+
+
+def _finish(figure: Figure, title: str, path: Path) -> None:
+    axes = figure.axes[0]
+    axes.set_title(title)
+    axes.set_ylim(bottom=0)
+    axes.grid(visible=True, alpha=0.3)
+    axes.legend()
+    # Without a date and with fixed ids, the same scores give the same file.
+    figure.savefig(path, metadata={"Date": None})
+
+
 def main() -> int:
-    """Write the page."""
+    """Write the page and its plots."""
+    mpl.rcParams["svg.hashsalt"] = "hemlocktrestle"
     scores = read_scores(ROOT / "journal")
+    plots = ROOT / "docs" / "plots"
+    plots.mkdir(exist_ok=True)
+    for site in sorted({score.site for score in scores}):
+        draw(site, [score for score in scores if score.site == site], plots)
     (ROOT / "docs" / "RESULTS.md").write_text(page(scores), encoding="utf-8")
     print(f"{len(scores)} scores")
     return 0
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -30,6 +30,7 @@
 from hemlocktrestle.edge._place import AttemptReport, Place
 from hemlocktrestle.edge._quota_gate import EdgeQuotas
 from hemlocktrestle.edge._serve import EdgeServer, Served
+from hemlocktrestle.edge._stalls import StallWatch
 from hemlocktrestle.edge._state import NOTICE_MS, EdgeState, now_ms
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.gateway import Fleet
@@ -104,6 +105,7 @@
         self.state = EdgeState(settings, fleet=self._fleet)
         self._store = PlatformStore(settings.store_address)
         self._health = StoreHealth(self.state)
+        self._stalls = StallWatch()
         self._quarantine = QuarantineBook()
         jitter = random.Random(self._boot_id)
         entry = VmEntry(
@@ -206,6 +208,7 @@
             )
             nursery.start_soon(self._keeper.run)
             nursery.start_soon(self._peers.probe)
+            nursery.start_soon(self._stalls.run)
             nursery.start_soon(self._tell_keepers)
             nursery.start_soon(self._crashes.run)
             nursery.start_soon(replicas.run)
@@ -285,6 +288,7 @@
             store_answered_age_ms=health.age_ms,
             store_calls=lambda: self._store.call_count,
             vms_heard=lambda: self._fleet().heard_count,
+            stalls=lambda: self._stalls.count,
             log_lines_dropped=dropped_count,
         )
 
--- a/src/hemlocktrestle/edge/_metrics.py
+++ b/src/hemlocktrestle/edge/_metrics.py
@@ -53,6 +53,7 @@
     store_answered_age_ms: Callable[[], float]
     store_calls: Callable[[], float]
     vms_heard: Callable[[], float]
+    stalls: Callable[[], float]
     log_lines_dropped: Callable[[], float]
 
 
@@ -76,6 +77,7 @@
     "store_answered_age_ms": "Time since the store last answered.",
     "store_calls": "Calls to the store since the start.",
     "vms_heard": "VMs whose demand is known, this one included.",
+    "stalls": "Times for which nothing in this process ran, since the start.",
     "log_lines_dropped": "Log lines that were not written, since the start.",
     "pool_queued_asks": "Asks that wait in front of a pool kept here.",
     "pool_free_slots": "Requests that a pool kept here may still be given.",
--- a/src/hemlocktrestle/keeper/_core.py
+++ b/src/hemlocktrestle/keeper/_core.py
@@ -130,7 +130,8 @@
         for waiting in self._queue.waiting():
             if waiting.vm == vm:
                 self._queue.remove(waiting.ask.ask_id)
-        self._upstreams.holder_lost(vm)
+        for ask_id in self._upstreams.holder_lost(vm):
+            self._routes.pop(ask_id, None)
         return self._grant(now_ms)
 
     def tick(self, now_ms: float) -> list[Outgoing]:
--- a/src/hemlocktrestle/keeper/_upstream_set.py
+++ b/src/hemlocktrestle/keeper/_upstream_set.py
@@ -173,13 +173,17 @@
         if model is not None:
             model.pulse(pulse)
 
-    def holder_lost(self, vm: str) -> None:
-        """Take out of hand all that a VM held."""
-        for model in [*self._models.values(), *self._leaving.values()]:
-            for ask_id in [
-                ask_id for ask_id, item in model.in_hand.items() if item.vm == vm
-            ]:
-                self.drop(ask_id)
+    def holder_lost(self, vm: str) -> list[str]:
+        """Take out of hand all that a VM held, and return the ids."""
+        lost = [
+            ask_id
+            for model in [*self._models.values(), *self._leaving.values()]
+            for ask_id, item in model.in_hand.items()
+            if item.vm == vm
+        ]
+        for ask_id in lost:
+            self.drop(ask_id)
+        return lost
 
     def look_for_stragglers(self, now_ms: float) -> None:
         """Compare each upstream with its own past and with its peers; now and then."""
--- /dev/null
+++ b/tests/edge/test_stalls.py
@@ -0,0 +1,38 @@
+"""Tests of noticing that the process did not run."""
+
+import time
+from itertools import count
+from typing import Any
+
+import trio
+import trio.testing
+
+from hemlocktrestle.edge import _stalls
+from hemlocktrestle.edge._stalls import STALL_MS, StallWatch
+from tests.support import TrioTestCase
+
+
+class StallTests(TrioTestCase):
+    """Long pauses are logged once each, short ones are not."""
+
+    async def test_a_pause_is_logged_with_the_time_worked(self) -> None:
+        """A clock that jumps forward stands for a process that stood still."""
+        logged: list[dict[str, Any]] = []
+        worked_s = count(step=0.01)
+        self.patch(time, "process_time", lambda: next(worked_s))
+
+        def take(event: str, *, extra: dict[str, Any]) -> None:
+            logged.append(extra)
+
+        self.patch(_stalls.log, "warning", take)
+        clock: Any = trio.lowlevel.current_clock()
+        watch = StallWatch()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch.run)
+            for pause_ms in (STALL_MS / 2, STALL_MS * 2):
+                await trio.testing.wait_all_tasks_blocked()
+                clock.jump(_stalls.LOOK_S + pause_ms / 1000)
+                await trio.testing.wait_all_tasks_blocked()
+            nursery.cancel_scope.cancel()
+        self.assertEqual([{"stall_ms": 500, "cpu_ms": 10}], logged)
+        self.assertEqual(1, watch.count)
--- a/tests/keeper/test_core.py
+++ b/tests/keeper/test_core.py
@@ -221,3 +221,17 @@
             keeper.withdraw(Withdraw(str(number), "assistant"), 0)
         sizes = [len(keeper._deadlines), len(keeper._queue._last)]  # type: ignore[attr-defined]
         self.assertTrue(max(sizes) <= 128, f"sizes {sizes}")
+
+
+class HolderLostTests(TestCase):
+    """What a keeper notes of a permit goes with the VM that held it."""
+
+    def test_nothing_is_kept_of_a_lost_holder(self) -> None:
+        """Neither its permits nor the routes that they were for."""
+        keeper = PoolKeeper("assistant", policy=TEST_POLICY)
+        keeper.set_upstreams([upstream("u1")], 0.0)
+        sent = keeper.ask("v1", ask_of("a1", route="chat"), 0.0)
+        self.assertEqual(["a1"], granted(sent))
+        keeper.holder_lost("v1", 1.0)
+        self.assertEqual({}, keeper._routes)
+        self.assertEqual([0], [len(model.in_hand) for model in keeper.models()])
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,6 +1,7 @@
 """Command line of the soaks."""
 
 import argparse
+import signal
 import sys
 from functools import partial
 from pathlib import Path
@@ -22,6 +23,8 @@
     parser.add_argument("--count", type=int, default=1, help="how many seeds")
     parser.add_argument("--logs", type=Path, help="folder for logs of broken seeds")
     options = parser.parse_args()
+    # As from a terminal, so that the processes that were started are ended.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     if options.program == "daemons":
         return soak_daemons(options.seconds, options.seed)
     if options.logs:
--- a/tests/soak/_edge.py
+++ b/tests/soak/_edge.py
@@ -13,12 +13,19 @@
 from tests.soak._callers import Caller, Seen
 from tests.soak._checks import CHECKS, TIMED_CHECKS, Evidence, gather
 from tests.soak._faults import FAULTS
+from tests.soak._timeline import RIG
 
 CALLER_COUNT = 12
 
 PAUSE_S = (0.2, 1.5)
 """Shortest and longest pause between the beginnings of two faults, in seconds."""
 
+RIG_LOOK_S = 0.05
+"""Time between looks at the clock of the soak itself, in seconds."""
+
+RIG_STALL_S = 0.2
+"""Time by which the soak may be late itself, in seconds; bounds allow 0.5 s."""
+
 CALM_S = 4.0
 """Time without faults at the end, after which requests must be served, in seconds."""
 
@@ -63,6 +70,7 @@
                         number, bed, random.Random(f"{seed}/{number}"), seen
                     )
                     nursery.start_soon(caller.run)
+                nursery.start_soon(_watch_rig, bed)
                 await trio.sleep(1.0)
                 await _inject(bed, chance, seconds, injected)
                 await trio.sleep(CALM_S)
@@ -78,6 +86,16 @@
     return Report(Counter(one.status for one in seen), injected, broken)
 
 
+async def _watch_rig(bed: Bed) -> None:
+    """Note when this process itself stalls: what it sees then is late."""
+    while True:
+        before_s = trio.current_time()
+        await trio.sleep(RIG_LOOK_S)
+        now_s = trio.current_time()
+        if now_s - before_s > RIG_LOOK_S + RIG_STALL_S:
+            bed.timeline.note(RIG, before_s, now_s)
+
+
 async def _inject(
     bed: Bed, chance: random.Random, seconds: float, injected: Counter[str]
 ) -> None:
--- a/tests/soak/_timeline.py
+++ b/tests/soak/_timeline.py
@@ -4,6 +4,9 @@
 
 STORE = "store"
 
+RIG = "rig"
+"""The process of the soak, which stalls if the machine has no time for it."""
+
 
 class Timeline:
     """Disturbances by the name of what they hit; times are in seconds."""
