--- a/bench/policy/__main__.py
+++ b/bench/policy/__main__.py
@@ -42,6 +42,8 @@
         for user in PRESETS:
             lines = report.table(user, [OWN, *ABLATIONS], scenarios)
             print("\n".join(lines))
+    for user in PRESETS:
+        print("\n".join(report.forecasts(user, scenarios)))
     print()
     for user in PRESETS:
         print("\n".join(report.goals(user)))
--- a/bench/policy/_keeper_front.py
+++ b/bench/policy/_keeper_front.py
@@ -29,6 +29,13 @@
 BYTES_PER_TOKEN = 4
 
 
+class Forecast(NamedTuple):
+    """Errors of a forecast at the grant, as shares of what came."""
+
+    first: float
+    end: float
+
+
 class Variant(NamedTuple):
     """The policy, and which of the holder's decisions are on."""
 
@@ -73,6 +80,7 @@
         self._variant = variant
         self._calls = Calls(loop)
         self.results = self._calls.results
+        self.forecasts: list[Forecast] = []
         self._engines = {engine.spec.name: engine for engine in engines}
         self._held: dict[str, Held] = {}
         self._costs = CostEstimator()
@@ -246,11 +254,25 @@
                 output_tokens=request.output_tokens,
             )
         keeper = self._keepers[zone]
+        if is_useful:
+            self._note_forecast(keeper, release)
         self._loop.after(
             link_ms(zone, request.zone),
             lambda: self._deliver(zone, keeper.release(release, self._loop.now_ms)),
         )
 
+    def _note_forecast(self, keeper: PoolKeeper, release: Release) -> None:
+        """Compare what the keeper expected at the grant with what came."""
+        for model in keeper.models():
+            item = model.in_hand.get(release.ask_id)
+            if item is not None and item.total_ms and release.first_token_ms:
+                self.forecasts.append(
+                    Forecast(
+                        abs(item.first_ms / release.first_token_ms - 1),
+                        abs(item.total_ms / max(1, release.total_ms) - 1),
+                    )
+                )
+
     def _give_up(self, held: Held) -> None:
         if held.is_over or held.is_sent:
             return
--- a/bench/policy/_report.py
+++ b/bench/policy/_report.py
@@ -4,7 +4,7 @@
 from statistics import mean, stdev
 
 from bench.policy._front import FRONTS
-from bench.policy._run import ABLATIONS, ORACLE, OWN, Figures, Run
+from bench.policy._run import ABLATIONS, ORACLE, OWN, Figures, ForecastErrors, Run
 from bench.policy._trace import SCENARIOS
 
 Results = Mapping[Run, Figures]
@@ -54,6 +54,26 @@
             lines += [self.line(user, scenario, policy) for policy in policies]
         return lines
 
+    def forecasts(self, user: str, scenarios: list[str]) -> list[str]:
+        """Return the errors of the keeper's forecasts, as shares of what came."""
+        names = ForecastErrors._fields
+        lines = [
+            "",
+            f"{user}: errors of forecasts",
+            " " * 27 + "".join(name.rjust(14) for name in names),
+        ]
+        for scenario in scenarios:
+            found = [
+                self._results[Run(user, scenario, OWN, seed)].forecast
+                for seed in self._seeds
+            ]
+            cells = [
+                f"{mean(getattr(errors, name) for errors in found if errors):.2f}"
+                for name in names
+            ]
+            lines.append(f"{scenario:<27}" + "".join(c.rjust(14) for c in cells))
+        return lines
+
     def goals(self, user: str) -> list[str]:
         """Return a line for each goal: met or missed, with the figures."""
         wasted_own = self._mean(user, "swing", OWN, lambda f: f.wasted_tokens)
--- a/bench/policy/_run.py
+++ b/bench/policy/_run.py
@@ -5,7 +5,7 @@
 
 from bench.policy._engine import Engine, EngineSpec
 from bench.policy._front import FRONTS, Front, Result, region_of
-from bench.policy._keeper_front import KeeperFront, Variant
+from bench.policy._keeper_front import Forecast, KeeperFront, Variant
 from bench.policy._loop import Loop
 from bench.policy._trace import (
     CREST_S,
@@ -75,6 +75,15 @@
     seed: int
 
 
+class ForecastErrors(NamedTuple):
+    """Errors of forecasts as shares of what came: medians and 90th percentiles."""
+
+    first_p50: float
+    first_p90: float
+    end_p50: float
+    end_p90: float
+
+
 class Figures(NamedTuple):
     """What one run showed.
 
@@ -90,6 +99,7 @@
     first_ms: tuple[float, float, float]
     polite: float
     reasons: tuple[tuple[str, int], ...]
+    forecast: ForecastErrors | None = None
 
 
 def variant_of(user: str, name: str) -> Variant:
@@ -120,7 +130,21 @@
     for request in trace:
         loop.after(request.at_ms, _arrival(front, request))
     loop.run(SECONDS * 1000 + DRAIN_MS)
-    return _figures(front.results)
+    figures = _figures(front.results)
+    if not isinstance(front, KeeperFront):
+        return figures
+    return figures._replace(forecast=_errors(front.forecasts))
+
+
+def _errors(forecasts: list[Forecast]) -> ForecastErrors:
+    first = sorted(forecast.first for forecast in forecasts)
+    end = sorted(forecast.end for forecast in forecasts)
+    return ForecastErrors(
+        _quantile(first, 0.5),
+        _quantile(first, 0.9),
+        _quantile(end, 0.5),
+        _quantile(end, 0.9),
+    )
 
 
 def _front(what: Run, loop: Loop, engines: list[Engine]) -> Front:
