Keep the keeper's cost per event from following its queue

The objective queue sorted all that waits at each ask and each release: 3.57 ms an ask with half a release at 348 waiting on 25 upstreams, more than the keeper's VM of half a core has at 300 asks a second. Ruled out: engines (4,074 arrivals at 45 replicas), lapsed entries of VMs (the fall began before the first lapsed), refusals by quota (567).

--- a/src/hemlocktrestle/keeper/_core.py
+++ b/src/hemlocktrestle/keeper/_core.py
@@ -172,6 +172,11 @@
         """Return the asks that wait, in no order."""
         return self._queue.waiting()
 
+    @property
+    def queued_count(self) -> int:
+        """How many asks wait."""
+        return len(self._queue)
+
     def pulse(self, pulse: Pulse) -> None:
         """Learn from a stream that still runs."""
         self._upstreams.pulse(pulse)
@@ -185,9 +190,11 @@
         return list(self._upstreams)
 
     def _grant(self, now_ms: float) -> list[Outgoing]:
-        outgoing = []
+        outgoing: list[Outgoing] = []
         self._upstreams.advance(now_ms)
         self._queue.advance(now_ms)
+        if not self._upstreams.has_room:
+            return []
         for waiting in self._queue.order(self._upstreams.is_open):
             ask = waiting.ask
             model = self._choose(waiting, self._upstreams, now_ms)
--- a/src/hemlocktrestle/keeper/_upstream_set.py
+++ b/src/hemlocktrestle/keeper/_upstream_set.py
@@ -94,6 +94,11 @@
             del self._leaving[name]
         return is_changed
 
+    @property
+    def has_room(self) -> bool:
+        """Whether an upstream has room for asks of some kind."""
+        return any(room.free for room in self._rooms.values())
+
     def is_open(self, ask_class: AskClass, tier: int) -> bool:
         """Tell whether an upstream has room for asks of a class and tier."""
         free = self._rooms[_kind(tier, ask_class.is_long)].free
--- a/src/hemlocktrestle/peers/_keeper_task.py
+++ b/src/hemlocktrestle/peers/_keeper_task.py
@@ -281,7 +281,7 @@
                 "holder": vm,
                 "reason": refusal.kind,
                 "pool": keeper.pool,
-                "queued_count": len(keeper.waiting()),
+                "queued_count": keeper.queued_count,
                 "in_hand": {
                     model.record.name: f"{len(model.in_hand)}/{model.slots}"
                     for model in keeper.models()
--- a/tests/keeper/test_objective_queue.py
+++ b/tests/keeper/test_objective_queue.py
@@ -1,10 +1,13 @@
 """Tests of the queue that serves what can still be in time first."""
 
+import math
+import sys
 from typing import Any
 
 from testtools import TestCase
 
 from hemlocktrestle.keeper import QUEUES, PoolKeeper, Waiting, policy_named
+from hemlocktrestle.keeper._objective_queue import ObjectiveQueue
 from hemlocktrestle.wire import Ask, Permit, Refusal
 from tests.keeper.naive import upstream
 from tests.keeper.test_core import ask_of, granted, release_of
@@ -99,3 +102,48 @@
         keeper = self.keeper(1)
         sent = keeper.ask("v1", self.ask("late", aim_ms=0), 0)
         self.assertIsInstance(sent[0].message, Permit)
+
+
+class CostTests(TestCase):
+    """The cost of an event does not follow what waits."""
+
+    def count_calls(self, waiting_count: int) -> int:
+        """Return the calls of Python code in 100 asks and releases."""
+        policy = policy_named("objective")._replace(queued_count_max=100_000)
+        keeper = PoolKeeper("assistant", policy=policy)
+        keeper.set_upstreams([upstream("u1")._replace(slots=2)], 0)
+        for number in range(waiting_count):
+            ask = ask_of(f"w{number}", tier=number % 3, aim_ms=10**8, deadline_ms=10**9)
+            keeper.ask("v1", ask, 0)
+        running = ["w0", "w3"]
+        calls = 0
+
+        def count(frame: Any, event: str, argument: Any) -> None:
+            nonlocal calls
+            calls += event == "call"
+
+        sys.setprofile(count)
+        try:
+            for number in range(100):
+                ask = ask_of(f"a{number}", aim_ms=10**8, deadline_ms=10**9)
+                keeper.ask("v1", ask, 1)
+                running += granted(keeper.release(release_of(running.pop(0)), 1))
+        finally:
+            sys.setprofile(None)
+        return calls
+
+    def test_events_do_not_scan_what_waits(self) -> None:
+        """Sixteen times as many asks cost at most the logarithm's growth more."""
+        few, many = self.count_calls(500), self.count_calls(8_000)
+        growth = math.log(8_000) / math.log(500)
+        self.assertTrue(many <= few * growth, f"{few} calls, then {many}")
+
+    def test_asks_that_went_leave_nothing(self) -> None:
+        """Kinds of asks that no longer wait are forgotten."""
+        queue = ObjectiveQueue()
+        for number in range(300):
+            item = waiting(f"a{number}", aim_ms=100, tier=number)
+            queue.push(item)
+            queue.remove(item.ask.ask_id)
+        self.assertEqual([], list(queue.order(lambda kind, tier: True)))
+        self.assertEqual({}, queue._lines)
