--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -8,11 +8,11 @@
 from pathlib import Path
 
 # Each module registers its measurements.
-from bench.capacity import _control, _daemons, _settings
+from bench.capacity import _control, _daemons, _roles, _settings
 from bench.capacity._page import put_into, tables
 from bench.capacity._slopes import MEASUREMENTS, Point, Slope
 
-__all__ = ["_control", "_daemons", "_settings"]
+__all__ = ["_control", "_daemons", "_roles", "_settings"]
 
 
 def line(name: str, slope: Slope) -> str:
--- a/bench/capacity/_control.py
+++ b/bench/capacity/_control.py
@@ -1,7 +1,5 @@
-"""Control messages: asks, queued asks, heartbeats, roles, the platform's list."""
+"""Control messages: asks, queued asks, heartbeats."""
 
-import json
-import random
 import socket
 import time
 from collections.abc import Callable, Iterator
@@ -12,7 +10,6 @@
 import trio
 
 from bench.capacity._slopes import (
-    REPEATS,
     Point,
     Slope,
     cpu_point,
@@ -20,11 +17,9 @@
     measurement,
     point,
 )
-from hemlocktrestle.adapters import listing_from_targets
 from hemlocktrestle.keeper import PoolKeeper
-from hemlocktrestle.membership import Listing, Membership, UpstreamRecord, VmRecord
+from hemlocktrestle.membership import UpstreamRecord, VmRecord
 from hemlocktrestle.peers import Link, LinkEvents
-from hemlocktrestle.peers._asker import Asker, _Held
 from hemlocktrestle.wire import (
     PROTOCOL_VERSION,
     Ask,
@@ -276,168 +271,3 @@
         "bytes",
         tuple(Point(n, size * n, size * n, size * n) for n in (1, 2, 4)),
     )
-
-
-def known_membership(vms: int, upstreams: tuple[UpstreamRecord, ...]) -> Membership:
-    """Return a membership that has heard of all its VMs."""
-    records = vm_records(vms, 10)
-    membership = Membership(records[0])
-    membership.listed(Listing(records, upstreams))
-    for record in records:
-        membership.heard(record.name, 0.0, is_draining=False)
-    return membership
-
-
-@measurement("roles")
-def roles() -> Iterator[Slope]:
-    """Finding a keeper, and refreshing a pool's upstreams."""
-
-    def find(vms: int) -> Callable[[], None]:
-        membership = known_membership(vms, ())
-
-        def run() -> None:
-            for _ in range(100):
-                membership.keeper_of(POOL, "zone-00", 1.0)
-
-        return run
-
-    yield Slope(
-        "finding a pool's keeper",
-        "VMs listed",
-        "us",
-        tuple(cpu_point(size, partial(find, size), per=100) for size in (43, 215, 430)),
-    )
-
-    def refresh(each: int) -> Callable[[], None]:
-        membership = known_membership(43, upstream_records(10, 10, each))
-
-        def run() -> None:
-            for _ in range(50):
-                membership.upstreams(POOL, "zone-00", 1.0)
-
-        return run
-
-    yield Slope(
-        "reading a pool's upstreams (10 a second for each pool kept)",
-        "upstreams listed",
-        "us",
-        tuple(
-            cpu_point(each * 100, partial(refresh, each), per=50) for each in (4, 8, 17)
-        ),
-    )
-
-
-@measurement("watch-roles")
-def watching_roles() -> Iterator[Slope]:
-    """Checking the keepers of all permits in hand, and the names of all pools."""
-
-    def check(permits: int) -> Callable[[], None]:
-        membership = known_membership(430, ())
-        asker = Asker(
-            membership,
-            send=lambda vm, message: True,
-            now_ms=lambda: 1.0,
-            jitter=random.Random(1),
-        )
-        keeper_vm = membership.keeper_of(POOL, "zone-00", 1.0) or ""
-        for _ in range(permits):
-            item = ask()
-            permit = Permit(item.ask_id, POOL, "engine", "", 0, 1_000)
-            asker._held[item.ask_id] = _Held(permit, "zone-00", keeper_vm, 700, 250)
-        return asker.tell_keepers
-
-    yield Slope(
-        "checking keepers of permits in hand (4 a second)",
-        "permits",
-        "us",
-        tuple(cpu_point(size, partial(check, size)) for size in (100, 200, 400)),
-    )
-
-    def name_pools(each: int) -> Callable[[], None]:
-        membership = known_membership(43, upstream_records(10, 10, each))
-
-        def run() -> None:
-            for _ in range(50):
-                membership.pools("engine")
-
-        return run
-
-    yield Slope(
-        "naming the models served (each request)",
-        "upstreams listed",
-        "us",
-        tuple(
-            cpu_point(each * 100, partial(name_pools, each), per=50)
-            for each in (4, 8, 17)
-        ),
-    )
-
-
-def _targets(entries: int) -> bytes:
-    groups: list[dict[str, Any]] = []
-    vms = entries * 430 // 2130
-    for vm in vm_records(vms, 10):
-        labels = {"role": "vm", "name": vm.name, "zone": vm.zone, "region": vm.region}
-        labels["state"] = "live"
-        groups.append({"targets": [vm.address], "labels": labels})
-    for upstream in upstream_records(10, 10, 18)[: entries - vms]:
-        labels = {
-            "role": "upstream",
-            "name": upstream.name,
-            "zone": upstream.zone,
-            "region": upstream.region,
-            "state": "live",
-            "kind": upstream.kind,
-            "pools": ",".join(upstream.pools),
-            "generation": upstream.generation,
-        }
-        groups.append({"targets": [upstream.address], "labels": labels})
-    return json.dumps(groups).encode()
-
-
-def _listing(body: bytes) -> Listing:
-    return listing_from_targets(json.loads(body))
-
-
-@measurement("list")
-def platform_list() -> Iterator[Slope]:
-    """One read of the platform's list: bytes, and taking it in."""
-    sizes = (500, 1000, 2130)
-    bodies = {size: _targets(size) for size in sizes}
-    yield Slope(
-        "platform's list, one read",
-        "entries",
-        "bytes",
-        tuple(
-            Point(size, len(bodies[size]), len(bodies[size]), len(bodies[size]))
-            for size in sizes
-        ),
-    )
-
-    def take_in(size: int) -> Callable[[], None]:
-        membership = Membership(vm_records(1, 10)[0])
-
-        def run() -> None:
-            for _ in range(5):
-                membership.listed(_listing(bodies[size]))
-
-        return run
-
-    yield Slope(
-        "platform's list, taking in one read",
-        "entries",
-        "us",
-        tuple(cpu_point(size, partial(take_in, size), per=5) for size in sizes),
-    )
-    yield Slope(
-        "platform's list in memory",
-        "entries",
-        "bytes",
-        tuple(
-            point(
-                size,
-                [held_bytes(partial(_listing, bodies[size])) for _ in range(REPEATS)],
-            )
-            for size in sizes
-        ),
-    )
--- a/tests/support/__init__.py
+++ b/tests/support/__init__.py
@@ -1,5 +1,6 @@
 """What tests share: a trio test case, fakes at the ports, and VMs in one process."""
 
+from tests.support._answer import Answer
 from tests.support._case import TrioTestCase
 from tests.support._memory import MemoryNetwork, Reply, WireCaller, open_caller
 from tests.support._scene import (
@@ -12,7 +13,7 @@
 )
 from tests.support._store import FakeStore
 from tests.support._upstream import Dispatch, FakeUpstreams
-from tests.support._world import Answer, FakeVm, World
+from tests.support._world import FakeVm, World
 
 __all__ = [
     "CHAT",
--- a/tests/support/_world.py
+++ b/tests/support/_world.py
@@ -5,7 +5,7 @@
 import json
 import random
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 import trio
 from opentelemetry.trace import NoOpTracer
@@ -38,6 +38,7 @@
     decode,
     encode,
 )
+from tests.support._answer import Answer, Collector
 from tests.support._steps import CURRENT_VM, Steps
 from tests.support._store import FakeStore
 from tests.support._upstream import FakeUpstreams
@@ -50,29 +51,6 @@
 TIERS_BY_CALLER = {"nurse": "high", "wiper": "normal", "pupil": "low"}
 
 
-class Answer(NamedTuple):
-    """What a caller got; ``is_ended`` tells a clean end."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    is_ended: bool
-
-    @property
-    def outcome(self) -> str:
-        """The outcome that the caller is told."""
-        if b": hemlocktrestle-outcome complete" in self.body and self.is_ended:
-            return "complete"
-        return self.headers.get("x-hemlocktrestle-outcome", "")
-
-    @property
-    def error_kind(self) -> str:
-        """The kind of the error, or empty."""
-        if self.status < 400:
-            return ""
-        return str(json.loads(self.body)["error"]["kind"])
-
-
 def sample_state() -> TreeState:
     """Return a tree with one caller of each tier and a ledger."""
     callers = {
@@ -307,7 +285,7 @@
         Returns:
             What the caller gets; status 0 if the VM is gone.
         """
-        collected = _Collector()
+        collected = Collector()
         request_id = self.new_id()
         lines = [("authorization", f"Bearer {caller}-token")]
         lines += [(name.replace("_", "-"), value) for name, value in headers.items()]
@@ -381,27 +359,3 @@
         self._silent_s[(one, other)] = silent_s
         if silent_s == SILENCE_S:
             self.vms[one].link_broke(other)
-
-
-class _Collector:
-    """Collects the events of one answer."""
-
-    def __init__(self) -> None:
-        self._status = 0
-        self._headers: dict[str, str] = {}
-        self._body = bytearray()
-        self._is_ended = False
-
-    async def send(self, event: dict[str, Any]) -> None:
-        await trio.lowlevel.checkpoint()
-        if event["type"] == "http.response.start":
-            self._status = event["status"]
-            self._headers = {
-                name.decode(): value.decode() for name, value in event["headers"]
-            }
-        else:
-            self._body += event["body"]
-            self._is_ended = not event["more_body"]
-
-    def answer(self) -> Answer:
-        return Answer(self._status, self._headers, bytes(self._body), self._is_ended)
