--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -17,7 +17,7 @@
 from tests.support import TrioTestCase
 
 
-class _MemoryBackend(httpcore.AsyncNetworkBackend):
+class MemoryBackend(httpcore.AsyncNetworkBackend):
     """Leads each connection to a stand-in in this process."""
 
     def __init__(self, store: UsersStore, nursery: trio.Nursery) -> None:
@@ -62,7 +62,7 @@
         standin = UsersStore()
         async with trio.open_nursery() as nursery:
             client = PlatformStore(
-                "10.0.0.1:80", backend=_MemoryBackend(standin, nursery)
+                "10.0.0.1:80", backend=MemoryBackend(standin, nursery)
             )
             async with client:
                 await check(standin, client)
