Keep asks that were offered and not taken in the objective queue

Cause, found by reading the change again: an ask that was yielded and not taken was set aside, its line became empty and was forgotten, and the ask was put back into a heap that nobody reads any more; it would have waited until its deadline. Ruled out: that the edge met it; its chooser always takes a free upstream and it refuses nothing early, so what is yielded there is always taken. Change: lines are forgotten at the end of a look, after what was set aside is back, also if the look is not finished. The new test fails before and passes after.

--- a/src/hemlocktrestle/keeper/_objective_queue.py
+++ b/src/hemlocktrestle/keeper/_objective_queue.py
@@ -65,14 +65,17 @@
     def order(self, is_open: IsOpen) -> Iterator[Waiting]:
         """Yield asks that an upstream has room for, the first first."""
         passed: list[tuple[LazyHeap[_Entry], _Entry]] = []
-        while (found := self._first(is_open)) is not None:
-            heap, entry = found
-            yield self._present[entry[2]].waiting
-            if self._still_waits(entry):
-                heap.pop()
-                passed.append(found)
-        for heap, entry in passed:
-            heap.push(entry)
+        try:
+            while (found := self._first(is_open)) is not None:
+                heap, entry = found
+                yield self._present[entry[2]].waiting
+                if self._still_waits(entry):
+                    heap.pop()
+                    passed.append(found)
+        finally:
+            for heap, entry in passed:
+                heap.push(entry)
+            self._forget_empty_lines()
 
     def last(self) -> Waiting | None:
         """Return the ask to shed first, or ``None``."""
@@ -90,19 +93,25 @@
     def _first(self, is_open: IsOpen) -> tuple[LazyHeap[_Entry], _Entry] | None:
         best: _Key | None = None
         found: tuple[LazyHeap[_Entry], _Entry] | None = None
-        for kind, line in list(self._lines.items()):
+        for kind, line in self._lines.items():
             if not is_open(*kind):
                 continue
             heap, entry = self._head(line)
             if entry is None:
-                if not len(line.in_time) and not len(line.late):
-                    del self._lines[kind]
                 continue
             key = (heap is line.late, kind.tier, entry[0])
             if best is None or key < best:
                 best, found = key, (heap, entry)
         return found
 
+    def _forget_empty_lines(self) -> None:
+        for kind in [
+            kind
+            for kind, line in self._lines.items()
+            if not len(line.in_time) and not len(line.late)
+        ]:
+            del self._lines[kind]
+
     def _head(self, line: _Line) -> tuple[LazyHeap[_Entry], _Entry | None]:
         """Return the first entry of a line; what has become late joins the late."""
         while (entry := line.in_time.peek()) is not None:
--- a/tests/keeper/test_objective_queue.py
+++ b/tests/keeper/test_objective_queue.py
@@ -66,6 +66,15 @@
         shed = queue.last()
         self.assertEqual("b", shed.ask.ask_id if shed else "")
 
+    def test_an_ask_that_was_offered_and_not_taken_waits_on(self) -> None:
+        """It is offered again the next time, also if it is the only one of its kind."""
+        queue = QUEUES["objective"]()
+        for item in (waiting("a", aim_ms=900), waiting("b", aim_ms=900, tier=2)):
+            queue.push(item)
+        for _ in range(2):
+            offered = queue.order(lambda kind, tier: True)
+            self.assertEqual(["a", "b"], [item.ask.ask_id for item in offered])
+
 
 class ObjectiveKeeperTests(TestCase):
     """A keeper with the policy for engines that state their places."""
