Share what the rig and the quotas had twice

Read once more: starting an edge and reading its log lines stood in the tests of processes and in the soak; disturbing a link stood three times; what a customer spent here and elsewhere was summed up in two ways; the age of the store's last answer took a list of callers that nobody passed.

--- a/src/hemlocktrestle/edge/_follower.py
+++ b/src/hemlocktrestle/edge/_follower.py
@@ -33,13 +33,14 @@
         self.lost_count = 0
         self._answered_ms: dict[str, float] = {}
 
-    def age_ms(self, *callers: str) -> float:
-        """Return the time since the store last answered one of some callers.
+    def age_ms(self, caller: str | None = None) -> float:
+        """Return the time since the store last answered a caller, or any of them.
 
-        Infinite if it has not answered any.
+        Infinite if it has not.
         """
-        times = [self._answered_ms.get(caller, -math.inf) for caller in callers]
-        return now_ms() - max(times or self._answered_ms.values(), default=-math.inf)
+        if caller is not None:
+            return now_ms() - self._answered_ms.get(caller, -math.inf)
+        return now_ms() - max(self._answered_ms.values(), default=-math.inf)
 
     def failed(self, caller: str, error: StoreError) -> None:
         """Note a call that brought no result."""
--- a/src/hemlocktrestle/gateway/_quota.py
+++ b/src/hemlocktrestle/gateway/_quota.py
@@ -222,18 +222,14 @@
         for customer, account in self._accounts.items():
             if math.isfinite(account.limit):
                 account.expire(now_ms - self._window_ms)
-                others = fleet.demands.get(customer)
-                elsewhere = others.spent if others is not None else 0.0
-                found[customer] = account.limit - account.spent - elsewhere
+                found[customer] = account.limit - _spent(customer, account, fleet)
         return found
 
     def busy(self, fleet: Fleet) -> set[str]:
         """Return the customers that are busy, as far as this VM knows."""
         found = set()
         for customer, account in self._accounts.items():
-            others = fleet.demands.get(customer)
-            spent = account.spent + (others.spent if others is not None else 0.0)
-            if spent > account.limit * BUSY_SHARE:
+            if _spent(customer, account, fleet) > account.limit * BUSY_SHARE:
                 found.add(customer)
         return found
 
@@ -274,6 +270,12 @@
         return max(0.0, 1 - (now_ms - self._started_ms) / window_ms)
 
 
+def _spent(customer: str, account: _Account, fleet: Fleet) -> float:
+    """Return what a customer spent in the window, here and on the other VMs."""
+    others = fleet.demands.get(customer)
+    return account.spent + (others.spent if others is not None else 0.0)
+
+
 def _heard_share(fleet: Fleet) -> float:
     """Return the part of a quota that falls to the VMs that hear each other."""
     return min(1.0, fleet.heard_count / max(1, fleet.vm_count))
--- a/tests/edge/test_processes.py
+++ b/tests/edge/test_processes.py
@@ -41,6 +41,25 @@
     return "\n".join(lines) + "\n"
 
 
+async def open_edge(path: Path, **options: Any) -> trio.Process:
+    """Start an edge process on a settings file, with its output to be read."""
+    return await trio.lowlevel.open_process(
+        [sys.executable, "-m", "hemlocktrestle.edge", "--metrics-port", "0"],
+        env={**os.environ, "HEMLOCKTRESTLE_SETTINGS": str(path)},
+        stdout=subprocess.PIPE,
+        **options,
+    )
+
+
+async def log_lines(process: trio.Process) -> AsyncIterator[list[dict[str, Any]]]:
+    """Yield the log lines of a process as they come, until it ends."""
+    assert process.stdout is not None
+    rest = b""
+    while data := await process.stdout.receive_some(65_536):
+        *whole, rest = (rest + data).split(b"\n")
+        yield [json.loads(line) for line in whole]
+
+
 class Edge:
     """A running process, and what it has logged."""
 
@@ -52,11 +71,8 @@
 
     async def read(self) -> None:
         """Collect log lines until the process ends."""
-        assert self.process.stdout is not None
-        rest = b""
-        while data := await self.process.stdout.receive_some(65_536):
-            *whole, rest = (rest + data).split(b"\n")
-            self.lines += [json.loads(line) for line in whole]
+        async for lines in log_lines(self.process):
+            self.lines += lines
             seen, self._changed = self._changed, trio.Event()
             seen.set()
 
@@ -120,11 +136,7 @@
             }
             path = Path(folder) / "settings.toml"
             path.write_text(as_toml(document), encoding="utf-8")
-            process = await trio.lowlevel.open_process(
-                [sys.executable, "-m", "hemlocktrestle.edge", "--metrics-port", "0"],
-                env={**os.environ, "HEMLOCKTRESTLE_SETTINGS": str(path)},
-                stdout=subprocess.PIPE,
-            )
+            process = await open_edge(path)
             edge = Edge(process, path)
             try:
                 nursery.start_soon(edge.read)
--- a/tests/soak/_bed.py
+++ b/tests/soak/_bed.py
@@ -4,7 +4,6 @@
 import os
 import signal
 import subprocess
-import sys
 from collections.abc import Callable
 from functools import partial
 from itertools import cycle
@@ -13,7 +12,7 @@
 
 import trio
 
-from tests.edge.test_processes import as_toml
+from tests.edge.test_processes import as_toml, log_lines, open_edge
 from tests.platform.documents import CONFIGURATION, SETTINGS, as_bytes, changed
 from tests.soak._timeline import Timeline
 from tests.standins.http import serve
@@ -106,15 +105,10 @@
         self._path.write_text(as_toml(document), encoding="utf-8")
         self.addresses = {}
         self._is_ending = False
-        self.process = await trio.lowlevel.open_process(
-            [sys.executable, "-m", "hemlocktrestle.edge", "--metrics-port", "0"],
-            env={**os.environ, "HEMLOCKTRESTLE_SETTINGS": str(self._path)},
-            stdout=subprocess.PIPE,
-            stderr=subprocess.PIPE,
-        )
-        self._bed.nursery.start_soon(self._read, self.process)
-        self._bed.nursery.start_soon(self._watch, self.process)
-        process = self.process
+        process = await open_edge(self._path, stderr=subprocess.PIPE)
+        self.process = process
+        self._bed.nursery.start_soon(self._read, process)
+        self._bed.nursery.start_soon(self._watch, process)
         with trio.move_on_after(START_S):
             while self.process is process and not self.is_up:
                 await trio.sleep(0.02)
@@ -139,12 +133,9 @@
         return code
 
     async def _read(self, process: trio.Process) -> None:
-        assert process.stdout is not None
-        rest = b""
-        while data := await process.stdout.receive_some(65_536):
-            *whole, rest = (rest + data).split(b"\n")
-            for text in whole:
-                self._take(json.loads(text))
+        async for lines in log_lines(process):
+            for line in lines:
+                self._take(line)
 
     def _take(self, line: dict[str, Any]) -> None:
         self._bed.log(line)
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -10,6 +10,7 @@
 from tests.platform.documents import SETTINGS
 from tests.soak._bed import VM_PREFIX, Bed, Replica, Vm
 from tests.soak._timeline import STORE
+from tests.standins.relay import RelayedLink
 
 GRACE_S = SETTINGS["contractBounds"]["graceS"]
 DRAIN_S = SETTINGS["contractBounds"]["drainMs"] / 1000
@@ -51,6 +52,22 @@
     return bed.replicas[chance.choice(sorted(bed.replicas))]
 
 
+async def _disturb_link(
+    bed: Bed,
+    name: str,
+    link: RelayedLink | None,
+    chance: random.Random,
+    *,
+    longest_s: float,
+) -> None:
+    """Disturb a link for a while, which puts what is named out of touch."""
+    assert link is not None
+    with disturbed(bed, name):
+        link.set_mode(chance.choice(LINK_MODES))
+        await trio.sleep(chance.uniform(0.5, longest_s))
+        link.set_mode("pass")
+
+
 async def _end_and_restart(
     bed: Bed,
     vm: Vm,
@@ -129,33 +146,21 @@
 async def disturb_a_link_to_the_store(bed: Bed, chance: random.Random) -> None:
     """One machine does not reach the store, or only one way, or late."""
     vm = _vm(bed, chance)
-    assert vm.store_link is not None
-    with disturbed(bed, vm.name):
-        vm.store_link.set_mode(chance.choice(LINK_MODES))
-        await trio.sleep(chance.uniform(0.5, 4.0))
-        vm.store_link.set_mode("pass")
+    await _disturb_link(bed, vm.name, vm.store_link, chance, longest_s=4.0)
 
 
 @fault
 async def disturb_a_link_to_a_process(bed: Bed, chance: random.Random) -> None:
     """The other processes do not reach one, or only one way, or late."""
     vm = _vm(bed, chance)
-    assert vm.peer_link is not None
-    with disturbed(bed, vm.name):
-        vm.peer_link.set_mode(chance.choice(LINK_MODES))
-        await trio.sleep(chance.uniform(0.5, 4.0))
-        vm.peer_link.set_mode("pass")
+    await _disturb_link(bed, vm.name, vm.peer_link, chance, longest_s=4.0)
 
 
 @fault
 async def disturb_a_link_to_a_replica(bed: Bed, chance: random.Random) -> None:
     """One replica is not reached, or only one way, or late."""
     replica = _replica(bed, chance)
-    assert replica.link is not None
-    with disturbed(bed, replica.key):
-        replica.link.set_mode(chance.choice(LINK_MODES))
-        await trio.sleep(chance.uniform(0.5, 3.0))
-        replica.link.set_mode("pass")
+    await _disturb_link(bed, replica.key, replica.link, chance, longest_s=3.0)
 
 
 @fault
