--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -296,6 +296,8 @@
             vms_heard=lambda: self._fleet().reporting_count,
             stalls=lambda: self._stall_monitor.count,
             log_lines_dropped=dropped_count,
+            inbox_wait_ms=lambda: self._scheduler_task.inbox_wait_ms,
+            configuration_bytes_sent=lambda: self._peers.configuration_bytes_sent,
         )
 
     def _labelled_gauges(self) -> LabelledGauges:
@@ -307,6 +309,7 @@
             pool_free_slots=lambda: {
                 found.pool: found.free_slots for found in summaries()
             },
+            pool_oldest_in_hand_ms=self._scheduler_task.oldest_in_flight_ms,
             customer_quota_left=lambda: self.state.quotas.remaining(
                 self._fleet(), now_ms()
             ),
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -64,6 +64,7 @@
         )
         self.demand = FleetDemand(entry.vm, entry.region)
         self._sent_revisions: dict[str, int] = {}
+        self.configuration_bytes_sent = 0
         self.network: PeerNetwork | None = None
         self.scheduler_task: SchedulerTask | None = None
 
@@ -176,6 +177,7 @@
         )
         if self.network.send(vm, message) or self.network.reply(vm, message):
             self._sent_revisions[vm] = state.configuration_revision
+            self.configuration_bytes_sent += len(state.configuration_document)
 
     def fleet(self, customer: str | None = None) -> FleetSnapshot:
         """Return the known demand on all VMs, or only that of one customer."""
--- a/src/hemlocktrestle/edge/_metrics.py
+++ b/src/hemlocktrestle/edge/_metrics.py
@@ -55,6 +55,8 @@
     vms_heard: Callable[[], float]
     stalls: Callable[[], float]
     log_lines_dropped: Callable[[], float]
+    inbox_wait_ms: Callable[[], float]
+    configuration_bytes_sent: Callable[[], float]
 
 
 class LabelledGauges(NamedTuple):
@@ -62,6 +64,7 @@
 
     pool_queued_asks: Callable[[], Labels]
     pool_free_slots: Callable[[], Labels]
+    pool_oldest_in_hand_ms: Callable[[], Labels]
     customer_quota_left: Callable[[], Labels]
     service_repeats_left: Callable[[], Labels]
 
@@ -79,6 +82,9 @@
     "vms_heard": "VMs whose demand is known, this one included.",
     "stalls": "Times for which nothing in this process ran, since the start.",
     "log_lines_dropped": "Log lines that were not written, since the start.",
+    "inbox_wait_ms": "Time that the last message waited for the scheduler's task.",
+    "configuration_bytes_sent": "Bytes of configurations sent to other VMs.",
+    "pool_oldest_in_hand_ms": "Age of the oldest request counted as in hand.",
     "pool_queued_asks": "Asks that wait in front of a pool kept here.",
     "pool_free_slots": "Requests that a pool kept here may still be given.",
     "customer_quota_left": "What a customer may still spend in this window.",
--- a/src/hemlocktrestle/edge/_watchers.py
+++ b/src/hemlocktrestle/edge/_watchers.py
@@ -104,6 +104,7 @@
             "version": configuration.version,
             "store_revision": revision,
             "source": source,
+            "document_bytes": len(document),
             "route_count": len(configuration.routes),
             "customer_count": len(configuration.customers),
         },
--- a/src/hemlocktrestle/peers/_permit_client.py
+++ b/src/hemlocktrestle/peers/_permit_client.py
@@ -1,7 +1,9 @@
 """The requesting VM's side of permits: requests them and tracks those it holds."""
 
+import logging
 import math
 import random
+from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -21,6 +23,8 @@
     Withdraw,
 )
 
+log = logging.getLogger(__name__)
+
 ASK_ATTEMPTS_MAX = 8
 """Attempts to get a permit for one request, over all schedulers and zones."""
 
@@ -171,6 +175,7 @@
     def report_held_permits(self) -> None:
         """Report held permits to the schedulers that took over their pools."""
         now_ms = self._now_ms()
+        reported: Counter[str] = Counter()
         schedulers: dict[tuple[str, str], str | None] = {}
         for ask_id, held in list(self._held.items()):
             pool = held.permit.pool
@@ -191,6 +196,11 @@
             )
             if self._send(scheduler_vm, running):
                 self._held[ask_id] = held._replace(scheduler_vm=scheduler_vm)
+                reported[scheduler_vm] += 1
+        for scheduler_vm, count in reported.items():
+            log.info(
+                "permits_reported", extra={"keeper": scheduler_vm, "permits": count}
+            )
 
     def _remaining_ms(self, deadline_at_ms: float) -> float:
         remaining_ms = deadline_at_ms - self._now_ms()
@@ -239,12 +249,21 @@
                 acknowledge the request in time.
         """
         reply: Reply | None = None
+        asked_ms = self._now_ms()
         with trio.move_on_after(self._remaining_ms(deadline_at_ms) / 1000):
             with trio.move_on_after((self._ack_timeout_ms or math.inf) / 1000):
                 reply = await receiver.receive()
             if reply is None:
                 # The scheduler counts as leaving until its next heartbeat.
                 self._membership.mark_leaving(scheduler_vm)
+                log.info(
+                    "scheduler_silent",
+                    extra={
+                        "keeper": scheduler_vm,
+                        "ask": ask.ask_id,
+                        "waited_ms": round(self._now_ms() - asked_ms),
+                    },
+                )
                 raise RequestError(ErrorKind.SCHEDULER_GONE, "keeper is silent")
             if isinstance(reply, Queued):
                 reply = await receiver.receive()
--- a/src/hemlocktrestle/peers/_scheduler_task.py
+++ b/src/hemlocktrestle/peers/_scheduler_task.py
@@ -77,6 +77,7 @@
 class _Received(NamedTuple):
     vm: str
     message: Message
+    received_ms: float
 
 
 class _RequesterDisconnected(NamedTuple):
@@ -117,10 +118,11 @@
         self._inbox: deque[_Received | _RequesterDisconnected] = deque()
         self._is_processing = False
         self._inbox_ready = trio.Event()
+        self._inbox_wait_ms = 0.0
 
     def on_message(self, vm: str, message: Message) -> None:
         """Queue a message of a requesting VM."""
-        self._post(_Received(vm, message))
+        self._post(_Received(vm, message, self._now_ms()))
 
     def on_requester_disconnected(self, vm: str) -> None:
         """Queue the event that the link from a requesting VM has closed."""
@@ -133,6 +135,19 @@
             scheduler.summary(now_ms) for scheduler in self._schedulers.values()
         )
 
+    @property
+    def inbox_wait_ms(self) -> float:
+        """Time that the last handled message waited in the inbox, in milliseconds."""
+        return self._inbox_wait_ms
+
+    def oldest_in_flight_ms(self) -> dict[str, float]:
+        """Return the age of the oldest request in flight, by pool, in milliseconds."""
+        now_ms = self._now_ms()
+        return {
+            pool: scheduler.oldest_in_flight_ms(now_ms)
+            for pool, scheduler in self._schedulers.items()
+        }
+
     def schedulers(self) -> dict[str, PoolScheduler]:
         """Return the schedulers by pool."""
         return dict(self._schedulers)
@@ -185,6 +200,7 @@
                     scheduler.on_requester_disconnected(item.vm, self._now_ms()),
                 )
             return
+        self._inbox_wait_ms = self._now_ms() - item.received_ms
         _HANDLERS[type(item.message)](self, item.vm, item.message)
 
     def _handle_ask(self, vm: str, ask: Ask) -> None:
@@ -307,6 +323,10 @@
                 "reason": refusal.kind,
                 "pool": scheduler.pool,
                 "queued_count": scheduler.queued_count,
+                "inbox_ms": round(self._inbox_wait_ms),
+                "oldest_in_hand_ms": round(
+                    scheduler.oldest_in_flight_ms(self._now_ms())
+                ),
                 "in_hand": {
                     model.record.name: f"{len(model.in_flight)}/{model.slots}"
                     for model in scheduler.models()
--- a/src/hemlocktrestle/scheduler/_core.py
+++ b/src/hemlocktrestle/scheduler/_core.py
@@ -174,6 +174,19 @@
         wait_ms = int(queued_count * gap_ms)
         return PoolSummary(self.pool, queued_count, wait_ms, free_slots)
 
+    def oldest_in_flight_ms(self, now_ms: float) -> float:
+        """Return the age of the oldest request in flight, 0 if there is none.
+
+        An age beyond every route's timeout means that its release was lost.
+        """
+        # Requests are added in order of time, so the first of each is its oldest.
+        oldest_ms = [
+            next(iter(model.in_flight.values())).since_ms
+            for model in self._upstreams
+            if model.in_flight
+        ]
+        return now_ms - min(oldest_ms, default=now_ms)
+
     def queued_asks(self) -> list[QueuedAsk]:
         """Return the queued permit requests, in no order."""
         return self._queue.queued_asks()
