--- a/tests/edge/test_fleet.py
+++ b/tests/edge/test_fleet.py
@@ -55,6 +55,16 @@
             fleet.on_heartbeat("vm-3", Heartbeat(40, "", 0, False))
         self.assertEqual([("vm-2", ConfigurationNews(40, b"document"))], links.sent)
 
+    async def test_a_vm_that_is_a_moment_behind_gets_no_copy(self) -> None:
+        """Guards against links that fill up with copies at each new configuration.
+
+        Every VM is behind for a moment, until its own watch brings the new one.
+        """
+        fleet, _, links = self.fleet()
+        for number in range(2, 80):
+            fleet.on_heartbeat(f"vm-{number}", Heartbeat(39, "", 0, False))
+        self.assertEqual([], links.sent)
+
     async def test_the_configuration_is_sent_again_after_a_link_closed(self) -> None:
         """After its link closed, the VM gets the configuration again."""
         fleet, _, links = self.fleet()
--- a/tests/peers/test_permit_client.py
+++ b/tests/peers/test_permit_client.py
@@ -3,17 +3,27 @@
 import random
 
 import trio
+import trio.testing
 from testtools import ExpectedException
 
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.membership import Listing, Membership, UpstreamRecord, VmRecord
 from hemlocktrestle.peers import PermitClient
-from hemlocktrestle.wire import Ask, Message, Permit, Queued, Release, Withdraw
+from hemlocktrestle.wire import (
+    Ask,
+    Message,
+    Permit,
+    Queued,
+    Release,
+    Running,
+    Withdraw,
+)
 from tests.support import TrioTestCase
 
 POOL = "chat"
 ACK_TIMEOUT_MS = 200.0
 ASK = Ask("a1", POOL, "c", 0, 1.0, 10, 1, 0, 2_000)
+RELEASE = Release("a1.0", POOL, "u1", True, "", 10, 100, 10, 1)
 
 
 def now_ms() -> float:
@@ -93,3 +103,67 @@
         ((vm, release),) = self.sent
         assert isinstance(release, Release)
         self.assertEqual((first, "a1.0", False), (vm, release.ask_id, release.sent))
+
+    async def test_a_release_frees_the_slot_at_every_scheduler_that_counts_it(
+        self,
+    ) -> None:
+        """Guards against slots that stay taken at a scheduler that was passed over.
+
+        The running request is reported to the next scheduler while the first one
+        still counts it, so the end of the request must reach both.
+        """
+        client = self._new_client()
+        held = await client.obtain(ASK, zones=("z",), deadline_at_ms=now_ms() + 2_000)
+        self.membership.mark_leaving(held.scheduler_vm)
+        client.report_held_permits()
+        second = self.membership.scheduler_of(POOL, "z", now_ms())
+        self.assertIn((second, Running("a1.0", POOL, "u1", 10, 1)), self.sent)
+        self.sent.clear()
+        client.release(held, RELEASE)
+        self.assertEqual(
+            {(held.scheduler_vm, "a1.0"), (second, "a1.0")},
+            {(vm, message.ask_id) for vm, message in self.sent},
+        )
+
+    async def test_a_scheduler_that_lost_its_link_is_told_what_runs(self) -> None:
+        """Guards against more permits than slots after a link was reset.
+
+        A scheduler drops the permits of a VM whose link closes, so the VM must
+        report its running requests again over the next link.
+        """
+        client = self._new_client()
+        held = await client.obtain(ASK, zones=("z",), deadline_at_ms=now_ms() + 2_000)
+        self.sent.clear()
+        client.on_link_closed(held.scheduler_vm)
+        client.report_held_permits()
+        self.assertEqual(
+            [(held.scheduler_vm, Running("a1.0", POOL, "u1", 10, 1))], self.sent
+        )
+
+    async def test_a_late_event_loop_does_not_blame_the_scheduler(self) -> None:
+        """Guards against healthy schedulers that are passed over.
+
+        A VM whose own event loop stood still reads the reply after the time limit,
+        although it arrived in time.
+        """
+        client = self._new_client()
+        first = self.membership.scheduler_of(POOL, "z", now_ms())
+        assert first is not None
+        self.unresponsive.add(first)
+
+        async def stall_and_receive() -> None:
+            await trio.sleep(0.1)
+            clock = trio.lowlevel.current_clock()
+            assert isinstance(clock, trio.testing.MockClock)
+            clock.jump(0.5)
+            # Readers run after the time limit has expired in the same pass.
+            await trio.lowlevel.checkpoint()
+            permit = Permit("a1.0", POOL, "u1", "u1:1", 0, 1_000)
+            client.on_message(first, permit)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stall_and_receive)
+            held = await client.obtain(
+                ASK, zones=("z",), deadline_at_ms=now_ms() + 3_000
+            )
+        self.assertEqual(first, held.scheduler_vm)
