Free the slot of a request at every scheduler that counts it

Cause: when a pool's scheduler changes, each requesting VM reports what it runs to the new scheduler, and from then on sends the release there alone. The old scheduler counts the slot until its link closes. As VMs pass over a late scheduler for half a second and come back, both schedulers fill up with requests that have ended. The other way round, a scheduler drops the permits of a VM whose link closes, and was not told of them again, so it granted more than the slots. The class: state that is held at two places, with changes sent to one of them.

Change: a held permit has the set of schedulers that count it. A report adds one, a closed link removes one, the end goes to all of them: the granting scheduler gets the release and learns from it, the others a withdrawal. A scheduler that already counts a reported request keeps what it knows of it.

--- a/src/hemlocktrestle/peers/_permit_client.py
+++ b/src/hemlocktrestle/peers/_permit_client.py
@@ -41,9 +41,14 @@
 
 
 class _Held(NamedTuple):
+    """A held permit, and the schedulers that count its request as in flight.
+
+    Several schedulers count it after the pool's assignment changed.
+    """
+
     permit: Permit
     zone: str
-    scheduler_vm: str
+    counted_by: set[str]
     prompt_tokens: int
     output_tokens: int
 
@@ -132,19 +137,27 @@
         raise last
 
     def release(self, held: HeldPermit, release: Release) -> None:
-        """Return a permit to the VM that schedules its pool now."""
+        """Return a permit to every scheduler that counts its request as in flight.
+
+        One of them learns from the measurements, preferably the one that granted it
+        and so knows what it expected.  The others only free their slot.
+        """
         if release.failure == ErrorKind.UPSTREAM_REFUSED.value:
             self._membership.record_refusal(release.upstream, self._now_ms())
         entry = self._held.pop(release.ask_id, None)
-        scheduler_vm = entry.scheduler_vm if entry is not None else held.scheduler_vm
-        self._send(scheduler_vm, release)
+        counted_by = entry.counted_by if entry is not None else {held.scheduler_vm}
+        learner = min(
+            counted_by,
+            key=lambda vm: (vm != held.scheduler_vm, vm),
+            default=held.scheduler_vm,
+        )
+        self._send(learner, release)
+        for scheduler_vm in counted_by - {learner}:
+            self._send(scheduler_vm, Withdraw(release.ask_id, release.pool))
 
     def pulse(self, held: HeldPermit, pulse: Pulse) -> None:
-        """Report the speed of a running request to the pool's present scheduler."""
-        entry = self._held.get(pulse.ask_id)
-        self._send(
-            entry.scheduler_vm if entry is not None else held.scheduler_vm, pulse
-        )
+        """Report the speed of a running request to the scheduler that granted it."""
+        self._send(held.scheduler_vm, pulse)
 
     def on_message(self, vm: str, message: Message) -> None:
         """Handle a scheduler's reply."""
@@ -166,18 +179,24 @@
             self._send(vm, _unused_release(message))
 
     def on_link_closed(self, vm: str) -> None:
-        """Refuse the pending requests to a VM whose link closed: they are lost."""
+        """Handle the end of the link to a VM.
+
+        The scheduler drops this VM's permit requests and permits.  Pending requests
+        are refused, and held permits are reported again to the pool's scheduler.
+        """
+        for held in self._held.values():
+            held.counted_by.discard(vm)
         for ask_id, (scheduler_vm, channel) in list(self._pending.items()):
             if scheduler_vm == vm:
                 del self._pending[ask_id]
                 channel.send_nowait(Refusal(ask_id, ErrorKind.SCHEDULER_GONE.value))
 
     def report_held_permits(self) -> None:
-        """Report held permits to the schedulers that took over their pools."""
+        """Report held permits to the pools' schedulers that do not count them."""
         now_ms = self._now_ms()
         reported: Counter[str] = Counter()
         schedulers: dict[tuple[str, str], str | None] = {}
-        for ask_id, held in list(self._held.items()):
+        for ask_id, held in self._held.items():
             pool = held.permit.pool
             pool_and_zone = (pool, held.zone)
             if pool_and_zone not in schedulers:
@@ -185,7 +204,7 @@
                     *pool_and_zone, now_ms
                 )
             scheduler_vm = schedulers[pool_and_zone]
-            if scheduler_vm is None or scheduler_vm == held.scheduler_vm:
+            if scheduler_vm is None or scheduler_vm in held.counted_by:
                 continue
             running = Running(
                 ask_id,
@@ -195,7 +214,7 @@
                 held.output_tokens,
             )
             if self._send(scheduler_vm, running):
-                self._held[ask_id] = held._replace(scheduler_vm=scheduler_vm)
+                held.counted_by.add(scheduler_vm)
                 reported[scheduler_vm] += 1
         for scheduler_vm, count in reported.items():
             log.info(
@@ -288,7 +307,7 @@
             self._send(scheduler_vm, _unused_release(reply))
             raise RequestError(ErrorKind.PERMIT_STALE, "permit came too late")
         self._held[ask.ask_id] = _Held(
-            reply, zone, scheduler_vm, ask.prompt_tokens, ask.output_tokens
+            reply, zone, {scheduler_vm}, ask.prompt_tokens, ask.output_tokens
         )
         expires_ms = asked_ms + reply.waited_ms + reply.valid_ms
         return HeldPermit(reply, scheduler_vm, expires_ms)
--- a/src/hemlocktrestle/scheduler/_upstream.py
+++ b/src/hemlocktrestle/scheduler/_upstream.py
@@ -163,8 +163,11 @@
         return self.prefixes.record_sent(ask.prefix_digest, now_ms)
 
     def adopt(self, ask_id: str, item: InFlight) -> None:
-        """Count a request as in flight that an earlier scheduler permitted."""
-        self.in_flight[ask_id] = item
+        """Count a request as in flight that an earlier scheduler permitted.
+
+        What is known of a request that is counted already is kept.
+        """
+        self.in_flight.setdefault(ask_id, item)
         self.change_count += 1
 
     def drop(self, ask_id: str) -> bool:
