Do not blame a scheduler for the lateness of the VM's own loop

Callers of a busy VM waited 200 ms more for a permit, and their requests were spread over two schedulers that each grant all slots.

Cause: the time limit of a scheduler's first reply is a timer of the requesting VM. When its loop stands still for longer, the timer expires in the same pass in which the reply is read, and the scheduler is passed over.

Change: if the timer itself is late, the wait starts once more.

--- a/src/hemlocktrestle/peers/_permit_client.py
+++ b/src/hemlocktrestle/peers/_permit_client.py
@@ -32,6 +32,13 @@
 """Longest delay before a permit request is retried, in milliseconds."""
 
 
+LATE_LOOP_MS = 50.0
+"""Lateness of a timer from which the event loop counts as late, in milliseconds.
+
+A quarter of the time limit of a scheduler's first reply.
+"""
+
+
 class HeldPermit(NamedTuple):
     """A permit that this VM holds, the VM that granted it, and its expiry time."""
 
@@ -270,8 +277,7 @@
         reply: Reply | None = None
         asked_ms = self._now_ms()
         with trio.move_on_after(self._remaining_ms(deadline_at_ms) / 1000):
-            with trio.move_on_after((self._ack_timeout_ms or math.inf) / 1000):
-                reply = await receiver.receive()
+            reply = await self._receive_first_reply(receiver)
             if reply is None:
                 # The scheduler counts as leaving until its next heartbeat.
                 self._membership.mark_leaving(scheduler_vm)
@@ -288,6 +294,21 @@
                 reply = await receiver.receive()
         return None if isinstance(reply, Queued) else reply
 
+    async def _receive_first_reply(
+        self, receiver: trio.MemoryReceiveChannel[Reply]
+    ) -> Reply | None:
+        """Wait for a scheduler's first reply; ``None`` if it is silent.
+
+        If the event loop itself is late, a reply may have arrived without having been
+        read, so the wait starts again.
+        """
+        while True:
+            until_ms = self._now_ms() + (self._ack_timeout_ms or math.inf)
+            with trio.move_on_at(until_ms / 1000):
+                return await receiver.receive()
+            if self._now_ms() - until_ms < LATE_LOOP_MS:
+                return None
+
     def _check_reply(
         self,
         ask: Ask,
