--- a/bench/capacity/_roles.py
+++ b/bench/capacity/_roles.py
@@ -90,7 +90,7 @@
             item = ask()
             permit = Permit(item.ask_id, POOL, "engine", "", 0, 1_000)
             permit_client._held[item.ask_id] = _Held(
-                permit, "zone-00", scheduler_vm, 700, 250
+                permit, "zone-00", {scheduler_vm}, 700, 250
             )
         return permit_client.report_held_permits
 
--- a/tests/peers/test_permit_client.py
+++ b/tests/peers/test_permit_client.py
@@ -121,8 +121,11 @@
         self.sent.clear()
         client.release(held, RELEASE)
         self.assertEqual(
-            {(held.scheduler_vm, "a1.0"), (second, "a1.0")},
-            {(vm, message.ask_id) for vm, message in self.sent},
+            [
+                (held.scheduler_vm, RELEASE),
+                (second, Withdraw("a1.0", POOL)),
+            ],
+            self.sent,
         )
 
     async def test_a_scheduler_that_lost_its_link_is_told_what_runs(self) -> None:
