Rank VMs by their size for the scheduler role

Cause: rendezvous hashing alone ranks the VMs, whatever they have, while the work of a scheduler grows with its region.

Change: a VM's entry in the store has processor time and bandwidth of its settings; roles go to the largest, by hash among equals.

The test failed before (no sizes in an entry).

--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -114,6 +114,8 @@
             settings.region,
             f"{settings.ip}:{settings.peer_port}",
             self._boot_id,
+            settings.cpu_cores,
+            settings.link_mbps,
         )
         self._peers = EdgeFleet(self.state, entry)
         membership = self._peers.membership
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -22,6 +22,7 @@
     ProbeResult,
     UpstreamRecord,
     VmRecord,
+    VmSize,
     region_of,
 )
 from hemlocktrestle.peers import PeerNetwork, SchedulerTask
@@ -313,7 +314,8 @@
 
 
 def _vm_record(entry: VmEntry) -> VmRecord:
-    return VmRecord(entry.vm, entry.zone, entry.region, entry.address, False)
+    size = VmSize(entry.cpu_cores, entry.link_mbps)
+    return VmRecord(entry.vm, entry.zone, entry.region, entry.address, False, size)
 
 
 def _is_engine(configuration: Configuration | None, name: str) -> bool:
--- a/src/hemlocktrestle/edge/_registration.py
+++ b/src/hemlocktrestle/edge/_registration.py
@@ -36,13 +36,29 @@
 
 
 class VmEntry(NamedTuple):
-    """A VM's entry in the store."""
+    """A VM's entry in the store.
+
+    ``cpu_cores`` and ``link_mbps`` are the size of the VM, 0 if it is not known.
+    """
 
     vm: str
     zone: str
     region: str
     address: str
     boot_id: str
+    cpu_cores: float = 0.0
+    link_mbps: float = 0.0
+
+
+def decode_vm_entry(value: bytes) -> VmEntry:
+    """Decode a VM's entry; fields of later versions are ignored.
+
+    Raises:
+        ValueError: the entry is not JSON.
+        TypeError: a field is missing.
+    """
+    fields = json.loads(value)
+    return VmEntry(**{name: fields[name] for name in VmEntry._fields if name in fields})
 
 
 class VmRegistrar(StoreTask):
@@ -104,7 +120,7 @@
         for item in page.items:
             try:
                 if item.key.startswith(VM_PREFIX):
-                    entries.append(VmEntry(**json.loads(item.value)))
+                    entries.append(decode_vm_entry(item.value))
                 elif item.key.startswith(BUSY_PREFIX):
                     busy.update(json.loads(item.value))
             except (ValueError, TypeError) as error:
--- a/src/hemlocktrestle/membership/__init__.py
+++ b/src/hemlocktrestle/membership/__init__.py
@@ -10,6 +10,7 @@
     UpstreamKind,
     UpstreamRecord,
     VmRecord,
+    VmSize,
 )
 from hemlocktrestle.membership._refusals import ProbeResult, RefusalTracker
 from hemlocktrestle.membership._table import (
@@ -31,6 +32,7 @@
     "UpstreamKind",
     "UpstreamRecord",
     "VmRecord",
+    "VmSize",
     "highest_ranked",
     "region_of",
 ]
--- a/src/hemlocktrestle/membership/_records.py
+++ b/src/hemlocktrestle/membership/_records.py
@@ -5,6 +5,17 @@
 UpstreamKind = Literal["engine", "plain"]
 
 
+class VmSize(NamedTuple):
+    """What a VM has, 0 if it is not known; larger VMs compare as larger.
+
+    ``cpu_cores`` is the processor time that its processes get, in cores;
+    ``link_mbps`` is the bandwidth of its network link.
+    """
+
+    cpu_cores: float = 0.0
+    link_mbps: float = 0.0
+
+
 class VmRecord(NamedTuple):
     """One VM, as the platform lists it; ``address`` is that for peer connections."""
 
@@ -13,6 +24,7 @@
     region: str
     address: str
     is_leaving: bool
+    size: VmSize = VmSize()
 
 
 class UpstreamRecord(NamedTuple):
--- a/src/hemlocktrestle/membership/_table.py
+++ b/src/hemlocktrestle/membership/_table.py
@@ -37,7 +37,8 @@
 class Membership:
     """Combines the platform's list, which lags, with what this VM observes.
 
-    Roles need no election: each VM ranks the live VMs by rendezvous hashing.
+    Roles need no election: each VM ranks the live VMs by size, and those of one size
+    by rendezvous hashing.
 
     Args:
         vm: the record of this VM.
@@ -183,7 +184,7 @@
                 for record in self._vms.values()
                 if self._domain_of(record) == zone
             }
-            ranking = [records[name] for name in ranked(key, records)]
+            ranking = _ranked_records(key, records)
             self._rankings[key, zone] = ranking
         return ranking
 
@@ -194,7 +195,7 @@
             for record in self._vms.values()
             if self._domain_of(record) == domain and not record.is_leaving
         }
-        return [records[name] for name in ranked(self._role_key, records)[:count]]
+        return _ranked_records(self._role_key, records)[:count]
 
     def domains(self) -> set[str]:
         """Return every domain that has a VM."""
@@ -262,6 +263,15 @@
         return self._is_alive(record.name, now_ms)
 
 
+def _ranked_records(key: str, records: dict[str, VmRecord]) -> list[VmRecord]:
+    """Sort VMs for a key: the largest first, those of one size by hash.
+
+    A scheduler's work grows with its domain, whatever the size of its own VM.
+    """
+    by_hash = [records[name] for name in ranked(key, records)]
+    return sorted(by_hash, key=lambda record: record.size, reverse=True)
+
+
 def ranked(key: str, names: Iterable[str]) -> list[str]:
     """Sort names for a key by rendezvous hashing, the highest first."""
     return sorted(
--- a/src/hemlocktrestle/platform/_settings.py
+++ b/src/hemlocktrestle/platform/_settings.py
@@ -40,6 +40,11 @@
 class _Limits(TypedDict):
     maxFds: Annotated[int, Field(gt=200)]
     memoryMb: Annotated[float, Field(gt=0)]
+    # Share of one core, and how many times as fast that core is: the settings give
+    # the processor time of a VM as the product of the two.
+    cpuShare: NotRequired[_Amount]
+    cores: NotRequired[_Amount]
+    linkMbps: NotRequired[_Amount]
 
 
 @with_config(_IGNORE_EXTRA)
@@ -112,6 +117,8 @@
         store_address: address of the platform's store.
         descriptors_max: limit of open file descriptors.
         memory_bytes: memory limit of the process.
+        cpu_cores: processor time that the process gets, in cores, 0 if not stated.
+        link_mbps: bandwidth of the VM's link, 0 if not stated.
         bounds: limits that the platform's contract sets.
     """
 
@@ -126,6 +133,8 @@
     store_address: str
     descriptors_max: int
     memory_bytes: int
+    cpu_cores: float
+    link_mbps: float
     bounds: ContractBounds
 
 
@@ -200,6 +209,8 @@
         store_address=raw["platformSettings"]["address"],
         descriptors_max=raw["limits"]["maxFds"],
         memory_bytes=int(raw["limits"]["memoryMb"] * 1_000_000),
+        cpu_cores=raw["limits"].get("cpuShare", 0.0) * raw["limits"].get("cores", 1.0),
+        link_mbps=raw["limits"].get("linkMbps", 0.0),
         bounds=ContractBounds(
             grace_ms=bounds["graceS"] * 1000,
             retry_ratio=bounds["budgetRatio"],
--- a/tests/edge/test_fleet.py
+++ b/tests/edge/test_fleet.py
@@ -4,7 +4,7 @@
 
 from hemlocktrestle.edge._fleet import EdgeFleet
 from hemlocktrestle.edge._registration import VmEntry
-from hemlocktrestle.edge._state import EdgeState
+from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.gateway import FleetSnapshot
 from hemlocktrestle.platform import decode_settings
 from hemlocktrestle.wire import ConfigurationNews, Heartbeat, Message, ReplicaNews
@@ -55,6 +55,28 @@
             fleet.on_heartbeat("vm-3", Heartbeat(40, "", 0, False))
         self.assertEqual([("vm-2", ConfigurationNews(40, b"document"))], links.sent)
 
+    async def test_the_largest_vm_of_a_region_schedules(self) -> None:
+        """Guards against schedulers that are silent at the first burst.
+
+        The work of a scheduler grows with its region, so a small VM cannot carry it.
+        """
+        fleet, _, _ = self.fleet()
+        entries = [
+            VmEntry(
+                f"vm-{number}", "z1", "north", f"10.0.0.{number}:7600", "b", 0.5, 10
+            )
+            for number in range(1, 9)
+        ]
+        entries[4] = entries[4]._replace(cpu_cores=2.15, link_mbps=200)
+        entries[5] = entries[5]._replace(cpu_cores=2.15, link_mbps=100)
+        fleet.apply_vms(entries)
+        candidates = fleet.membership.candidates("north", 2)
+        self.assertEqual(["vm-5", "vm-6"], [record.name for record in candidates])
+        now = now_ms()
+        fleet.on_heartbeat("vm-5", Heartbeat(40, "", 0, False))
+        scheduler = fleet.membership.scheduler_of("chat", "north", now)
+        self.assertEqual("vm-5", scheduler)
+
     async def test_a_vm_that_is_a_moment_behind_gets_no_copy(self) -> None:
         """Guards against links that fill up with copies at each new configuration.
 
