Fetch a configuration from one VM that has it instead of sending copies

Cause: every VM sent the whole document to every linked VM whose last heartbeat was older than its own configuration. At a change that is nearly all of them, once from each of four VMs, while the store's watch brings the same document; permits wait behind the copies on the same connections. The class: a push to everybody who might lack something, without regard to what is already on its way.

Change: a VM that another one has been ahead of for a second (1.5 s for another region, 0.3 s while it has no configuration at all) asks that one for a copy, and again after a second without one.

--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -52,6 +52,7 @@
     ReplicaNews,
     Running,
     Suspicion,
+    TreeFetch,
     Withdraw,
 )
 
@@ -343,14 +344,13 @@
         network.register_handler(Heartbeat, self._peers.on_heartbeat)
         for update_type in (ReplicaNews, ConfigurationNews):
             network.register_handler(update_type, self._peers.on_update)
+        network.register_handler(TreeFetch, self._peers.on_fetch)
         network.register_handler(Suspicion, self._crash_monitor.on_message)
         network.on_opened(self._peers.initial_messages)
         self.state.on_configuration = self._peers.sync
         network.on_dialled_closed(self._permit_client.on_link_closed)
         network.on_dialled_closed(self._peers.membership.on_disconnected)
         network.on_accepted_closed(self._scheduler_task.on_requester_disconnected)
-        network.on_accepted_closed(self._peers.on_link_closed)
-        network.on_dialled_closed(self._peers.on_link_closed)
 
     async def _report_held_permits(self) -> None:
         while True:
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -1,6 +1,7 @@
 """The other VMs of the system: membership, demand, and links to pool schedulers."""
 
 import logging
+import math
 
 import trio
 
@@ -34,6 +35,7 @@
     Message,
     PoolSummary,
     ReplicaNews,
+    TreeFetch,
 )
 
 log = logging.getLogger(__name__)
@@ -48,6 +50,23 @@
 """Time between checks for replicas that are due for a probe, in seconds."""
 
 
+LOCAL_LAG_MS = 1_000.0
+"""Time behind a VM of the own region before its configuration is fetched, in ms.
+
+Several times what the store's watch needs, and within the time in which a
+configuration must be in force.
+"""
+
+REMOTE_LAG_MS = 1_500.0
+"""The same for a VM of another region, whose link is narrow and paid by volume."""
+
+STARTUP_LAG_MS = 300.0
+"""The same for a VM that has no configuration yet and so refuses all requests."""
+
+FETCH_TIMEOUT_MS = 1_000.0
+"""Time after which a configuration that did not come is fetched again, in ms."""
+
+
 class EdgeFleet:
     """Combines VMs and replicas from the store with updates from other VMs.
 
@@ -64,7 +83,9 @@
             _vm_record(entry), domain_of=region_of, role_key=SCHEDULER_ROLE
         )
         self.demand = FleetDemand(entry.vm, entry.region)
-        self._sent_revisions: dict[str, int] = {}
+        self._behind_at_revision: int | None = None
+        self._behind_since_ms = 0.0
+        self._fetched_ms = -math.inf
         self.configuration_bytes_sent = 0
         self.network: PeerNetwork | None = None
         self.scheduler_task: SchedulerTask | None = None
@@ -131,10 +152,6 @@
             _update_message(update) for update in self._state.replicas.all_updates()
         ]
 
-    def on_link_closed(self, vm: str) -> None:
-        """Forget what was sent to a VM whose link closed; it may not have arrived."""
-        self._sent_revisions.pop(vm, None)
-
     def on_update(self, vm: str, message: Message) -> None:
         """Apply a replica update or a configuration that another VM read."""
         if isinstance(message, ReplicaNews):
@@ -164,20 +181,51 @@
             for update in updates:
                 self.network.broadcast(_update_message(update), skip=skip)
 
-    def _send_configuration(self, vm: str, revision: int) -> None:
-        """Send the configuration, once, to a VM that has an older one.
+    def _fetch_configuration(self, vm: str, revision: int, now: float) -> None:
+        """Fetch a configuration from a VM that has had a newer one for some time.
 
-        It is not broadcast: it is large, and most VMs read it from the store.
+        The store's watch brings each configuration to every VM.  A copy is fetched by
+        a VM whose watch does not, one at a time: documents are large, and they share
+        the links with the permits.
         """
+        own_revision = self._state.configuration_revision
+        if self.network is None or revision <= own_revision:
+            return
+        if self._behind_at_revision != own_revision:
+            self._behind_at_revision, self._behind_since_ms = own_revision, now
+        entry = self._vms.get(vm)
+        is_remote = entry is not None and entry.region != self._entry.region
+        lag_ms = REMOTE_LAG_MS if is_remote else LOCAL_LAG_MS
+        if self._state.configuration is None:
+            lag_ms = STARTUP_LAG_MS
+        if now - self._behind_since_ms < lag_ms:
+            return
+        if now - self._fetched_ms < FETCH_TIMEOUT_MS:
+            return
+        fetch = TreeFetch(max(0, own_revision), "")
+        if self.network.send(vm, fetch) or self.network.reply(vm, fetch):
+            self._fetched_ms = now
+            log.info(
+                "configuration_fetched",
+                extra={
+                    "peer": vm,
+                    "store_revision": own_revision,
+                    "peer_revision": revision,
+                    "behind_ms": round(now - self._behind_since_ms),
+                },
+            )
+
+    def on_fetch(self, vm: str, message: Message) -> None:
+        """Send the configuration to a VM that asks for one newer than its own."""
         state = self._state
-        known = max(revision, self._sent_revisions.get(vm, -1))
-        if self.network is None or known >= state.configuration_revision:
+        if not isinstance(message, TreeFetch) or self.network is None:
+            return
+        if message.after_revision >= state.configuration_revision:
             return
-        message = ConfigurationNews(
+        news = ConfigurationNews(
             state.configuration_revision, state.configuration_document
         )
-        if self.network.send(vm, message) or self.network.reply(vm, message):
-            self._sent_revisions[vm] = state.configuration_revision
+        if self.network.reply(vm, news) or self.network.send(vm, news):
             self.configuration_bytes_sent += len(state.configuration_document)
 
     def fleet(self, customer: str | None = None) -> FleetSnapshot:
@@ -223,7 +271,7 @@
         if not isinstance(message, Heartbeat):
             return
         now = now_ms()
-        self._send_configuration(vm, message.tree_revision)
+        self._fetch_configuration(vm, message.tree_revision, now)
         self.membership.on_heartbeat(
             vm,
             now,
--- a/tests/edge/test_fleet.py
+++ b/tests/edge/test_fleet.py
@@ -2,12 +2,20 @@
 
 from typing import Any
 
+import trio
+
 from hemlocktrestle.edge._fleet import EdgeFleet
 from hemlocktrestle.edge._registration import VmEntry
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.gateway import FleetSnapshot
 from hemlocktrestle.platform import decode_settings
-from hemlocktrestle.wire import ConfigurationNews, Heartbeat, Message, ReplicaNews
+from hemlocktrestle.wire import (
+    ConfigurationNews,
+    Heartbeat,
+    Message,
+    ReplicaNews,
+    TreeFetch,
+)
 from tests.gateway.records import configuration
 from tests.platform.documents import CONFIGURATION, SETTINGS, as_bytes
 from tests.support import TrioTestCase
@@ -23,6 +31,8 @@
         self.sent.append((vm, message))
         return True
 
+    reply = send
+
     def sync_peers(self, peers: object) -> None:
         """Ignore the peers; no links are opened."""
 
@@ -47,14 +57,6 @@
         fleet.network = links
         return fleet, state, links
 
-    async def test_a_vm_that_lags_gets_the_configuration_once(self) -> None:
-        """A VM with the current revision gets no configuration."""
-        fleet, _, links = self.fleet()
-        for _ in range(3):
-            fleet.on_heartbeat("vm-2", Heartbeat(39, "", 0, False))
-            fleet.on_heartbeat("vm-3", Heartbeat(40, "", 0, False))
-        self.assertEqual([("vm-2", ConfigurationNews(40, b"document"))], links.sent)
-
     async def test_the_largest_vm_of_a_region_schedules(self) -> None:
         """Guards against schedulers that are silent at the first burst.
 
@@ -87,13 +89,54 @@
             fleet.on_heartbeat(f"vm-{number}", Heartbeat(39, "", 0, False))
         self.assertEqual([], links.sent)
 
-    async def test_the_configuration_is_sent_again_after_a_link_closed(self) -> None:
-        """After its link closed, the VM gets the configuration again."""
+    async def test_a_vm_that_stays_behind_fetches_one_copy(self) -> None:
+        """A VM whose watch brings nothing asks one VM, not all that are ahead."""
+        fleet, _, links = self.fleet()
+        for _ in range(4):
+            for number in range(2, 6):
+                fleet.on_heartbeat(f"vm-{number}", Heartbeat(41, "", 0, False))
+            await trio.sleep(0.4)
+        self.assertEqual([("vm-2", TreeFetch(40, ""))], links.sent)
+
+    async def test_a_copy_that_does_not_come_is_fetched_again(self) -> None:
+        """A fetch that is lost with its link is repeated, from any VM that is ahead."""
+        fleet, _, links = self.fleet()
+        fleet.on_heartbeat("vm-2", Heartbeat(41, "", 0, False))
+        await trio.sleep(1.1)
+        fleet.on_heartbeat("vm-2", Heartbeat(41, "", 0, False))
+        await trio.sleep(1.1)
+        fleet.on_heartbeat("vm-3", Heartbeat(41, "", 0, False))
+        fetch = TreeFetch(40, "")
+        self.assertEqual([("vm-2", fetch), ("vm-3", fetch)], links.sent)
+
+    async def test_another_region_is_asked_later(self) -> None:
+        """The link between regions is narrow: a VM nearby is asked first."""
+        fleet, _, links = self.fleet()
+        far = VmEntry("vm-9", "z9", "south", "10.9.0.1:7600", "b")
+        fleet.apply_vms([HERE, far])
+        fleet.on_heartbeat("vm-9", Heartbeat(41, "", 0, False))
+        await trio.sleep(1.2)
+        fleet.on_heartbeat("vm-9", Heartbeat(41, "", 0, False))
+        self.assertEqual([], links.sent)
+        await trio.sleep(0.4)
+        fleet.on_heartbeat("vm-9", Heartbeat(41, "", 0, False))
+        self.assertEqual([("vm-9", TreeFetch(40, ""))], links.sent)
+
+    async def test_a_vm_without_a_configuration_asks_soon(self) -> None:
+        """It refuses all requests until it has one."""
+        fleet, state, links = self.fleet()
+        state.configuration, state.configuration_revision = None, -1
+        fleet.on_heartbeat("vm-2", Heartbeat(40, "", 0, False))
+        await trio.sleep(0.35)
+        fleet.on_heartbeat("vm-2", Heartbeat(40, "", 0, False))
+        self.assertEqual([("vm-2", TreeFetch(0, ""))], links.sent)
+
+    async def test_a_newer_configuration_is_sent_on_request(self) -> None:
+        """Nothing is sent to a VM that has as new a one."""
         fleet, _, links = self.fleet()
-        fleet.on_heartbeat("vm-2", Heartbeat(39, "", 0, False))
-        fleet.on_link_closed("vm-2")
-        fleet.on_heartbeat("vm-2", Heartbeat(39, "", 0, False))
-        self.assertEqual(2, len(links.sent))
+        fleet.on_fetch("vm-2", TreeFetch(40, ""))
+        fleet.on_fetch("vm-3", TreeFetch(39, ""))
+        self.assertEqual([("vm-3", ConfigurationNews(40, b"document"))], links.sent)
 
     async def test_a_newer_configuration_of_another_vm_is_applied(self) -> None:
         """A newer configuration is applied, an older one is not."""
