Build a heartbeat once for all links, and wake only where pools are scheduled

Cause: each link had a timer of its own that built and encoded a heartbeat; building one sums up the demand of all VMs of the region, on a scheduler 83 times in half a second and, for a sum that nobody reads, on every other VM. Each VM also woke ten times a second to check the deadlines of pools that it does not schedule.

Change: the network sends one encoded heartbeat on all links, one at the opening of each; the sum is left out by those that do not schedule; the deadline check starts with the first pool.

--- a/bench/capacity/_control.py
+++ b/bench/capacity/_control.py
@@ -18,7 +18,7 @@
     point,
 )
 from hemlocktrestle.membership import UpstreamRecord, VmRecord
-from hemlocktrestle.peers import Link, LinkEvents
+from hemlocktrestle.peers import HEARTBEAT_INTERVAL_S, Link, LinkEvents
 from hemlocktrestle.scheduler import PoolScheduler
 from hemlocktrestle.wire import (
     PROTOCOL_VERSION,
@@ -244,10 +244,19 @@
 
     async def end(sock: socket.socket, name: str) -> None:
         stream = trio.SocketStream(trio.socket.from_stdlib_socket(sock))
-        link = Link(stream, hello=_hello(name), heartbeat=lambda: HEARTBEAT)
+        link = Link(stream, hello=_hello(name))
+        links.append(link)
         await link.run(await link.exchange_hello(None), events)
 
+    async def send_heartbeats() -> None:
+        while True:
+            for link in links:
+                link.post(HEARTBEAT)
+            await trio.sleep(HEARTBEAT_INTERVAL_S)
+
+    links: list[Link] = []
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(send_heartbeats)
         for index in range(pairs):
             for sock in socket.socketpair():
                 nursery.start_soon(end, sock, f"vm-{index:04d}")
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -250,8 +250,15 @@
             pools = self.scheduler_task.summaries()
         self.membership.record_pools(self._entry.vm, pools)
         own = self._state.quotas.demands(now)
-        vm_count, total = self.demand.domain_demand(own, now)
+        vm_count = 0
+        total: tuple[Demand, ...] = ()
+        startup_share = 0.0
         scheduler = self.membership.scheduler_of("", self.membership.domain, now)
+        if scheduler == self._entry.vm:
+            vm_count, total = self.demand.domain_demand(own, now)
+            startup_share = self.demand.domain_startup_share(
+                self._startup_share(now), now
+            )
         return Heartbeat(
             max(0, self._state.configuration_revision),
             "",
@@ -261,9 +268,9 @@
             self.membership.refusals(),
             tuple(CustomerDemand(*demand) for demand in own),
             tuple(CustomerDemand(*demand) for demand in total),
-            vm_count if scheduler == self._entry.vm else 0,
+            vm_count,
             self._startup_share(now),
-            self.demand.domain_startup_share(self._startup_share(now), now),
+            startup_share,
         )
 
     def on_heartbeat(self, vm: str, message: Message) -> None:
--- a/src/hemlocktrestle/peers/_link.py
+++ b/src/hemlocktrestle/peers/_link.py
@@ -11,15 +11,11 @@
 from hemlocktrestle.wire import (
     PROTOCOL_VERSION,
     FrameReader,
-    Heartbeat,
     Hello,
     Message,
     frame_bytes,
 )
 
-HEARTBEAT_INTERVAL_S = 0.5
-"""Time between heartbeats on a link, in seconds."""
-
 RECEIVE_TIMEOUT_S = 2.0
 """Time without received data after which a link counts as dead, in seconds."""
 
@@ -52,28 +48,24 @@
     Args:
         stream: the byte stream to the peer.
         hello: the handshake message of this VM.
-        heartbeat: returns the heartbeat to send.
     """
 
-    def __init__(
-        self,
-        stream: trio.abc.Stream,
-        *,
-        hello: Hello,
-        heartbeat: Callable[[], Heartbeat],
-    ) -> None:
+    def __init__(self, stream: trio.abc.Stream, *, hello: Hello) -> None:
         self._stream = stream
         self._hello = hello
-        self._heartbeat = heartbeat
         self._reader = FrameReader()
         self._backlog: list[Message] = []
         self._is_sending = False
-        self._outbox_in, self._outbox_out = trio.open_memory_channel[Message](
+        self._outbox_in, self._outbox_out = trio.open_memory_channel[Message | bytes](
             OUTBOX_MESSAGES_MAX
         )
 
-    def post(self, message: Message) -> bool:
-        """Queue a message; ``False`` if the queue is full or the link is closed."""
+    def post(self, message: Message | bytes) -> bool:
+        """Queue a message; ``False`` if the queue is full or the link is closed.
+
+        Args:
+            message: the message, or its frame if it is sent on several links.
+        """
         try:
             self._outbox_in.send_nowait(message)
         except (trio.WouldBlock, trio.BrokenResourceError, trio.ClosedResourceError):
@@ -119,7 +111,6 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._send_all, nursery.cancel_scope)
-                nursery.start_soon(self._send_heartbeats)
                 try:
                     await self._receive_all(peer_vm, events)
                 finally:
@@ -169,10 +160,10 @@
     async def _send_all(self, scope: trio.CancelScope) -> None:
         try:
             async for message in self._outbox_out:
-                data = bytearray(frame_bytes(message))
+                data = bytearray(_frame_of(message))
                 while True:
                     try:
-                        data += frame_bytes(self._outbox_out.receive_nowait())
+                        data += _frame_of(self._outbox_out.receive_nowait())
                     except (trio.WouldBlock, trio.EndOfChannel):
                         break
                 self._is_sending = True
@@ -181,10 +172,9 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             scope.cancel()
 
-    async def _send_heartbeats(self) -> None:
-        while True:
-            self.post(self._heartbeat())
-            await trio.sleep(HEARTBEAT_INTERVAL_S)
+
+def _frame_of(message: Message | bytes) -> bytes:
+    return message if isinstance(message, bytes) else frame_bytes(message)
 
 
 def _checked_hello(peer: Message, expected_vm: str | None) -> Hello:
@@ -204,7 +194,6 @@
     expected_vm: str,
     *,
     hello: Hello,
-    heartbeat: Callable[[], Heartbeat],
     events: LinkEvents,
     tls: ssl.SSLContext | None,
 ) -> None:
@@ -223,7 +212,7 @@
                 stack.push_async_callback(trio.aclose_forcefully, stream)
         except (OSError, trio.TooSlowError) as error:
             raise RequestError(ErrorKind.PEER_FRAME, "peer not reached") from error
-        link = Link(stream, hello=hello, heartbeat=heartbeat)
+        link = Link(stream, hello=hello)
         await link.run(await link.exchange_hello(expected_vm), events)
 
 
@@ -231,7 +220,6 @@
     stream: trio.abc.Stream,
     *,
     hello: Hello,
-    heartbeat: Callable[[], Heartbeat],
     events: LinkEvents,
     peer_names: Callable[[trio.abc.Stream], frozenset[str] | None],
 ) -> None:
@@ -240,7 +228,6 @@
     Args:
         stream: the byte stream to the peer.
         hello: the handshake message of this VM.
-        heartbeat: returns the heartbeat to send.
         events: callbacks for messages and for the link's start and end.
         peer_names: returns the DNS names in the peer's certificate, or ``None`` for
             a link without TLS.
@@ -250,7 +237,7 @@
     """
     async with AsyncExitStack() as stack:
         stack.push_async_callback(trio.aclose_forcefully, stream)
-        link = Link(stream, hello=hello, heartbeat=heartbeat)
+        link = Link(stream, hello=hello)
         peer = await link.exchange_hello(None)
         names = peer_names(stream)
         if names is not None and peer.vm not in names:
--- a/src/hemlocktrestle/peers/_network.py
+++ b/src/hemlocktrestle/peers/_network.py
@@ -10,10 +10,13 @@
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.membership import Backoff, VmRecord
 from hemlocktrestle.peers._link import Link, LinkEvents, accept, dial
-from hemlocktrestle.wire import Heartbeat, Hello, Message
+from hemlocktrestle.wire import Heartbeat, Hello, Message, frame_bytes
 
 log = logging.getLogger(__name__)
 
+HEARTBEAT_INTERVAL_S = 0.5
+"""Time between heartbeats on all links, in seconds."""
+
 Handler = Callable[[str, Message], None]
 
 
@@ -88,16 +91,21 @@
         return self._post(self._accepted, vm, message)
 
     async def run(self) -> None:
-        """Run the tasks that dial peers until cancelled."""
+        """Dial the peers and send heartbeats until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            await trio.sleep_forever()
+            while True:
+                self.send_heartbeats()
+                await trio.sleep(HEARTBEAT_INTERVAL_S)
 
     def send_heartbeats(self) -> None:
-        """Send a heartbeat on every link now."""
-        heartbeat = self._heartbeat()
-        for link in (*self._dialled.values(), *self._accepted.values()):
-            link.post(heartbeat)
+        """Send the same heartbeat on every link now."""
+        links = (*self._dialled.values(), *self._accepted.values())
+        if not links:
+            return
+        frame = frame_bytes(self._heartbeat())
+        for link in links:
+            link.post(frame)
 
     @property
     def is_flushed(self) -> bool:
@@ -131,7 +139,6 @@
             await accept(
                 stream,
                 hello=self._hello,
-                heartbeat=self._heartbeat,
                 events=events,
                 peer_names=self._peer_names,
             )
@@ -155,7 +162,6 @@
                         address,
                         name,
                         hello=self._hello,
-                        heartbeat=self._heartbeat,
                         events=events,
                         tls=self._tls_client,
                     )
@@ -180,6 +186,7 @@
 
     def _add_dialled(self, peer: Hello, link: Link) -> None:
         self._dialled[peer.vm] = link
+        link.post(self._heartbeat())
         self._send_initial_messages(peer.vm, link)
         self._last_end_reasons.pop(peer.vm, None)
         log.info("link_opened", extra={"peer": peer.vm})
@@ -189,6 +196,7 @@
             self._notify(self._on_accepted_closed, peer.vm)
         self._boot_ids[peer.vm] = peer.boot_id
         self._accepted[peer.vm] = link
+        link.post(self._heartbeat())
         self._send_initial_messages(peer.vm, link)
         redial = self._redial_events.get(peer.vm)
         if redial is not None:
--- a/src/hemlocktrestle/peers/_scheduler_task.py
+++ b/src/hemlocktrestle/peers/_scheduler_task.py
@@ -119,6 +119,7 @@
         self._is_processing = False
         self._inbox_ready = trio.Event()
         self._inbox_wait_ms = 0.0
+        self._has_schedulers = trio.Event()
 
     def on_message(self, vm: str, message: Message) -> None:
         """Queue a message of a requesting VM."""
@@ -256,6 +257,7 @@
         if scheduler is None:
             scheduler = PoolScheduler(pool, policy=policy_named(self._policy()))
             self._schedulers[pool] = scheduler
+            self._has_schedulers.set()
             self._refresh(pool)
         return scheduler
 
@@ -268,6 +270,8 @@
     async def _tick(self) -> None:
         ticks = 0
         while True:
+            # Most VMs schedule no pool, and a fleet of them would wake for nothing.
+            await self._has_schedulers.wait()
             await trio.sleep(TICK_INTERVAL_S)
             ticks += 1
             self.hand_over()
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -89,7 +89,8 @@
     users' platform, ``tree_revision`` is that of the operator's configuration.
 
     ``demands`` are the sender's own; ``area_demands`` are the last known demands of
-    all VMs in its scheduling domain, ``area_vm_count`` of them with the sender.
+    all VMs in its scheduling domain, ``area_vm_count`` of them with the sender.  Only
+    the domain's scheduler sends them; from others ``area_vm_count`` is 0.
     ``young`` is the startup share: the part of the quota window that lies before
     the start of the sender's process.  ``area_young`` is the sum over the domain.
     """
--- a/tests/edge/test_fleet.py
+++ b/tests/edge/test_fleet.py
@@ -11,6 +11,7 @@
 from hemlocktrestle.platform import decode_settings
 from hemlocktrestle.wire import (
     ConfigurationNews,
+    CustomerDemand,
     Heartbeat,
     Message,
     ReplicaNews,
@@ -57,6 +58,18 @@
         fleet.network = links
         return fleet, state, links
 
+    async def test_only_the_scheduler_reports_the_demand_of_its_domain(self) -> None:
+        """Guards against heartbeats whose size and cost grow for nobody's use."""
+        fleet, _, _ = self.fleet()
+        larger = VmEntry("vm-2", "z1", "north", "10.0.0.2:7600", "b", 2.0, 200)
+        fleet.apply_vms([HERE, larger])
+        demands = (CustomerDemand("clinics", 5.0, 40.0),)
+        fleet.on_heartbeat("vm-2", Heartbeat(40, "", 0, False, demands=demands))
+        self.assertEqual((0, ()), fleet.heartbeat()[8:6:-1])
+        fleet.apply_vms([HERE, larger._replace(cpu_cores=0.0, link_mbps=0.0)])
+        fleet.on_heartbeat("vm-2", Heartbeat(40, "", 0, True, demands=demands))
+        self.assertEqual((2, demands), fleet.heartbeat()[8:6:-1])
+
     async def test_the_largest_vm_of_a_region_schedules(self) -> None:
         """Guards against schedulers that are silent at the first burst.
 
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -46,7 +46,6 @@
             await accept(
                 self._accepted,
                 hello=OURS,
-                heartbeat=lambda: HEARTBEAT,
                 events=events,
                 peer_names=lambda stream: self.names,
             )
