Trust a silent scheduler again after a time, not at its next heartbeat

Cause: a scheduler that does not acknowledge an ask in time loses its role until its next heartbeat, which comes within half a second, also from a VM that is too busy to answer.

Change: it gets no role for a second, and for twice as long each time that it is silent again, 8 s at most; an answer in time ends that.

Two tests: the first failed before, asked at each heartbeat rather than at 0, 1.2 and 3.6 s; the second shows that an answer restores the role.

--- a/src/hemlocktrestle/membership/_table.py
+++ b/src/hemlocktrestle/membership/_table.py
@@ -1,6 +1,7 @@
 """Which VMs are live, which upstreams take work, and which VM schedules which pool."""
 
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 import xxhash
 
@@ -34,6 +35,20 @@
     return record.region
 
 
+SILENCE_MS_MIN = 1_000.0
+"""Time for which a scheduler that did not answer gets no role, in milliseconds."""
+
+SILENCE_MS_MAX = 8_000.0
+"""The same at most, after it was silent again and again."""
+
+
+class _Silence(NamedTuple):
+    """A scheduler that did not answer: how long it gets no role, and until when."""
+
+    penalty_ms: float
+    until_ms: float
+
+
 class Membership:
     """Combines the platform's list, which lags, with what this VM observes.
 
@@ -65,6 +80,7 @@
         self._last_heartbeat_ms: dict[str, float] = {}
         self._seen_peers: set[str] = set()
         self._draining_peers: set[str] = set()
+        self._silences: dict[str, _Silence] = {}
         self._pools: dict[str, dict[str, PoolSummary]] = {}
         self._refusals = RefusalTracker()
 
@@ -73,6 +89,9 @@
         self._vms = {record.name: record for record in listing.vms}
         self._vms[self.vm.name] = self.vm
         self._rankings.clear()
+        self._silences = {
+            vm: silence for vm, silence in self._silences.items() if vm in self._vms
+        }
         self._upstreams = {record.name: record for record in listing.upstreams}
 
     def on_heartbeat(
@@ -112,6 +131,25 @@
         """Give a peer no role until a heartbeat says that it is not draining."""
         self._draining_peers.add(vm)
 
+    def mark_silent(self, vm: str, now_ms: float) -> None:
+        """Give a scheduler that did not answer no role for a time.
+
+        The time doubles with each silence until it answers in time: its heartbeats
+        come also while it is too busy to answer, and each request that tries it
+        waits for the whole time limit.
+        """
+        known = self._silences.get(vm)
+        penalty_ms = SILENCE_MS_MIN
+        if known is not None and now_ms < known.until_ms:
+            penalty_ms = known.penalty_ms
+        elif known is not None:
+            penalty_ms = min(2 * known.penalty_ms, SILENCE_MS_MAX)
+        self._silences[vm] = _Silence(penalty_ms, now_ms + penalty_ms)
+
+    def mark_responsive(self, vm: str) -> None:
+        """Trust a scheduler that has answered in time."""
+        self._silences.pop(vm, None)
+
     def record_refusal(self, upstream: str, now_ms: float) -> None:
         """Record that an upstream refused work."""
         record = self._upstreams.get(upstream)
@@ -260,6 +298,9 @@
             return not self.is_draining
         if record.is_leaving or record.name in self._draining_peers:
             return False
+        silence = self._silences.get(record.name)
+        if silence is not None and now_ms < silence.until_ms:
+            return False
         return self._is_alive(record.name, now_ms)
 
 
--- a/src/hemlocktrestle/peers/_permit_client.py
+++ b/src/hemlocktrestle/peers/_permit_client.py
@@ -279,8 +279,7 @@
         with trio.move_on_after(self._remaining_ms(deadline_at_ms) / 1000):
             reply = await self._receive_first_reply(receiver)
             if reply is None:
-                # The scheduler counts as leaving until its next heartbeat.
-                self._membership.mark_leaving(scheduler_vm)
+                self._membership.mark_silent(scheduler_vm, self._now_ms())
                 log.info(
                     "scheduler_silent",
                     extra={
@@ -290,6 +289,7 @@
                     },
                 )
                 raise RequestError(ErrorKind.SCHEDULER_GONE, "keeper is silent")
+            self._membership.mark_responsive(scheduler_vm)
             if isinstance(reply, Queued):
                 reply = await receiver.receive()
         return None if isinstance(reply, Queued) else reply
--- a/tests/peers/test_permit_client.py
+++ b/tests/peers/test_permit_client.py
@@ -81,6 +81,48 @@
         self.assertTrue(ACK_TIMEOUT_MS <= now_ms() - started_ms <= ACK_TIMEOUT_MS + 60)
         self.assertIn((first, Withdraw("a1.0", POOL)), self.sent)
 
+    async def test_a_silent_scheduler_is_not_trusted_at_its_next_heartbeat(
+        self,
+    ) -> None:
+        """Guards against requests that each wait for a scheduler that is too busy.
+
+        Its heartbeats come while it does not answer.
+        """
+        client = self._new_client()
+        first = self.membership.scheduler_of(POOL, "z", now_ms())
+        assert first is not None
+        self.unresponsive.add(first)
+        asked: list[int] = []
+        for number in range(12):
+            self.sent.clear()
+            ask = ASK._replace(ask_id=f"b{number}")
+            await client.obtain(ask, zones=("z",), deadline_at_ms=now_ms() + 2_000)
+            asked += [
+                number
+                for vm, message in self.sent
+                if vm == first and isinstance(message, Ask)
+            ]
+            await trio.sleep(0.5)
+            for vm in ("v2", "v3"):
+                self.membership.on_heartbeat(vm, now_ms(), is_draining=False)
+        # Tried at once, after one second, and after two more.
+        self.assertEqual([0, 2, 6], asked)
+
+    async def test_a_scheduler_that_answers_again_is_trusted(self) -> None:
+        """After its time without a role it is asked, and keeps the role."""
+        client = self._new_client()
+        first = self.membership.scheduler_of(POOL, "z", now_ms())
+        assert first is not None
+        self.unresponsive.add(first)
+        await client.obtain(ASK, zones=("z",), deadline_at_ms=now_ms() + 2_000)
+        self.unresponsive.clear()
+        await trio.sleep(1.1)
+        for vm in ("v2", "v3"):
+            self.membership.on_heartbeat(vm, now_ms(), is_draining=False)
+        ask = ASK._replace(ask_id="b1")
+        held = await client.obtain(ask, zones=("z",), deadline_at_ms=now_ms() + 2_000)
+        self.assertEqual(first, held.scheduler_vm)
+
     async def test_without_a_responsive_scheduler_it_fails(self) -> None:
         """If no scheduler responds, each is tried, and it fails by the deadline."""
         client = self._new_client()
