Bound what a replica may send that never becomes an answer

Before: an event stream was buffered without bound and searched from its start at each piece, informational heads were read for ever, any byte extended the stall limit of a stream, and buffered answers took 16 MB each whatever the memory of the VM.

Change: an event is 1 MiB at most and searched once, 16 informational heads, only complete events extend the stall limit, all buffered answers share a quarter of the memory as bodies of requests do, and an attempt that the deadline ends without a first part, longer than the objective, is silent.

Evidence: six floods on a route that resumes and on one that runs once; the caller gets the whole stream from another replica, or 502 or 504, never a claim that the request has not run. On the code before, the same tests had not ended after 100 s.

--- a/src/hemlocktrestle/edge/_attempt.py
+++ b/src/hemlocktrestle/edge/_attempt.py
@@ -2,7 +2,7 @@
 
 from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
-from typing import NamedTuple
+from typing import NamedTuple, Self
 
 import trio
 
@@ -10,8 +10,9 @@
 from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.errors import ErrorKind, RequestError
-from hemlocktrestle.gateway import EventSplitter, RequestKind
+from hemlocktrestle.gateway import EventSplitter, RequestKind, StreamEvent
 from hemlocktrestle.relay import (
+    BodyMemoryBudget,
     CallerConnection,
     ConnectTimeoutError,
     ReplicaAnswer,
@@ -67,6 +68,34 @@
         self.event_count += count
 
 
+class _BodyBuffer:
+    """The body of a buffered answer, within the memory budget of all answers."""
+
+    def __init__(self, budget: BodyMemoryBudget) -> None:
+        self._budget = budget
+        self.data = bytearray()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self._budget.release(len(self.data))
+
+    def append(self, piece: bytes) -> None:
+        """Add bytes.
+
+        Raises:
+            RequestError: of kind ``UPSTREAM_BROKEN`` if the answer is too large.
+        """
+        if len(self.data) + len(piece) > ANSWER_BYTES_MAX:
+            raise RequestError(ErrorKind.UPSTREAM_BROKEN, "answer is too large")
+        if not self._budget.reserve(len(piece)):
+            raise RequestError(
+                ErrorKind.UPSTREAM_BROKEN, "no memory is left for answers"
+            )
+        self.data += piece
+
+
 class SealedAnswer(NamedTuple):
     """A replica's complete, sealed answer, as it would go to the caller."""
 
@@ -119,6 +148,20 @@
             self._event_count,
         )
 
+    def report_cancelled(self) -> AttemptReport:
+        """Return the report of an attempt that the caller or its deadline ended.
+
+        A replica that sent nothing of use until the deadline, for longer than the
+        latency objective, has failed; what it sent may have been no answer.
+        """
+        abandoned = self.report(AttemptEnd.ABANDONED)
+        is_overdue = (
+            now_ms() >= self._job.deadline_at_ms
+            and not abandoned.first_ms
+            and abandoned.total_ms >= self._job.route.objective_ms
+        )
+        return abandoned._replace(end=AttemptEnd.SILENT) if is_overdue else abandoned
+
     async def run(self) -> AttemptReport:
         """Send the request and relay the answer; return how the attempt ended."""
         progress = self._progress
@@ -202,11 +245,14 @@
         return await self._relay_buffered(answer)
 
     async def _relay_buffered(self, answer: ReplicaAnswer) -> AttemptEnd:
-        body = bytearray()
-        async for piece in answer.body_chunks():
-            body += piece
-            if len(body) > ANSWER_BYTES_MAX:
-                raise RequestError(ErrorKind.UPSTREAM_BROKEN, "answer is too large")
+        with _BodyBuffer(self._state.answer_budget) as buffer:
+            async for piece in answer.body_chunks():
+                buffer.append(piece)
+            return await self._send_buffered(answer, buffer.data)
+
+    async def _send_buffered(
+        self, answer: ReplicaAnswer, body: bytearray
+    ) -> AttemptEnd:
         self._first_ms = now_ms() - self._started_ms
         headers = self._state.header_codec.forwarded_answer_headers(answer.headers)
         if answer.status >= 500:
@@ -217,16 +263,13 @@
         return AttemptEnd.RELAYED
 
     async def _relay_events(self, answer: ReplicaAnswer) -> AttemptEnd:
-        cutter = EventSplitter()
+        splitter = EventSplitter()
         headers = self._state.header_codec.forwarded_answer_headers(answer.headers)
         headers = [line for line in headers if line[0] != b"content-length"]
         async with aclosing(
-            _with_stall_timeout(answer, self._time_limit, self._stall_timeout_s())
-        ) as pieces:
-            async for piece in pieces:
-                events = cutter.feed(piece)
-                if not events:
-                    continue
+            _event_batches(answer, splitter, self._time_limit, self._stall_timeout_s())
+        ) as batches:
+            async for events in batches:
                 if not self._event_count:
                     self._first_ms = now_ms() - self._started_ms
                 self._record_events(len(events))
@@ -239,12 +282,12 @@
                     if event.event_id:
                         self._progress.last_event_id = event.event_id
         await self._send_head(answer.status, headers)
-        if cutter.remainder:
+        if splitter.remainder:
             if not _has_framing(answer):
                 raise RequestError(
                     ErrorKind.UPSTREAM_BROKEN, "stream ended within an event"
                 )
-            await self._connection.send_chunk(cutter.remainder)
+            await self._connection.send_chunk(splitter.remainder)
         await self._connection.finish()
         return AttemptEnd.RELAYED
 
@@ -269,14 +312,23 @@
         return route.gap_ms * STALL_TIMEOUT_GAPS / 1000 or float("inf")
 
 
-async def _with_stall_timeout(
-    answer: ReplicaAnswer, scope: trio.CancelScope, gap_s: float
-) -> AsyncGenerator[bytes, None]:
-    """Yield an answer's pieces; ``scope`` bounds the wait for each next one."""
+async def _event_batches(
+    answer: ReplicaAnswer,
+    splitter: EventSplitter,
+    scope: trio.CancelScope,
+    gap_s: float,
+) -> AsyncGenerator[list[StreamEvent], None]:
+    """Yield the events that each piece completes; ``scope`` bounds each wait for them.
+
+    Bytes that complete no event do not extend the wait.
+    """
     async for piece in answer.body_chunks():
-        await _lift_time_limit(scope)
-        yield piece
-        scope.deadline = trio.current_time() + gap_s
+        events = splitter.feed(piece)
+        if events:
+            await _lift_time_limit(scope)
+            yield events
+            scope.deadline = trio.current_time() + gap_s
+    await _lift_time_limit(scope)
 
 
 async def _lift_time_limit(scope: trio.CancelScope) -> None:
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -37,7 +37,6 @@
 from hemlocktrestle.peers import PeerNetwork, PermitClient, SchedulerTask
 from hemlocktrestle.platform import EdgeSettings, PlatformStore, read_settings
 from hemlocktrestle.quarantine import QuarantineRegistry
-from hemlocktrestle.relay import BodyMemoryBudget
 from hemlocktrestle.wire import (
     PROTOCOL_VERSION,
     Ask,
@@ -70,12 +69,6 @@
 DESCRIPTORS_PER_CALLER = 2
 """File descriptors that one caller needs: its connection and one to a replica."""
 
-BODY_MEMORY_SHARE = 0.25
-"""Share of the memory limit that buffered request bodies may use.
-
-The process itself uses up to 40 MB, and a body is held twice while it is sent.
-"""
-
 PLATFORM_DESCRIPTORS = 200
 """File descriptors that the platform reserves for files."""
 
@@ -172,9 +165,7 @@
             self.state,
             self._server.serve,
             connections_max=descriptors // DESCRIPTORS_PER_CALLER,
-            body_budget=BodyMemoryBudget(
-                int(settings.memory_bytes * BODY_MEMORY_SHARE)
-            ),
+            body_budget=self.state.request_budget,
         )
         self._registrar = VmRegistrar(
             entry,
--- a/src/hemlocktrestle/edge/_server.py
+++ b/src/hemlocktrestle/edge/_server.py
@@ -203,7 +203,7 @@
                 report = await attempt.run()
             finally:
                 if report.end is AttemptEnd.ABANDONED:
-                    report = attempt.report(AttemptEnd.ABANDONED)
+                    report = attempt.report_cancelled()
                 self._placer.release(job, placement, report)
             self._record_end(job, placement, attempt, report)
             if report.end is AttemptEnd.RELAYED:
--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -13,6 +13,14 @@
     RetryBudget,
 )
 from hemlocktrestle.platform import EdgeSettings, HeaderCodec
+from hemlocktrestle.relay import BodyMemoryBudget
+
+BODY_MEMORY_SHARE = 0.25
+"""Share of the memory limit that buffered bodies may use, in each direction.
+
+The process itself uses up to 40 MB, and a request's body is held twice while it is
+sent.
+"""
 
 NOTICE_PERIOD_MS = 2_800.0
 """Time after the stop signal in which new requests are accepted, in milliseconds.
@@ -50,6 +58,9 @@
         self.quotas = QuotaTracker(now_ms())
         self.stored_busy_customers: set[str] = set()
         self.draining_since_ms: float | None = None
+        body_bytes_max = int(settings.memory_bytes * BODY_MEMORY_SHARE)
+        self.request_budget = BodyMemoryBudget(body_bytes_max)
+        self.answer_budget = BodyMemoryBudget(body_bytes_max)
         self._retry_budgets: dict[str, RetryBudget] = {}
 
     @property
--- a/src/hemlocktrestle/gateway/_events.py
+++ b/src/hemlocktrestle/gateway/_events.py
@@ -2,6 +2,14 @@
 
 from typing import NamedTuple
 
+from hemlocktrestle.errors import ErrorKind, RequestError
+
+EVENT_BYTES_MAX = 1024 * 1024
+"""Largest event that is buffered, in bytes; engines send some tokens in each."""
+
+_MARKS = (b"\n\n", b"\r\n\r\n")
+"""What ends an event: an empty line."""
+
 
 class StreamEvent(NamedTuple):
     """One complete event with its closing blank line; ``event_id`` may be empty."""
@@ -15,15 +23,25 @@
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._searched_bytes = 0
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Add bytes and return the events that they complete."""
+        """Add bytes and return the events that they complete.
+
+        Raises:
+            RequestError: of kind ``UPSTREAM_BROKEN`` if an event is too large.
+        """
         self._buffer += data
         events = []
-        while (end := _end_of_event(self._buffer)) >= 0:
+        while (end := _end_of_event(self._buffer, self._searched_bytes)) >= 0:
             whole = bytes(self._buffer[:end])
             del self._buffer[:end]
+            self._searched_bytes = 0
             events.append(StreamEvent(whole, _event_id(whole)))
+        # An empty line may begin within the bytes that were searched.
+        self._searched_bytes = max(0, len(self._buffer) - len(_MARKS[-1]) + 1)
+        if len(self._buffer) > EVENT_BYTES_MAX:
+            raise RequestError(ErrorKind.UPSTREAM_BROKEN, "event is too large")
         return events
 
     @property
@@ -32,12 +50,8 @@
         return bytes(self._buffer)
 
 
-def _end_of_event(buffer: bytearray) -> int:
-    ends = [
-        at + len(mark)
-        for mark in (b"\n\n", b"\r\n\r\n")
-        if (at := buffer.find(mark)) >= 0
-    ]
+def _end_of_event(buffer: bytearray, start: int) -> int:
+    ends = [at + len(mark) for mark in _MARKS if (at := buffer.find(mark, start)) >= 0]
     return min(ends, default=-1)
 
 
--- a/src/hemlocktrestle/relay/_client.py
+++ b/src/hemlocktrestle/relay/_client.py
@@ -29,6 +29,10 @@
 """Maximum size of an answer's status line and headers, in bytes."""
 
 
+INFORMATIONAL_MAX = 16
+"""Most informational (1xx) responses before the final head of an answer."""
+
+
 class ConnectTimeoutError(RequestError):
     """A connect that got no reply, of kind ``UPSTREAM_UNREACHABLE``.
 
@@ -79,12 +83,18 @@
         self.machine = h11.Connection(
             our_role=h11.CLIENT, max_incomplete_event_size=HEAD_BYTES_MAX
         )
+        self._informational_count = 0
 
     async def next_event(self) -> h11.Event:
         try:
             while True:
                 event = self.machine.next_event()
                 if isinstance(event, h11.InformationalResponse):
+                    self._informational_count += 1
+                    if self._informational_count > INFORMATIONAL_MAX:
+                        raise RequestError(
+                            ErrorKind.UPSTREAM_BROKEN, "replica sent no final head"
+                        )
                     continue
                 if event is h11.NEED_DATA:
                     data = await self.stream.receive_some(RECEIVE_BYTES)
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -11,7 +11,7 @@
 from hemlocktrestle.edge import _attempt
 from hemlocktrestle.edge._job import Job
 from hemlocktrestle.edge._local_placer import LocalPlacer
-from hemlocktrestle.edge._placement import Placement
+from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement
 from hemlocktrestle.edge._quota_gate import EdgeQuotas
 from hemlocktrestle.edge._server import EdgeServer, ServedRequest
 from hemlocktrestle.edge._state import EdgeState, now_ms
@@ -108,6 +108,21 @@
     return script
 
 
+class _RecordingPlacer(LocalPlacer):
+    """A local placer that records how the attempts ended, by replica."""
+
+    def __init__(
+        self, state: EdgeState, released: list[tuple[str, AttemptEnd]]
+    ) -> None:
+        super().__init__(state, jitter=_ConstantRandom())  # type: ignore[arg-type]
+        self._released = released
+
+    def release(self, job: Job, placement: Placement, report: AttemptReport) -> None:
+        """Record the end of the attempt and release the placement."""
+        self._released.append((placement.replica_id, report.end))
+        super().release(job, placement, report)
+
+
 class EdgeHarness:
     """One edge server with scripted replicas.
 
@@ -139,10 +154,11 @@
         self.scripts = dict(replicas)
         self.served: list[ServedRequest] = []
         self.disconnected: list[str] = []
+        self.released: list[tuple[str, AttemptEnd]] = []
         self.requests: list[tuple[str, Request]] = []
         self.quarantine = QuarantineRegistry()
         self._nursery: trio.Nursery | None = None
-        placer = LocalPlacer(self.state, jitter=_ConstantRandom())  # type: ignore[arg-type]
+        placer = _RecordingPlacer(self.state, self.released)
         self.server = EdgeServer(
             self.state,
             placer,
