Spread a configuration within a region through two relays

Cause: every VM watches the configuration in the store, so each version crosses the link between regions once for each VM of the far region. After 1,700 routes are added the document has 331 KB, 441 KB in base64; 31 VMs take 13.7 MB of a link of 30 Mbit/s, and the next version, 1.3 s later, the same again. The class: work that grows with the fleet on a resource that does not.

Change: two VMs of each region watch, for a second at a time, and state in their heartbeats when the store last confirmed their revision; the field was there and always 0. The others fetch from them and read the store only if no relay's confirmation is younger than 1.8 s, or they stay behind for a second.

--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -194,7 +194,13 @@
             )
             nursery.start_soon(self._await_signals, signals)
             nursery.start_soon(
-                ConfigurationWatcher(self.state, self._store, self._health).run
+                ConfigurationWatcher(
+                    self.state,
+                    self._store,
+                    self._health,
+                    is_relay=lambda: self._peers.exchange.is_relay,
+                    is_relayed=lambda: self._peers.exchange.is_relayed,
+                ).run
             )
             replicas = ReplicaWatcher(
                 self.state,
@@ -291,7 +297,7 @@
             stalls=lambda: self._stall_monitor.count,
             log_lines_dropped=dropped_count,
             inbox_wait_ms=lambda: self._scheduler_task.inbox_wait_ms,
-            configuration_bytes_sent=lambda: self._peers.configuration_bytes_sent,
+            configuration_bytes_sent=lambda: self._peers.exchange.bytes_sent,
         )
 
     def _labelled_gauges(self) -> LabelledGauges:
@@ -333,16 +339,22 @@
         for reply_type in (Permit, Refusal, Queued):
             network.register_handler(reply_type, self._permit_client.on_message)
         network.register_handler(Heartbeat, self._peers.on_heartbeat)
-        for update_type in (ReplicaNews, ConfigurationNews):
-            network.register_handler(update_type, self._peers.on_update)
-        network.register_handler(TreeFetch, self._peers.on_fetch)
+        network.register_handler(ReplicaNews, self._peers.on_update)
+        network.register_handler(ConfigurationNews, self._peers.exchange.on_news)
+        network.register_handler(TreeFetch, self._peers.exchange.on_fetch)
         network.register_handler(Suspicion, self._crash_monitor.on_message)
         network.on_opened(self._peers.initial_messages)
-        self.state.on_configuration = self._peers.sync
+        self.state.on_configuration = self._on_configuration
         network.on_dialled_closed(self._permit_client.on_link_closed)
         network.on_dialled_closed(self._peers.membership.on_disconnected)
         network.on_accepted_closed(self._scheduler_task.on_requester_disconnected)
 
+    def _on_configuration(self) -> None:
+        self._peers.sync()
+        if self._peers.exchange.is_relay:
+            # The VMs that rely on this one fetch it on the news of its revision.
+            self._network.send_heartbeats()
+
     async def _report_held_permits(self) -> None:
         while True:
             await trio.sleep(SCHEDULER_CHECK_S)
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -1,13 +1,12 @@
 """The other VMs of the system: membership, demand, and links to pool schedulers."""
 
 import logging
-import math
 
 import trio
 
+from hemlocktrestle.edge._configuration_exchange import ConfigurationExchange
 from hemlocktrestle.edge._registration import VmEntry
 from hemlocktrestle.edge._state import EdgeState, now_ms
-from hemlocktrestle.edge._watchers import apply_configuration
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.gateway import (
     Configuration,
@@ -29,13 +28,11 @@
 from hemlocktrestle.peers import PeerNetwork, SchedulerTask
 from hemlocktrestle.relay import open_connection
 from hemlocktrestle.wire import (
-    ConfigurationNews,
     CustomerDemand,
     Heartbeat,
     Message,
     PoolSummary,
     ReplicaNews,
-    TreeFetch,
 )
 
 log = logging.getLogger(__name__)
@@ -46,27 +43,13 @@
 CANDIDATE_COUNT = 2
 """VMs of a region that peers connect to: its scheduler, and one for fast failover."""
 
+AGE_MS_MAX = 3_600_000.0
+"""Largest age that a heartbeat states, in milliseconds."""
+
 PROBE_CHECK_S = 0.25
 """Time between checks for replicas that are due for a probe, in seconds."""
 
 
-LOCAL_LAG_MS = 1_000.0
-"""Time behind a VM of the own region before its configuration is fetched, in ms.
-
-Several times what the store's watch needs, and within the time in which a
-configuration must be in force.
-"""
-
-REMOTE_LAG_MS = 1_500.0
-"""The same for a VM of another region, whose link is narrow and paid by volume."""
-
-STARTUP_LAG_MS = 300.0
-"""The same for a VM that has no configuration yet and so refuses all requests."""
-
-FETCH_TIMEOUT_MS = 1_000.0
-"""Time after which a configuration that did not come is fetched again, in ms."""
-
-
 class EdgeFleet:
     """Combines VMs and replicas from the store with updates from other VMs.
 
@@ -83,13 +66,21 @@
             _vm_record(entry), domain_of=region_of, role_key=SCHEDULER_ROLE
         )
         self.demand = FleetDemand(entry.vm, entry.region)
-        self._behind_at_revision: int | None = None
-        self._behind_since_ms = 0.0
-        self._fetched_ms = -math.inf
-        self.configuration_bytes_sent = 0
-        self.network: PeerNetwork | None = None
+        self.exchange = ConfigurationExchange(
+            state, entry.vm, region_of=self._region_of
+        )
+        self._network: PeerNetwork | None = None
         self.scheduler_task: SchedulerTask | None = None
 
+    @property
+    def network(self) -> PeerNetwork | None:
+        """Links to the other VMs, ``None`` before they are set."""
+        return self._network
+
+    @network.setter
+    def network(self, network: PeerNetwork) -> None:
+        self._network = self.exchange.network = network
+
     def apply_busy_customers(self, customers: set[str]) -> None:
         """Apply the set of customers that the store lists as busy."""
         self._state.stored_busy_customers = customers
@@ -134,6 +125,8 @@
         )
         vms = tuple(_vm_record(entry) for entry in self._vms.values())
         self.membership.apply_listing(Listing(vms, upstreams))
+        own_domain = self.membership.candidates(self._entry.region, CANDIDATE_COUNT)
+        self.exchange.set_relays(tuple(record.name for record in own_domain))
         if self.network is not None:
             self.network.sync_peers(self._peers_to_dial())
 
@@ -153,14 +146,14 @@
         ]
 
     def on_update(self, vm: str, message: Message) -> None:
-        """Apply a replica update or a configuration that another VM read."""
+        """Apply a replica update that another VM read."""
         if isinstance(message, ReplicaNews):
             self._state.replicas.apply_update(_update_of(message))
             self._broadcast_replicas(skip=vm)
-        elif isinstance(message, ConfigurationNews):
-            apply_configuration(
-                self._state, message.document, message.revision, source=vm
-            )
+
+    def _region_of(self, vm: str) -> str | None:
+        entry = self._vms.get(vm)
+        return entry.region if entry is not None else None
 
     def _broadcast_replicas(self, *, skip: str) -> None:
         updates = self._state.replicas.pop_updates()
@@ -181,53 +174,6 @@
             for update in updates:
                 self.network.broadcast(_update_message(update), skip=skip)
 
-    def _fetch_configuration(self, vm: str, revision: int, now: float) -> None:
-        """Fetch a configuration from a VM that has had a newer one for some time.
-
-        The store's watch brings each configuration to every VM.  A copy is fetched by
-        a VM whose watch does not, one at a time: documents are large, and they share
-        the links with the permits.
-        """
-        own_revision = self._state.configuration_revision
-        if self.network is None or revision <= own_revision:
-            return
-        if self._behind_at_revision != own_revision:
-            self._behind_at_revision, self._behind_since_ms = own_revision, now
-        entry = self._vms.get(vm)
-        is_remote = entry is not None and entry.region != self._entry.region
-        lag_ms = REMOTE_LAG_MS if is_remote else LOCAL_LAG_MS
-        if self._state.configuration is None:
-            lag_ms = STARTUP_LAG_MS
-        if now - self._behind_since_ms < lag_ms:
-            return
-        if now - self._fetched_ms < FETCH_TIMEOUT_MS:
-            return
-        fetch = TreeFetch(max(0, own_revision), "")
-        if self.network.send(vm, fetch) or self.network.reply(vm, fetch):
-            self._fetched_ms = now
-            log.info(
-                "configuration_fetched",
-                extra={
-                    "peer": vm,
-                    "store_revision": own_revision,
-                    "peer_revision": revision,
-                    "behind_ms": round(now - self._behind_since_ms),
-                },
-            )
-
-    def on_fetch(self, vm: str, message: Message) -> None:
-        """Send the configuration to a VM that asks for one newer than its own."""
-        state = self._state
-        if not isinstance(message, TreeFetch) or self.network is None:
-            return
-        if message.after_revision >= state.configuration_revision:
-            return
-        news = ConfigurationNews(
-            state.configuration_revision, state.configuration_document
-        )
-        if self.network.reply(vm, news) or self.network.send(vm, news):
-            self.configuration_bytes_sent += len(state.configuration_document)
-
     def fleet(self, customer: str | None = None) -> FleetSnapshot:
         """Return the known demand on all VMs, or only that of one customer."""
         membership = self.membership
@@ -262,7 +208,7 @@
         return Heartbeat(
             max(0, self._state.configuration_revision),
             "",
-            0,
+            int(min(now - self._state.configuration_confirmed_ms, AGE_MS_MAX)),
             self._state.is_draining,
             pools,
             self.membership.refusals(),
@@ -278,7 +224,7 @@
         if not isinstance(message, Heartbeat):
             return
         now = now_ms()
-        self._fetch_configuration(vm, message.tree_revision, now)
+        self.exchange.on_heartbeat(vm, message)
         self.membership.on_heartbeat(
             vm,
             now,
--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -1,5 +1,6 @@
 """Shared state of one edge process."""
 
+import math
 from collections.abc import Callable
 
 import trio
@@ -51,6 +52,7 @@
         self.configuration: Configuration | None = None
         self.configuration_document = b""
         self.configuration_revision = -1
+        self.configuration_confirmed_ms = -math.inf
         self.on_configuration: Callable[[], None] = lambda: None
         self.replicas = ReplicaRegistry()
         self.has_loaded_replicas = False
--- a/src/hemlocktrestle/edge/_watchers.py
+++ b/src/hemlocktrestle/edge/_watchers.py
@@ -24,6 +24,19 @@
 WATCH_WAIT_MS = 20_000
 """Longest wait of one watch call, in milliseconds; the store allows up to 30 s."""
 
+RELAY_WAIT_MS = 1_000
+"""Longest wait of one watch of the configuration by a relay, in milliseconds.
+
+Its answer confirms that the configuration in force is the newest, also to the VMs
+that rely on the relay.
+"""
+
+FALLBACK_WAIT_MS = 2_000
+"""The same for a VM that no relay serves, until it looks for a relay again."""
+
+RELAY_CHECK_S = 0.25
+"""Time between checks whether a relay still brings the configuration, in seconds."""
+
 BATCH_S = 0.8
 """Pause before registrations are watched again, in seconds.
 
@@ -35,35 +48,57 @@
 class ConfigurationWatcher(StoreTask):
     """Applies each newer configuration; never goes back to an older one.
 
+    While a relay of the region brings each new configuration, nothing is read.
+
     Args:
         state: shared state of the process.
         store: the platform's store.
         health: records whether the store answers.
+        is_relay: tells whether other VMs rely on this one.
+        is_relayed: tells whether a relay brings each new configuration.
     """
 
     name = "configuration"
 
     def __init__(
-        self, state: EdgeState, store: PlatformStore, health: StoreHealth
+        self,
+        state: EdgeState,
+        store: PlatformStore,
+        health: StoreHealth,
+        *,
+        is_relay: Callable[[], bool],
+        is_relayed: Callable[[], bool],
     ) -> None:
         super().__init__(store, health)
         self._state = state
+        self._is_relay = is_relay
+        self._is_relayed = is_relayed
 
     async def _run_until_error(self) -> None:
         item, revision = await self._store.get(CONFIGURATION_KEY)
-        self._health.record_answer(self.name)
+        self._record_answer()
         if item is not None:
             self._apply(item)
         while True:
+            if self._is_relayed():
+                await trio.sleep(RELAY_CHECK_S)
+                continue
+            # A relay may have brought newer ones than this watch has seen.
+            after = max(revision, self._state.configuration_revision)
+            wait_ms = RELAY_WAIT_MS if self._is_relay() else FALLBACK_WAIT_MS
             watched = await self._store.watch(
-                CONFIGURATION_KEY, after=revision, wait_ms=WATCH_WAIT_MS
+                CONFIGURATION_KEY, after=after, wait_ms=wait_ms
             )
-            self._health.record_answer(self.name)
+            self._record_answer()
             revision = watched.revision
             for event in watched.events:
                 if isinstance(event, Item) and event.key == CONFIGURATION_KEY:
                     self._apply(event)
 
+    def _record_answer(self) -> None:
+        self._health.record_answer(self.name)
+        self._state.configuration_confirmed_ms = now_ms()
+
     def _apply(self, item: Item) -> None:
         apply_configuration(self._state, item.value, item.revision, source="store")
 
--- a/tests/edge/test_watchers.py
+++ b/tests/edge/test_watchers.py
@@ -96,7 +96,14 @@
             client = PlatformStore("10.0.0.1:80", backend=backend)
             async with client:
                 replicas = ReplicaWatcher(state, client, health, on_change=lambda: None)
-                nursery.start_soon(ConfigurationWatcher(state, client, health).run)
+                watcher = ConfigurationWatcher(
+                    state,
+                    client,
+                    health,
+                    is_relay=lambda: False,
+                    is_relayed=lambda: False,
+                )
+                nursery.start_soon(watcher.run)
                 nursery.start_soon(replicas.run)
                 nursery.start_soon(replicas.drop_unconfirmed)
                 await trio.sleep(1)
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -29,6 +29,7 @@
     ``lose_answers`` applies that many writes and closes their connections before the
     answer; ``history_from`` is the oldest revision that watches can start from;
     ``garbage`` sends a body that is not JSON.
+    ``watched_count`` counts the changes that watches were sent.
     ``on_put`` may change the values that VMs write, such as the address in an entry,
     so that VMs reach each other through a relay.
     """
@@ -39,6 +40,7 @@
         self.events: list[tuple[str, int, bytes | None]] = []
         self.leases: set[int] = set()
         self.calls: list[str] = []
+        self.watched_count = 0
         self.status = 0
         self.silent = False
         self.lose_answers = 0
@@ -141,6 +143,7 @@
                 if after < self.history_from:
                     return 410, {}
         events = self._since(query["prefix"], after)
+        self.watched_count += len(events)
         return 200, {"events": events, "currentRev": self.revision}
 
     async def _kv_txn(
