Let the soak run any number of VMs, of two sizes

Cause: with four VMs in two regions every VM is a relay and a candidate, so the soak never fetched a configuration or ranked VMs by size.

Change: make soak VMS=40; every fourth VM is larger.

--- a/Makefile
+++ b/Makefile
@@ -49,9 +49,10 @@
 SEED ?= 1
 COUNT ?= 1
 PROGRAM ?= edge
+VMS ?= 4
 
 soak: $(STAMP)
-	$(BIN)/python -m tests.soak --program $(PROGRAM) --seconds $(SECONDS) --seed $(SEED) --count $(COUNT)
+	$(BIN)/python -m tests.soak --program $(PROGRAM) --seconds $(SECONDS) --seed $(SEED) --count $(COUNT) --vms $(VMS)
 
 bench: $(STAMP)
 	$(BIN)/python -m bench.policy
--- a/src/hemlocktrestle/membership/_table.py
+++ b/src/hemlocktrestle/membership/_table.py
@@ -41,7 +41,6 @@
 SILENCE_MS_MAX = 8_000.0
 """The same at most, after it was silent again and again."""
 
-
 TIMEOUT_REPORTS_MIN = 2
 """VMs whose connects must time out before an upstream counts as refusing."""
 
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -180,7 +180,8 @@
     """Returns a permit, with measurements of its request.
 
     ``sent`` tells whether any byte of the request may have been sent; ``failure``
-    is the value of an error kind, or empty.
+    is the value of an error kind, or empty.  ``upstream_silent`` with nothing sent is
+    a connect that got no reply.
     """
 
     ask_id: str
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,6 +9,7 @@
 import trio
 
 from tests.soak._daemons import soak_daemons
+from tests.soak._deployment import VM_COUNT
 from tests.soak._edge import Report, soak_edge
 
 PROGRAMS = ("edge", "daemons")
@@ -22,6 +23,7 @@
     parser.add_argument("--seed", type=int, default=1, help="the first seed")
     parser.add_argument("--count", type=int, default=1, help="how many seeds")
     parser.add_argument("--logs", type=Path, help="folder for logs of broken seeds")
+    parser.add_argument("--vms", type=int, default=VM_COUNT, help="how many VMs")
     options = parser.parse_args()
     # Handle SIGTERM like Ctrl-C, so that the started processes are ended.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -32,7 +34,9 @@
     is_broken = False
     for seed in range(options.seed, options.seed + options.count):
         path = options.logs / f"soak-{seed}.log" if options.logs else None
-        run = partial(soak_edge, options.seconds, seed, log_path=path)
+        run = partial(
+            soak_edge, options.seconds, seed, log_path=path, vm_count=options.vms
+        )
         report = trio.run(run)
         _print(seed, report)
         is_broken = is_broken or bool(report.violations)
--- a/tests/soak/_deployment.py
+++ b/tests/soak/_deployment.py
@@ -20,7 +20,12 @@
 from tests.standins.relay import RelayedLink
 from tests.standins.replica import ReplicaStandIn, Run
 
-VM_NAMES = ("vm-0", "vm-1", "vm-2", "vm-3")
+VM_COUNT = 4
+"""Number of VMs, if a run does not state another."""
+
+LARGE_VM_INTERVAL = 4
+"""Every VM of this number is larger than the others, so that it ranks first."""
+
 REPLICA_COUNT = 4
 LEDGER_COUNT = 3
 
@@ -66,11 +71,20 @@
         zone: its availability zone.
         deployment: the deployment.
         folder: folder of its settings file.
+        cpu_share: its processor time, as its settings state it.
     """
 
     def __init__(
-        self, name: str, ip: str, zone: str, deployment: "Deployment", folder: Path
+        self,
+        name: str,
+        ip: str,
+        zone: str,
+        deployment: "Deployment",
+        folder: Path,
+        *,
+        cpu_share: float,
     ) -> None:
+        self._cpu_share = cpu_share
         self.name = name
         self.ip = ip
         self.zone = zone
@@ -102,6 +116,7 @@
             "ipAddr": self.ip,
             "internalPorts": [PEER_PORT, PEER_PORT],
             "listen": {"front": "127.0.0.1:0", "readyAddr": "127.0.0.1:0"},
+            "limits": {**SETTINGS["limits"], "cpuShare": self._cpu_share},
             "platformSettings": {"address": self.store_address},
         }
         self._path.write_text(as_toml(document), encoding="utf-8")
@@ -188,10 +203,16 @@
         nursery: runs all tasks.
         folder: folder for settings files.
         log: called with each log line of the processes.
+        vm_count: how many VMs, 250 at most.
     """
 
     def __init__(
-        self, nursery: trio.Nursery, folder: Path, log: Callable[[dict[str, Any]], None]
+        self,
+        nursery: trio.Nursery,
+        folder: Path,
+        log: Callable[[dict[str, Any]], None],
+        *,
+        vm_count: int = VM_COUNT,
     ) -> None:
         self.nursery = nursery
         self.log = log
@@ -200,8 +221,15 @@
         self.store_address = ""
         zones = cycle(sorted(SETTINGS["zones"]))
         self.vms = {
-            name: Vm(name, own_ip(number), zone, self, folder)
-            for (number, name), zone in zip(enumerate(VM_NAMES), zones, strict=False)
+            f"vm-{number}": Vm(
+                f"vm-{number}",
+                own_ip(number),
+                zone,
+                self,
+                folder,
+                cpu_share=0.5 if number % LARGE_VM_INTERVAL else 1.0,
+            )
+            for number, zone in zip(range(vm_count), zones, strict=False)
         }
         self.replicas: dict[str, Replica] = {}
         self.removed_replicas: list[Replica] = []
--- a/tests/soak/_edge.py
+++ b/tests/soak/_edge.py
@@ -11,7 +11,7 @@
 
 from tests.soak._callers import Caller, CallerRecord
 from tests.soak._checks import CHECKS, TIMED_CHECKS, Evidence, collect_evidence
-from tests.soak._deployment import Deployment
+from tests.soak._deployment import VM_COUNT, Deployment
 from tests.soak._faults import FAULTS
 from tests.soak._timeline import SOAK_PROCESS
 
@@ -42,7 +42,12 @@
 
 
 async def soak_edge(
-    seconds: float, seed: int, *, is_timed: bool = True, log_path: Path | None = None
+    seconds: float,
+    seed: int,
+    *,
+    is_timed: bool = True,
+    log_path: Path | None = None,
+    vm_count: int = VM_COUNT,
 ) -> Report:
     """Run one soak.
 
@@ -51,6 +56,7 @@
         seed: seed of all random choices.
         is_timed: whether guarantees with a time limit are checked too.
         log_path: file for the log lines of all processes, if any.
+        vm_count: how many VMs.
 
     Returns:
         The report of the soak.
@@ -62,7 +68,9 @@
     violations: list[str] = []
     with TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
-            deployment = Deployment(nursery, Path(folder), lines.append)
+            deployment = Deployment(
+                nursery, Path(folder), lines.append, vm_count=vm_count
+            )
             try:
                 await deployment.start()
                 for number in range(CALLER_COUNT):
