Wait longer for a store that has not answered in time

Callers got 503 settings_unready for seconds after a restart of many VMs.

Change: after a call without an answer, and before the first configuration, the limit is 1.5 s, for ten seconds.

The test failed before (a store that takes 1.2 s for each answer); 40 of 40 runs of the test that needs the short limit pass.

--- a/src/hemlocktrestle/edge/_watchers.py
+++ b/src/hemlocktrestle/edge/_watchers.py
@@ -1,6 +1,7 @@
 """Tasks that watch the configuration and the replicas in the platform's store."""
 
 import logging
+import math
 from collections.abc import Callable
 from typing import Protocol
 
@@ -16,6 +17,7 @@
     Item,
     PlatformStore,
     RemovedItem,
+    StoreError,
     decode_configuration,
     decode_registration,
 )
@@ -40,6 +42,12 @@
 store returns would delay a new configuration beyond the time that is allowed.
 """
 
+SLOW_ANSWER_TIMEOUT_S = 1.5
+"""The same after a call without an answer, and before the first configuration."""
+
+SLOW_STORE_MS = 10_000.0
+"""Time after such a call for which the store counts as slow, in milliseconds."""
+
 RELAY_CHECK_S = 0.25
 """Time between checks whether a relay still brings the configuration, in seconds."""
 
@@ -88,10 +96,24 @@
         super().__init__(store, health)
         self._state = state
         self._relays = relays
+        self._failed_ms = -math.inf
 
     async def _run_until_error(self) -> None:
+        try:
+            await self._watch()
+        except StoreError:
+            self._failed_ms = now_ms()
+            raise
+
+    def _answer_timeout_s(self) -> float:
+        is_slow = now_ms() - self._failed_ms < SLOW_STORE_MS
+        if is_slow or self._state.configuration is None:
+            return SLOW_ANSWER_TIMEOUT_S
+        return ANSWER_TIMEOUT_S
+
+    async def _watch(self) -> None:
         item, revision = await self._store.get(
-            CONFIGURATION_KEY, timeout_s=ANSWER_TIMEOUT_S
+            CONFIGURATION_KEY, timeout_s=self._answer_timeout_s()
         )
         self._record_answer()
         if item is not None:
@@ -106,7 +128,7 @@
                 CONFIGURATION_KEY,
                 after=after,
                 wait_ms=CONFIRM_WAIT_MS,
-                timeout_s=ANSWER_TIMEOUT_S,
+                timeout_s=self._answer_timeout_s(),
             )
             self._record_answer()
             revision = watched.revision
--- a/tests/edge/test_watchers.py
+++ b/tests/edge/test_watchers.py
@@ -164,6 +164,18 @@
 
         await self.run_with(check)
 
+    async def test_a_slow_store_is_followed(self) -> None:
+        """Guards against a store whose answers all come after the time limit."""
+
+        async def check(watched: WatchedStore) -> None:
+            watched.store.delay_s = 1.2
+            await trio.sleep(20)
+            watched.configure(11)
+            await trio.sleep(5)
+            self.assertEqual(11, watched.version)
+
+        await self.run_with(check)
+
     async def test_changes_in_lost_history_are_found(self) -> None:
         """If the store lost the history, changes are found by a full read."""
 
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -29,6 +29,7 @@
     ``lose_answers`` applies that many writes and closes their connections before the
     answer; ``history_from`` is the oldest revision that watches can start from;
     ``garbage`` sends a body that is not JSON.
+    ``delay_s`` delays every answer.
     ``watched_count`` counts the changes that watches were sent.
     ``on_put`` may change the values that VMs write, such as the address in an entry,
     so that VMs reach each other through a relay.
@@ -43,6 +44,7 @@
         self.watched_count = 0
         self.status = 0
         self.silent = False
+        self.delay_s = 0.0
         self.lose_answers = 0
         self.history_from = 0
         self.garbage = False
@@ -94,6 +96,7 @@
         if self.silent:
             await connection.wait_closed()
             return False
+        await trio.sleep(self.delay_s)
         if self.status:
             await connection.send_json({}, self.status)
             return True
