Bound sends to callers by the scope of their handler

Cause, by py-spy of an edge under 30 streams (a trial): a seventh of its time goes into cancel scopes, one of them for the time limit of each send.

Change: the scope of the request's handler bounds the send; at its end the handler is cancelled, as when the caller disconnects.

A test shows that a caller who does not read ends the handler in time; it held before too.

--- a/src/hemlocktrestle/relay/_server.py
+++ b/src/hemlocktrestle/relay/_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server for callers, with control over how each connection is closed."""
 
 import logging
+import math
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -70,6 +71,7 @@
         self._machine = self._new_machine()
         self.is_answer_started = False
         self._unsent_head = b""
+        self._handler_scope: trio.CancelScope | None = None
         self.is_idle = True
         self._is_head_request = False
 
@@ -157,9 +159,11 @@
         request: CallerRequest,
     ) -> None:
         async with trio.open_nursery() as nursery:
+            self._handler_scope = nursery.cancel_scope
             nursery.start_soon(self._cancel_on_disconnect, nursery.cancel_scope)
             await handle(request, self)
             nursery.cancel_scope.cancel()
+        self._handler_scope = None
 
     async def _cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
         """Cancel the handler when the caller disconnects; buffer pipelined input."""
@@ -296,6 +300,19 @@
         self._unsent_head = b""
         if not data:
             return
+        if self._handler_scope is None:
+            await self._send_before_handler(data)
+            return
+        # A caller that reads too little counts as disconnected.  The scope of the
+        # handler bounds the send: a scope for each event would cost more than the
+        # event itself.
+        self._handler_scope.deadline = trio.current_time() + SEND_TIMEOUT_S
+        try:
+            await self._stream.send_all(data)
+        finally:
+            self._handler_scope.deadline = math.inf
+
+    async def _send_before_handler(self, data: bytes) -> None:
         with trio.move_on_after(SEND_TIMEOUT_S) as scope:
             await self._stream.send_all(data)
         if scope.cancelled_caught:
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -153,3 +153,31 @@
         with self.assertRaises(trio.BrokenResourceError):
             await connection.send_answer(200, [], b"x")
         self.assertEqual(SEND_TIMEOUT_S, round(trio.current_time(), 1))
+
+    async def test_a_handler_ends_if_its_caller_does_not_read(self) -> None:
+        """Guards against requests that hold their slot for a caller that is stuck."""
+        ended_s: list[float] = []
+
+        async def stream_for_ever(
+            request: CallerRequest, connection: CallerConnection
+        ) -> None:
+            try:
+                connection.start_answer(200, [])
+                while True:
+                    await connection.send_chunk(b"x")
+            finally:
+                ended_s.append(round(trio.current_time(), 1))
+
+        ours, theirs = trio.testing.lockstep_stream_pair()
+        connection = CallerConnection(
+            theirs,
+            limits=CallerLimits,
+            is_closing=lambda: False,
+            body_budget=self.body_budget,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection.serve, stream_for_ever)
+            await ours.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            await trio.sleep(2 * SEND_TIMEOUT_S)
+            nursery.cancel_scope.cancel()
+        self.assertEqual([SEND_TIMEOUT_S], ended_s)
