Expect the end of the process that was signalled, not of its successor

Cause: the VM kept one flag for its processes, and the restart cleared it before the end of the killed one was noticed; only the soak sends SIGKILL, and the kernel reported no lack of memory. Now each signalled process is kept; any other end is reported as before.

--- a/tests/soak/_deployment.py
+++ b/tests/soak/_deployment.py
@@ -99,7 +99,7 @@
         self.store_address = ""
         self.peer_address = ""
         self.is_restarting = False
-        self._is_ending = False
+        self._ended: set[trio.Process] = set()
 
     @property
     def is_up(self) -> bool:
@@ -121,7 +121,6 @@
         }
         self._path.write_text(as_toml(document), encoding="utf-8")
         self.addresses = {}
-        self._is_ending = False
         process = await open_edge(self._path, stderr=subprocess.PIPE)
         self.process = process
         self._deployment.nursery.start_soon(self._read, process)
@@ -137,7 +136,7 @@
         if self.process is None:
             return
         if number in {signal.SIGKILL, signal.SIGTERM}:
-            self._is_ending = True
+            self._ended.add(self.process)
         self.process.send_signal(number)
 
     async def wait(self) -> int:
@@ -170,7 +169,7 @@
         while data := await process.stderr.receive_some(65_536):
             said += data
         code = await process.wait()
-        if said or not self._is_ending:
+        if said or process not in self._ended:
             text = said.decode(errors="replace")[-800:]
             self.unexpected.append(f"exit {code}: {text}")
 
