End no lease before one was granted

A VM that got SIGTERM before the store had granted it a lease asked for the end of lease 0, which stands for keys without a lease.

What the platform's store does with it is not known.

Change: the VM ends only a lease that it has, and the stand-in answers 404 for one that it has not granted, as it does for renewals.

The test failed before: DELETE /kv-lease-end/0.

--- a/src/hemlocktrestle/edge/_registration.py
+++ b/src/hemlocktrestle/edge/_registration.py
@@ -92,6 +92,9 @@
     async def deregister(self) -> None:
         """Remove this VM's entry and stop renewing it."""
         self.is_finished = True
+        if not self._lease:
+            # The store has granted none yet; 0 stands for keys without a lease.
+            return
         try:
             await self._store.end_lease(self._lease)
         except StoreError as error:
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -178,7 +178,10 @@
     async def _kv_lease_end(
         self, query: dict[str, str], request: Request, rest: list[str]
     ) -> tuple[int, Any]:
-        self.end_lease(int(rest[0]))
+        lease = int(rest[0])
+        if lease not in self.leases:
+            return 404, {}
+        self.end_lease(lease)
         return 200, {}
 
     def _note(self, key: str, value: bytes | None) -> None:
