Give each lease of the store's stand-in an id of its own

Cause: the stand-in made the id from the number of calls, and since answers can be delayed two calls may be counted before either is answered: two VMs got one lease, and the end of it removed both entries. No fault of the product.

--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -49,6 +49,7 @@
         self.history_from = 0
         self.garbage = False
         self.on_put: Callable[[str, bytes], bytes] = lambda key, value: value
+        self._last_lease = 70_000
         self._changed = trio.Event()
 
     def put(self, key: str, value: bytes, *, lease: int = 0) -> int:
@@ -166,7 +167,8 @@
     async def _kv_lease(
         self, query: dict[str, str], request: Request, rest: list[str]
     ) -> tuple[int, Any]:
-        lease = 70_000 + len(self.calls)
+        self._last_lease += 1
+        lease = self._last_lease
         self.leases.add(lease)
         return 200, {"lease": lease, "ttlMs": request.json()["ttlMs"]}
 
