Judge a replica's answer by its whole head before any of it is used

Cause: the checks stood in an if chain that looked at the mark "not executed" before it looked at the id, took a missing id for a match, and nothing compared a resumed answer with what the caller already had.

Change: gateway/_answer_check.py classifies a head by a table of checks in a fixed order (names this request, does not contradict itself, refusal, sealed, stream, continues what was begun). A refusal counts only once its body has arrived whole; a cut one gives 502, since the replica broke off and may have written an earlier refusal again. gateway/_event_sequence.py takes the events that follow: ids increase, and between two answers there is no gap where there was none before. A caller's own Last-Event-Id is checked in the same way. An event with data and without an id is never relayed; the protocol gives each event one.

The stand-ins of the tests that sent neither id nor content type now do, as replicas do.

--- a/src/hemlocktrestle/edge/_attempt.py
+++ b/src/hemlocktrestle/edge/_attempt.py
@@ -10,7 +10,15 @@
 from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.errors import ErrorKind, RequestError
-from hemlocktrestle.gateway import EventSplitter, RequestKind, StreamEvent
+from hemlocktrestle.gateway import (
+    AnswerClass,
+    EventSequence,
+    EventSplitter,
+    ExpectedAnswer,
+    RequestKind,
+    StreamEvent,
+    classify_answer,
+)
 from hemlocktrestle.relay import (
     BodyMemoryBudget,
     CallerConnection,
@@ -51,7 +59,7 @@
         self.send_count = 0
         self.runs_count = 0
         self.may_have_sent = False
-        self.last_event_id = ""
+        self.events = EventSequence()
         self.event_count = 0
         self.first_ms = 0.0
         self.last_event_ms = 0.0
@@ -138,6 +146,11 @@
         self.status = 0
         self.failure: RequestError | None = None
         self.sealed_answer: SealedAnswer | None = None
+        self._relays = {
+            AnswerClass.REFUSAL: self._read_refusal,
+            AnswerClass.BUFFERED: self._relay_buffered,
+            AnswerClass.STREAM: self._relay_events,
+        }
 
     def report(self, end: AttemptEnd) -> AttemptReport:
         """Return the end and the timings of the attempt."""
@@ -218,31 +231,38 @@
             customer=job.customer_name,
             deadline_ms=job.deadline_at_ms - now_ms(),
             replica_id=self._placement.replica_id,
-            last_event_id=self._progress.last_event_id,
+            last_event_id=self._progress.events.last_id,
             body_bytes=len(request.body),
         )
         return ReplicaRequest(request.method, request.target, headers, request.body)
 
     async def _relay(self, answer: ReplicaAnswer) -> AttemptEnd:
-        metadata = self._state.header_codec.parse_answer(answer.headers)
         self.status = answer.status
-        if metadata.is_not_executed:
-            self.failure = RequestError(
-                ErrorKind.NO_UPSTREAM, f"replica did not take it: {answer.status}"
-            )
-            return AttemptEnd.NOT_RUN
-        own_id = self._job.metadata.request_id
-        if metadata.request_id and metadata.request_id != own_id:
-            raise RequestError(
-                ErrorKind.UPSTREAM_BROKEN, "replica answered another request"
-            )
-        if not metadata.is_sealed or metadata.is_encoded:
+        verdict = classify_answer(
+            answer.status,
+            self._state.header_codec.parse_answer(answer.headers),
+            ExpectedAnswer(
+                self._job.metadata.request_id,
+                is_stream=self._job.route.kind is RequestKind.STREAM,
+                is_begun=self._connection.is_answer_started,
+            ),
+        )
+        relay = self._relays.get(verdict.answer_class)
+        if relay is None:
             raise RequestError(
-                ErrorKind.UPSTREAM_BROKEN, f"answer is not sealed: {answer.status}"
+                ErrorKind.UPSTREAM_BROKEN, f"{verdict.reason}: {answer.status}"
             )
-        if answer.status == 200 and self._job.route.kind is RequestKind.STREAM:
-            return await self._relay_events(answer)
-        return await self._relay_buffered(answer)
+        return await relay(answer)
+
+    async def _read_refusal(self, answer: ReplicaAnswer) -> AttemptEnd:
+        """Read a refusal to its end; one that is cut may be another's."""
+        with _BodyBuffer(self._state.answer_budget) as buffer:
+            async for piece in answer.body_chunks():
+                buffer.append(piece)
+        self.failure = RequestError(
+            ErrorKind.NO_UPSTREAM, f"replica did not take it: {answer.status}"
+        )
+        return AttemptEnd.NOT_RUN
 
     async def _relay_buffered(self, answer: ReplicaAnswer) -> AttemptEnd:
         with _BodyBuffer(self._state.answer_budget) as buffer:
@@ -263,12 +283,12 @@
         return AttemptEnd.RELAYED
 
     async def _relay_events(self, answer: ReplicaAnswer) -> AttemptEnd:
+        is_continuation = self._connection.is_answer_started
         splitter = EventSplitter()
         headers = self._state.header_codec.forwarded_answer_headers(answer.headers)
         headers = [line for line in headers if line[0] != b"content-length"]
-        async with aclosing(
-            _event_batches(answer, splitter, self._time_limit, self._stall_timeout_s())
-        ) as batches:
+        self._progress.events.start_answer()
+        async with aclosing(self._event_batches(answer, splitter)) as batches:
             async for events in batches:
                 if not self._event_count:
                     self._first_ms = now_ms() - self._started_ms
@@ -278,10 +298,7 @@
                     b"".join(event.data for event in events)
                 )
                 self._progress.record_events(len(events), now_ms())
-                for event in events:
-                    if event.event_id:
-                        self._progress.last_event_id = event.event_id
-        if splitter.remainder and not _has_framing(answer):
+        if splitter.remainder and (is_continuation or not _has_framing(answer)):
             raise RequestError(
                 ErrorKind.UPSTREAM_BROKEN, "stream ended within an event"
             )
@@ -291,6 +308,33 @@
         await self._connection.finish()
         return AttemptEnd.RELAYED
 
+    async def _event_batches(
+        self, answer: ReplicaAnswer, splitter: EventSplitter
+    ) -> AsyncGenerator[list[StreamEvent], None]:
+        """Yield the events that each piece completes; the time limit bounds each wait.
+
+        Bytes that complete no event do not extend the wait.
+
+        Raises:
+            RequestError: of kind ``UPSTREAM_BROKEN`` if an event does not follow.
+        """
+        sequence = self._progress.events
+        async for piece in answer.body_chunks():
+            events = splitter.feed(piece)
+            taken = sequence.take(events)
+            if taken:
+                await _lift_time_limit(self._time_limit)
+                yield taken
+                self._time_limit.deadline = (
+                    trio.current_time() + self._stall_timeout_s()
+                )
+            if len(taken) < len(events):
+                raise RequestError(
+                    ErrorKind.UPSTREAM_BROKEN,
+                    f"event does not follow event {sequence.last_id[:20]!r}",
+                )
+        await _lift_time_limit(self._time_limit)
+
     def _record_events(self, count: int) -> None:
         """Count received events and report the stream's speed once, early."""
         before_count = self._event_count
@@ -312,25 +356,6 @@
         return route.gap_ms * STALL_TIMEOUT_GAPS / 1000 or float("inf")
 
 
-async def _event_batches(
-    answer: ReplicaAnswer,
-    splitter: EventSplitter,
-    scope: trio.CancelScope,
-    gap_s: float,
-) -> AsyncGenerator[list[StreamEvent], None]:
-    """Yield the events that each piece completes; ``scope`` bounds each wait for them.
-
-    Bytes that complete no event do not extend the wait.
-    """
-    async for piece in answer.body_chunks():
-        events = splitter.feed(piece)
-        if events:
-            await _lift_time_limit(scope)
-            yield events
-            scope.deadline = trio.current_time() + gap_s
-    await _lift_time_limit(scope)
-
-
 async def _lift_time_limit(scope: trio.CancelScope) -> None:
     """Remove the time limit before data is sent to the caller.
 
--- a/src/hemlocktrestle/edge/_server.py
+++ b/src/hemlocktrestle/edge/_server.py
@@ -14,7 +14,7 @@
 from hemlocktrestle.edge._quota_gate import EdgeQuotas, over_quota
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.errors import ANSWERS, ErrorKind, RequestError
-from hemlocktrestle.gateway import choose_service, urgency_rank
+from hemlocktrestle.gateway import EventSequence, choose_service, urgency_rank
 from hemlocktrestle.quarantine import QuarantineRegistry
 from hemlocktrestle.relay import CallerConnection, CallerRequest
 
@@ -119,6 +119,8 @@
         if route is None:
             raise RequestError(ErrorKind.UNKNOWN_ROUTE, "no route for host and path")
         progress.route = route.name
+        if route.may_resume:
+            progress.events = EventSequence(metadata.last_event_id)
         customer = None
         if configuration.customers and not route.is_public:
             customer = configuration.customer_of(metadata.key)
--- a/src/hemlocktrestle/gateway/__init__.py
+++ b/src/hemlocktrestle/gateway/__init__.py
@@ -1,5 +1,11 @@
 """State and decisions of the gateway, without I/O and without a clock."""
 
+from hemlocktrestle.gateway._answer_check import (
+    AnswerClass,
+    AnswerVerdict,
+    ExpectedAnswer,
+    classify_answer,
+)
 from hemlocktrestle.gateway._configuration import (
     CallerLimits,
     Configuration,
@@ -12,6 +18,7 @@
     choose_service,
     urgency_rank,
 )
+from hemlocktrestle.gateway._event_sequence import EventSequence
 from hemlocktrestle.gateway._events import EventSplitter, StreamEvent
 from hemlocktrestle.gateway._fleet_demand import FleetDemand
 from hemlocktrestle.gateway._quota import Demand, FleetSnapshot, Quota, QuotaTracker
@@ -30,13 +37,17 @@
 
 __all__ = [
     "STORE_RECOVERY_GRACE_MS",
+    "AnswerClass",
     "AnswerMetadata",
+    "AnswerVerdict",
     "CallerLimits",
     "Configuration",
     "Customer",
     "Demand",
     "EngineLimits",
+    "EventSequence",
     "EventSplitter",
+    "ExpectedAnswer",
     "FleetDemand",
     "FleetSnapshot",
     "Headers",
@@ -53,5 +64,6 @@
     "StreamEvent",
     "Target",
     "choose_service",
+    "classify_answer",
     "urgency_rank",
 ]
--- a/src/hemlocktrestle/gateway/_request.py
+++ b/src/hemlocktrestle/gateway/_request.py
@@ -19,6 +19,7 @@
         output_tokens_max: most tokens to generate, 0 if not stated.
         output_tokens_hint: the caller's estimate of them, 0 if not stated.
         states_tokens: whether the request states its tokens.
+        last_event_id: event after which the caller resumes a stream, empty if none.
     """
 
     request_id: str
@@ -30,6 +31,7 @@
     output_tokens_max: int
     output_tokens_hint: int
     states_tokens: bool
+    last_event_id: str = ""
 
     @property
     def tokens(self) -> int:
@@ -48,11 +50,14 @@
     Args:
         is_sealed: whether the replica sealed (signed) the answer.
         is_not_executed: whether the replica states that it did not run the request.
-        request_id: the id that the answer names, empty if none.
+        request_id: the id that the answer names, empty if none; lines that differ
+            are joined, and match no id.
         is_encoded: whether the body has a content encoding; callers request none.
+        is_event_stream: whether the body is a stream of events.
     """
 
     is_sealed: bool
     is_not_executed: bool
     request_id: str
     is_encoded: bool
+    is_event_stream: bool
--- a/src/hemlocktrestle/platform/_headers.py
+++ b/src/hemlocktrestle/platform/_headers.py
@@ -72,6 +72,7 @@
             output_tokens_max=int(_number(tokens[-1]) or 0) if len(tokens) > 1 else 0,
             output_tokens_hint=int(_number(_text(lines, _LENGTH_HINT)) or 0),
             states_tokens=_TOKENS in lines,
+            last_event_id=_text(lines, _LAST_EVENT),
         )
 
     def build_request_headers(
@@ -113,11 +114,14 @@
     def parse_answer(self, headers: Headers) -> AnswerMetadata:
         """Parse the head of a replica's answer."""
         lines = dict(headers)
+        ids = {value.strip() for name, value in headers if name == _REQUEST_ID}
+        content_type = _text(lines, b"content-type").partition(";")[0]
         return AnswerMetadata(
             is_sealed=_SEAL in lines,
             is_not_executed=_NOT_EXECUTED in lines,
-            request_id=_text(lines, _REQUEST_ID),
+            request_id=b", ".join(sorted(ids)).decode("latin-1"),
             is_encoded=lines.get(b"content-encoding", b"identity") != b"identity",
+            is_event_stream=content_type.strip().lower() == "text/event-stream",
         )
 
     def forwarded_answer_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
+from weakref import WeakKeyDictionary
 
 import h11
 import trio
@@ -67,6 +68,46 @@
     }
 
 
+class _CallingEnd(trio.abc.Stream):
+    """The edge's end of a connection to a replica, which a script can reset."""
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+        self.is_reset = False
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Receive bytes.
+
+        Raises:
+            BrokenResourceError: the replica reset the connection.
+        """
+        data = bytes(await self._stream.receive_some(max_bytes))
+        if not data and self.is_reset:
+            raise trio.BrokenResourceError
+        return data
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        """Send bytes."""
+        await self._stream.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Wait until bytes can be sent."""
+        await self._stream.wait_send_all_might_not_block()
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+
+_CALLING_ENDS: WeakKeyDictionary[trio.abc.Stream, _CallingEnd] = WeakKeyDictionary()
+"""The edge's end of each replica's connection."""
+
+
+def reset_on_close(connection: Connection) -> None:
+    """Let the edge see a reset, after all bytes sent, when the replica closes."""
+    _CALLING_ENDS[connection.stream].is_reset = True
+
+
 async def answer_ok(connection: Connection, request: Request) -> None:
     """Answer 200 at once, with the replica's seal."""
     await connection.send_head(200, sealed(b"done", request))
@@ -80,7 +121,8 @@
     async def script(connection: Connection, request: Request) -> None:
         lines = sealed(b"no", request)
         if is_unrun:
-            lines = {"x-not-executed": "1", "content-length": "2"}
+            lines["x-not-executed"] = "1"
+            del lines["x-response-seal"]
         await connection.send_head(status, lines)
         await connection.send_chunk(b"no")
         await connection.finish()
@@ -218,7 +260,8 @@
         ours, theirs = trio.testing.memory_stream_pair()
         assert self._nursery is not None
         self._nursery.start_soon(self._serve_replica, address, script, theirs)
-        return ours
+        _CALLING_ENDS[theirs] = end = _CallingEnd(ours)
+        return end
 
     async def _serve_replica(
         self, address: str, script: Script, stream: trio.abc.Stream
--- a/tests/edge/test_server.py
+++ b/tests/edge/test_server.py
@@ -292,7 +292,12 @@
     async def script(connection: Connection, request: Request) -> None:
         first = int(request.headers.get("last-event-id", "0")) + 1
         await connection.send_head(
-            200, {"x-attempt-id": "a1", "x-response-seal": "s", "content-type": "x"}
+            200,
+            {
+                "x-attempt-id": "a1",
+                "x-response-seal": "s",
+                "content-type": "text/event-stream",
+            },
         )
         for number in numbers:
             if number >= first:
@@ -353,7 +358,10 @@
         """Without framing, the end of the connection within an event is a cut."""
 
         async def unframed(connection: Connection, request: Request) -> None:
-            head = b"HTTP/1.1 200 OK\r\nx-response-seal: s\r\n\r\n"
+            head = (
+                b"HTTP/1.1 200 OK\r\nx-attempt-id: a1\r\nx-response-seal: s\r\n"
+                b"content-type: text/event-stream\r\n\r\n"
+            )
             await connection.stream.send_all(head + event(1) + event(2)[:7])
             await connection.stream.aclose()
 
