Drop all repeated events of a resumed engine stream, and nothing but events

Cause: repeats were recognised by recent ids alone, and an event without an id counted as new.

Change: ids that end in a number increase, so every event up to the last one is a repeat; the first new event of a resumed answer needs an id unless it is the end of the stream; a resumed answer must have the stream id and the content type of the first. Refusals are not affected: the daemon calls engines on new connections only and reports a 503 of an engine as an unknown outcome.

--- a/src/hemlocktrestle/daemon/_stream_resume.py
+++ b/src/hemlocktrestle/daemon/_stream_resume.py
@@ -3,8 +3,9 @@
 import math
 import re
 from collections import deque
+from collections.abc import Sequence
 from contextlib import AsyncExitStack
-from typing import Self
+from typing import NamedTuple, Self
 
 import trio
 
@@ -38,6 +39,20 @@
 _RESUME_HEADERS = frozenset({b"host", b"x-request-id", b"traceparent", b"tracestate"})
 
 
+class _StreamIdentity(NamedTuple):
+    """What the answers of one stream have in common."""
+
+    stream_id: bytes | None
+    content_type: bytes
+
+
+def _stream_identity(answer: UpstreamAnswer) -> _StreamIdentity:
+    lines = dict(answer.headers)
+    return _StreamIdentity(
+        lines.get(STREAM_ID_HEADER), lines.get(b"content-type", b"").lower()
+    )
+
+
 class EventSplitter:
     """Splits a byte stream at event boundaries, without parsing the events."""
 
@@ -98,14 +113,14 @@
         client: UpstreamClient,
         stack: AsyncExitStack,
     ) -> None:
-        self._stream_id = dict(answer.headers).get(STREAM_ID_HEADER)
+        self._identity = _stream_identity(answer)
         self._answer = answer
         self._call = call
         self._client = client
         self._stack = stack
         self._splitter = EventSplitter()
         self._recent_pieces: deque[bytes] = deque(maxlen=RECENT_PIECES_MAX)
-        self._seen_ids: frozenset[bytes] = frozenset()
+        self._seen_ids: Sequence[bytes] = ()
         self._before_wait: BeforeWait = _no_action
         self._silence_scope = trio.CancelScope()
         self.resumed_count = 0
@@ -143,13 +158,13 @@
         while True:
             try:
                 events = self._splitter.feed(await self._next_piece())
+                if self._seen_ids:
+                    events = self._drop_seen(events)
             except StopAsyncIteration:
                 return await self._on_end()
             except RequestError as error:
                 await self._resume(error)
                 continue
-            if self._seen_ids:
-                events = self._drop_seen(events)
             if events:
                 self._recent_pieces.append(events)
                 return events
@@ -157,7 +172,7 @@
     async def _next_piece(self) -> bytes:
         if self._answer.before_wait is None:
             await self._before_wait()
-        if self._stream_id is None or not self._recent_pieces:
+        if self._identity.stream_id is None or not self._recent_pieces:
             return await anext(self._answer.body)
         with trio.move_on_after(STREAM_SILENCE_S_MAX) as self._silence_scope:
             return await anext(self._answer.body)
@@ -185,7 +200,7 @@
         ids = self._recent_ids()
         pause_s = 0.0
         while self.resumed_count < RESUME_ATTEMPTS_MAX:
-            if self._stream_id is None or not ids:
+            if self._identity.stream_id is None or not ids:
                 break
             self.resumed_count += 1
             await trio.sleep(pause_s)
@@ -193,7 +208,7 @@
             answer = await self._request_remainder(ids[-1])
             if answer is not None:
                 self._read_from(answer)
-                self._seen_ids = frozenset(ids)
+                self._seen_ids = ids
                 return
         raise error
 
@@ -215,19 +230,45 @@
             answer = await self._stack.enter_async_context(self._client.call(call))
         except RequestError:
             return None
-        is_same = dict(answer.headers).get(STREAM_ID_HEADER) == self._stream_id
+        is_same = _stream_identity(answer) == self._identity
         return answer if answer.status == 200 and is_same else None
 
     def _drop_seen(self, events: bytes) -> bytes:
-        """Drop events that the engine repeats at the start of a resumed stream."""
+        """Drop events that the engine repeats at the start of a resumed stream.
+
+        Raises:
+            RequestError: ``UPSTREAM_BROKEN`` if what follows is no event of the stream.
+        """
         while events:
             ends = [
                 at + len(end) for end in _EVENT_ENDS if (at := events.find(end)) + 1
             ]
             event = events[: min(ends)]
             found = _ID_LINE.search(event)
-            if found is None or found[1] not in self._seen_ids:
-                self._seen_ids = frozenset()
+            if found is None and not ends_with_mark(b"\n" + event, STREAM_END):
+                raise RequestError(
+                    ErrorKind.UPSTREAM_BROKEN, "engine did not resume the stream"
+                )
+            if found is None or not self._is_seen(found[1]):
+                self._seen_ids = ()
                 return events
             events = events[len(event) :]
         return b""
+
+    def _is_seen(self, event_id: bytes) -> bool:
+        """Return whether the caller has an event already.
+
+        Ids that end in a number increase, so older ones than those kept are known.
+        """
+        prefix, number = _split_id(event_id)
+        last_prefix, last_number = _split_id(self._seen_ids[-1])
+        if number is None or last_number is None or prefix != last_prefix:
+            return event_id in self._seen_ids
+        return number <= last_number
+
+
+def _split_id(event_id: bytes) -> tuple[bytes, int | None]:
+    """Split an event id into its text and the number at its end, if it has one."""
+    prefix = event_id.rstrip(b"0123456789")
+    digits = event_id[len(prefix) :]
+    return prefix, int(digits) if digits else None
--- a/tests/daemon/test_promise_3_answers.py
+++ b/tests/daemon/test_promise_3_answers.py
@@ -216,6 +216,36 @@
         """Events that an engine repeats are passed on once."""
         await self._check_resumed(break_after=3, repeated=2)
 
+    async def test_a_long_stream_that_comes_again_is_dropped(self) -> None:
+        """Guards against events twice if an engine starts a long stream anew.
+
+        The first events are then older than all pieces that are still kept.
+        """
+        async with open_scene(engine_count=1) as scene:
+            scene.engines["e1"].faults.update(break_after=60, repeated=60)
+            body = chat_body("long", stream=True, max_tokens=70)
+            caller = scene.connect()
+            reply = await caller.call("POST", CHAT, body, authorization=bearer())
+        self.assertTrue(reply.is_ended)
+        self.assertEqual(answer_words(body, 70), words_in(reply.body))
+
+    async def test_an_error_in_place_of_the_rest_is_not_passed_on(self) -> None:
+        """Guards against an error's text, or its type, within a caller's stream."""
+        for faults in (
+            {"resumed_text": "event: oops\ndata: boom\n\n"},
+            {"resumed_text": "boom\n\ndata: [DONE]\n\n"},
+            {"resumed_type": "application/json"},
+        ):
+            async with open_scene(engine_count=1) as scene:
+                scene.engines["e1"].faults.update(break_after=3, **faults)
+                body = chat_body("error", stream=True, max_tokens=8)
+                caller = scene.connect()
+                reply = await caller.call("POST", CHAT, body, authorization=bearer())
+            self.assertNotIn(b"boom", reply.body)
+            self.assertNotIn(COMPLETE, reply.body)
+            self.assertFalse(reply.is_ended)
+            self.assertEqual(answer_words(body, 8)[:3], words_in(reply.body))
+
     async def test_attempts_are_bounded(self) -> None:
         """A stream that breaks each time is abandoned after a few attempts."""
         async with open_scene(engine_count=1) as scene:
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -34,7 +34,8 @@
     connection after that many; ``end_after`` ends the answer cleanly after that
     many, but without the event that ends a stream; these three affect resumed
     streams only with ``also_resumed``; without ``resume`` no stream can be resumed,
-    and ``repeated`` makes a resumed stream start that many events early; ``silent``
+    ``repeated`` makes a resumed stream start that many events early, ``resumed_type``
+    gives it a content type, and ``resumed_text`` is sent in its place; ``silent``
     never answers new requests; without ``exit_on_crash`` a marked prompt only
     closes the connection.
     ``crash`` is called for a prompt with ``CRASH_MARK``.
@@ -55,6 +56,8 @@
             "resume": True,
             "also_resumed": False,
             "repeated": 0,
+            "resumed_type": "text/event-stream",
+            "resumed_text": "",
             "silent": False,
             "exit_on_crash": True,
         }
@@ -192,8 +195,13 @@
         body = json.loads(raw)
         wanted = body.get("max_completion_tokens") or body.get("max_tokens") or 16
         await connection.send_head(
-            200, {"content-type": "text/event-stream", "x-stream-id": stream_id}
+            200,
+            {"content-type": self.faults["resumed_type"], "x-stream-id": stream_id},
         )
+        if self.faults["resumed_text"]:
+            await connection.send_chunk(self.faults["resumed_text"].encode())
+            await connection.finish()
+            return
         words = answer_words(raw, wanted)
         await self._stream(
             connection,
