Send changes of the replicas from two relays a region instead of watching on each VM

Cause: every VM watched the replicas in the store and passed each change on, one message a replica, to all its links; each change thus cost a call and up to four messages a VM, and each link began with one message for every replica in both directions.

Change: edge/_replica_exchange.py. The two first-ranked VMs of a region watch the replicas, as they do the configuration, and send each batch of changes to their region and to the other regions' relays, encoded once. A VM stops watching while it has everything that a relay of its region knows: it has fetched all replicas once, each batch since had the next number, and the relay says in its heartbeats that it follows the store and was confirmed within 1.8 s. Otherwise it reads all replicas again and watches; what it reads it sends to its links, so a relay that the store refuses still learns of changes. Nothing is sent on a new link unless it is asked for.

Ways weighed: a watch by each VM (n calls a change); relays that answer only when asked, as for the configuration (a round trip more for each change, and DRAIN bounds it); a number for each batch rather than the store's revision, since a relay holds removals back after an outage, and a full queue of a link must be noticed.

--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -49,6 +49,8 @@
     Queued,
     Refusal,
     Release,
+    ReplicaBatch,
+    ReplicaFetch,
     ReplicaNews,
     Running,
     Suspicion,
@@ -203,7 +205,7 @@
                 self.state,
                 self._store,
                 self._health,
-                on_change=self._peers.on_replicas_changed,
+                exchange=self._peers.replica_exchange,
             )
             nursery.start_soon(self._network.run)
             nursery.start_soon(
@@ -336,15 +338,19 @@
         for reply_type in (Permit, Refusal, Queued):
             network.register_handler(reply_type, self._permit_client.on_message)
         network.register_handler(Heartbeat, self._peers.on_heartbeat)
-        network.register_handler(ReplicaNews, self._peers.on_update)
+        replicas = self._peers.replica_exchange
+        network.register_handler(ReplicaNews, replicas.on_news)
+        network.register_handler(ReplicaBatch, replicas.on_batch)
+        network.register_handler(ReplicaFetch, replicas.on_fetch)
         network.register_handler(ConfigurationNews, self._peers.exchange.on_news)
         network.register_handler(TreeFetch, self._peers.exchange.on_fetch)
         network.register_handler(Suspicion, self._crash_monitor.on_message)
-        network.on_opened(self._peers.initial_messages)
         self.state.on_configuration = self._peers.on_configuration_changed
         network.on_dialled_closed(self._permit_client.on_link_closed)
         network.on_dialled_closed(self._peers.membership.on_disconnected)
+        network.on_dialled_closed(replicas.on_link_closed)
         network.on_accepted_closed(self._scheduler_task.on_requester_disconnected)
+        network.on_accepted_closed(replicas.on_link_closed)
 
     async def _report_held_permits(self) -> None:
         while True:
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -6,6 +6,7 @@
 
 from hemlocktrestle.edge._configuration_exchange import ConfigurationExchange
 from hemlocktrestle.edge._registration import VmEntry
+from hemlocktrestle.edge._replica_exchange import ReplicaExchange
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.gateway import (
@@ -13,8 +14,6 @@
     Demand,
     FleetDemand,
     FleetSnapshot,
-    ReplicaRecord,
-    ReplicaUpdate,
 )
 from hemlocktrestle.membership import (
     Listing,
@@ -33,7 +32,6 @@
     Heartbeat,
     Message,
     PoolSummary,
-    ReplicaNews,
 )
 
 log = logging.getLogger(__name__)
@@ -70,6 +68,13 @@
         self.exchange = ConfigurationExchange(
             state, entry.vm, region_of=self._region_of
         )
+        self.replica_exchange = ReplicaExchange(
+            state,
+            entry.vm,
+            is_recipient=self._receives_replicas,
+            on_changed=self.sync,
+        )
+        self._candidates: dict[str, VmRecord] = {}
         self._network: PeerNetwork | None = None
         self.scheduler_task: SchedulerTask | None = None
 
@@ -80,7 +85,8 @@
 
     @network.setter
     def network(self, network: PeerNetwork) -> None:
-        self._network = self.exchange.network = network
+        self._network = network
+        self.exchange.network = self.replica_exchange.network = network
 
     def apply_busy_customers(self, customers: set[str]) -> None:
         """Apply the set of customers that the store lists as busy."""
@@ -127,9 +133,12 @@
         vms = tuple(_vm_record(entry) for entry in self._vms.values())
         self.membership.apply_listing(Listing(vms, upstreams))
         own_domain = self.membership.candidates(self._entry.region, CANDIDATE_COUNT)
-        self.exchange.set_relays(tuple(record.name for record in own_domain))
+        relays = tuple(record.name for record in own_domain)
+        self.exchange.set_relays(relays)
+        self.replica_exchange.set_relays(relays)
+        self._candidates = self._all_candidates()
         if self.network is not None:
-            self.network.sync_peers(self._peers_to_dial())
+            self.network.sync_peers(tuple(self._candidates.values()))
 
     @property
     def process_name(self) -> str:
@@ -142,44 +151,18 @@
         if self.network is not None and self.exchange.is_relay:
             self.network.send_heartbeats()
 
-    def on_replicas_changed(self) -> None:
-        """Broadcast changes in the replica registry to the other VMs."""
-        self._broadcast_replicas(skip="")
-
-    def initial_messages(self, vm: str) -> list[Message]:
-        """Return the messages to send first on a new link: all known replicas."""
-        return [
-            _update_message(update) for update in self._state.replicas.all_updates()
-        ]
-
-    def on_update(self, vm: str, message: Message) -> None:
-        """Apply a replica update that another VM read."""
-        if isinstance(message, ReplicaNews):
-            self._state.replicas.apply_update(_update_of(message))
-            self._broadcast_replicas(skip=vm)
-
     def _region_of(self, vm: str) -> str | None:
         entry = self._vms.get(vm)
         return entry.region if entry is not None else None
 
-    def _broadcast_replicas(self, *, skip: str) -> None:
-        updates = self._state.replicas.pop_updates()
-        if not updates:
-            return
-        records = self._state.replicas.replicas()
-        log.info(
-            "replicas_changed",
-            extra={
-                "changes": {update.replica_id: update.revision for update in updates},
-                "source": skip or "store",
-                "ready": [r.replica_id for r in records if not r.is_draining],
-                "draining": [r.replica_id for r in records if r.is_draining],
-            },
+    def _receives_replicas(self, vm: str) -> bool:
+        """Tell whether a relay sends changes of the replicas to a VM.
+
+        The other regions' relays pass them on to the VMs there.
+        """
+        return (
+            self._region_of(vm) in {self._entry.region, None} or vm in self._candidates
         )
-        self.sync()
-        if self.network is not None:
-            for update in updates:
-                self.network.broadcast(_update_message(update), skip=skip)
 
     def fleet(self, customer: str | None = None) -> FleetSnapshot:
         """Return the known demand on all VMs, or only that of one customer."""
@@ -224,6 +207,7 @@
             vm_count,
             self._startup_share(now),
             startup_share,
+            self.replica_exchange.follows_store,
         )
 
     def on_heartbeat(self, vm: str, message: Message) -> None:
@@ -232,6 +216,7 @@
             return
         now = now_ms()
         self.exchange.on_heartbeat(vm, message)
+        self.replica_exchange.on_heartbeat(vm, message)
         self.membership.on_heartbeat(
             vm,
             now,
@@ -277,48 +262,14 @@
         self.membership.record_probe(record, result, now_ms())
         log.info("replica_probed", extra={"replica": record.name, "told": result.value})
 
-    def _peers_to_dial(self) -> tuple[VmRecord, ...]:
+    def _all_candidates(self) -> dict[str, VmRecord]:
         """Return the VMs to connect to: each region's scheduler and its successor."""
         found: dict[str, VmRecord] = {}
         for domain in self.membership.domains():
             for record in self.membership.candidates(domain, CANDIDATE_COUNT):
                 found[record.name] = record
         found.pop(self._entry.vm, None)
-        return tuple(found.values())
-
-
-def _update_message(update: ReplicaUpdate) -> ReplicaNews:
-    record = update.record
-    if record is None:
-        return ReplicaNews(update.replica_id, update.revision, True)
-    return ReplicaNews(
-        update.replica_id,
-        update.revision,
-        False,
-        record.service,
-        record.address,
-        record.zone,
-        record.slots,
-        record.is_draining,
-        record.cold_ms,
-        record.born_ms,
-    )
-
-
-def _update_of(message: ReplicaNews) -> ReplicaUpdate:
-    record = None
-    if not message.is_gone:
-        record = ReplicaRecord(
-            replica_id=message.replica_id,
-            service=message.service,
-            address=message.address,
-            zone=message.zone,
-            slots=message.slots,
-            is_draining=message.is_draining,
-            cold_ms=message.cold_ms,
-            born_ms=message.born_ms,
-        )
-    return ReplicaUpdate(message.replica_id, message.revision, record)
+        return found
 
 
 def _vm_record(entry: VmEntry) -> VmRecord:
--- a/src/hemlocktrestle/edge/_watchers.py
+++ b/src/hemlocktrestle/edge/_watchers.py
@@ -2,11 +2,11 @@
 
 import logging
 import math
-from collections.abc import Callable
 from typing import Protocol
 
 import trio
 
+from hemlocktrestle.edge._replica_exchange import ReplicaExchange
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.edge._store_task import StoreHealth, StoreTask
 from hemlocktrestle.errors import RequestError
@@ -192,11 +192,14 @@
 class ReplicaWatcher(StoreTask):
     """Keeps the replica registry up to date with the store.
 
+    While a relay of the region sends each change, nothing is read.  When it no longer
+    does, all replicas are read again: it may have held back a removal.
+
     Args:
         state: shared state of the process.
         store: the platform's store.
         health: records whether the store answers.
-        on_change: called after the registry may have changed.
+        exchange: sends the changes to other VMs, and tells whether to watch.
     """
 
     name = "replicas"
@@ -207,20 +210,26 @@
         store: PlatformStore,
         health: StoreHealth,
         *,
-        on_change: Callable[[], None],
+        exchange: ReplicaExchange,
     ) -> None:
         super().__init__(store, health)
         self._state = state
-        self._on_change = on_change
+        self._exchange = exchange
 
     async def drop_unconfirmed(self) -> None:
         """Drop expired entries that did not return after an outage, until cancelled."""
         while True:
             await sleep_until_multiple(CONFIRMATION_CHECK_S)
             self._state.replicas.drop_unconfirmed(now_ms())
-            self._on_change()
+            self._exchange.publish()
 
     async def _run_until_error(self) -> None:
+        try:
+            await self._follow()
+        finally:
+            self._exchange.follows_store = False
+
+    async def _follow(self) -> None:
         page = await self._store.list(REGISTRATIONS_PREFIX)
         self._health.record_answer(self.name)
         registry = self._state.replicas
@@ -230,22 +239,27 @@
             now_ms=now_ms(),
         )
         self._state.has_loaded_replicas = True
-        self._on_change()
-        revision = page.revision
-        while True:
+        exchange = self._exchange
+        exchange.revision = page.revision
+        exchange.publish()
+        while not exchange.is_relayed:
+            exchange.follows_store = True
             watched = await self._store.watch(
-                REGISTRATIONS_PREFIX, after=revision, wait_ms=WATCH_WAIT_MS
+                REGISTRATIONS_PREFIX, after=exchange.revision, wait_ms=WATCH_WAIT_MS
             )
             self._health.record_answer(self.name)
-            revision = watched.revision
+            exchange.revision = watched.revision
             for event in watched.events:
                 if isinstance(event, RemovedItem):
                     replica_id = event.key.removeprefix(REGISTRATIONS_PREFIX)
                     registry.apply_removal(replica_id, event.revision, now_ms())
                 else:
                     registry.apply_update(_decode_update(event))
-            self._on_change()
+            exchange.publish()
             await trio.sleep(BATCH_S)
+        exchange.follows_store = False
+        while exchange.is_relayed:
+            await sleep_until_multiple(RELAY_CHECK_S)
 
 
 def _decode_update(item: Item) -> ReplicaUpdate:
--- a/src/hemlocktrestle/peers/_network.py
+++ b/src/hemlocktrestle/peers/_network.py
@@ -76,12 +76,25 @@
         """Register a callback whose messages are sent first on each new link."""
         self._on_opened.append(callback)
 
-    def broadcast(self, message: Message, *, skip: str = "") -> None:
-        """Send a message to each linked VM except ``skip``, on one link each."""
+    def broadcast(
+        self,
+        message: Message,
+        *,
+        skip: str = "",
+        to: Callable[[str], bool] | None = None,
+    ) -> None:
+        """Send a message to linked VMs, on one link each.
+
+        Args:
+            message: the message.
+            skip: a VM that does not get it.
+            to: tells which VMs get it; all by default.
+        """
         links = {**self._accepted, **self._dialled}
+        frame = frame_bytes(message)
         for vm, link in links.items():
-            if vm != skip:
-                link.post(message)
+            if vm != skip and (to is None or to(vm)):
+                link.post(frame)
 
     def send(self, vm: str, message: Message) -> bool:
         """Send a message to a peer or to this VM; ``False`` if there is no link."""
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -96,6 +96,8 @@
     the domain's scheduler sends them; from others ``area_vm_count`` is 0.
     ``young`` is the startup share: the part of the quota window that lies before
     the start of the sender's process.  ``area_young`` is the sum over the domain.
+
+    ``follows_replicas`` tells whether the sender watches the replicas in the store.
     """
 
     tree_revision: int
@@ -109,6 +111,7 @@
     area_vm_count: int = 0
     young: float = 0.0
     area_young: float = 0.0
+    follows_replicas: bool = False
 
 
 @message("ask")
@@ -307,6 +310,28 @@
     born_ms: int = 0
 
 
+@message("replicaBatch")
+class ReplicaBatch(NamedTuple):
+    """Changes of the sender's replicas, or all of them if ``is_full``.
+
+    ``sequence`` grows by one with each batch of changes, so that a missing one is
+    noticed; a full batch has that of the last one.  ``revision`` is the store's up to
+    which the sender knows all changes.
+    """
+
+    sequence: int
+    revision: int
+    is_full: bool
+    replicas: tuple[ReplicaNews, ...]
+
+
+@message("replicaFetch")
+class ReplicaFetch(NamedTuple):
+    """Asks for all replicas of a VM; ``sequence`` is that of its last batch known."""
+
+    sequence: int
+
+
 @message("configurationNews")
 class ConfigurationNews(NamedTuple):
     """The operator's configuration in the store at a revision."""
@@ -333,5 +358,7 @@
     | Queued
     | Pulse
     | ReplicaNews
+    | ReplicaBatch
+    | ReplicaFetch
     | ConfigurationNews
 )
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -23,6 +23,8 @@
     pulse @15 :Pulse;
     replicaNews @16 :ReplicaNews;
     configurationNews @17 :ConfigurationNews;
+    replicaBatch @18 :ReplicaBatch;
+    replicaFetch @19 :ReplicaFetch;
   }
 }
 
@@ -53,6 +55,7 @@
   areaVmCount @8 :UInt32;
   young @9 :Float64;
   areaYoung @10 :Float64;
+  followsReplicas @11 :Bool;
 }
 
 struct CustomerDemand {
@@ -97,6 +100,17 @@
   bornMs @9 :UInt64;
 }
 
+struct ReplicaBatch {
+  sequence @0 :UInt64;
+  revision @1 :UInt64;
+  isFull @2 :Bool;
+  replicas @3 :List(ReplicaNews);
+}
+
+struct ReplicaFetch {
+  sequence @0 :UInt64;
+}
+
 struct ConfigurationNews {
   revision @0 :UInt64;
   document @1 :Data;
