Notice in tests that an edge process ended, instead of waiting for its lines

Cause: a test that waits for a log line did not see that the process had ended; with the limit for hung processes a process that broke at its start would hold up a run for ten minutes (seen once, on an edge that raised a TypeError at its start).

Change: the end of the output wakes whoever waits, with the last lines.

Measured: the new test fails without the change, by its time limit, and passes.

--- a/tests/edge/test_processes.py
+++ b/tests/edge/test_processes.py
@@ -66,20 +66,32 @@
         self.path = path
         self.lines: list[dict[str, Any]] = []
         self._changed = trio.Event()
+        self._has_ended = False
 
     async def read(self) -> None:
         """Collect log lines until the process ends."""
         async for lines in log_lines(self.process):
             self.lines += lines
-            seen, self._changed = self._changed, trio.Event()
-            seen.set()
+            self._wake()
+        self._has_ended = True
+        self._wake()
+
+    def _wake(self) -> None:
+        seen, self._changed = self._changed, trio.Event()
+        seen.set()
 
     async def logged(self, event: str, **fields: Any) -> dict[str, Any]:
-        """Wait for a log line with the event and fields, and return it."""
+        """Wait for a log line with the event and fields, and return it.
+
+        Raises:
+            RuntimeError: the process ended without it.
+        """
         while True:
             for line in self.lines:
                 if line["event"] == event and fields.items() <= line.items():
                     return line
+            if self._has_ended:
+                raise RuntimeError(f"process ended without {event}: {self.lines[-3:]}")
             await self._changed.wait()
 
 
@@ -155,6 +167,24 @@
         return await pool.request("GET", f"http://{address}{path}", headers=lines)
 
 
+class EndedProcessTests(TestCase):
+    """A process that ended is noticed at once."""
+
+    def test_a_line_of_an_ended_process_is_not_awaited(self) -> None:
+        """Guards against a run that waits for a process that broke at its start."""
+
+        async def check() -> None:
+            with TemporaryDirectory() as folder:
+                path = Path(folder) / "missing.toml"
+                edge = Edge(await open_edge(path, stderr=subprocess.DEVNULL), path)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(edge.read)
+                    await edge.logged("configuration_taken")
+
+        error = self.assertRaises(ExceptionGroup, trio.run, check)
+        self.assertIsInstance(error.exceptions[0], RuntimeError)
+
+
 class EdgeProcessTests(TestCase):
     """The program, against stand-ins of the platform."""
 
