Read the list of VMs again only when it differs from the relays'

Cause: every VM read the entries of all VMs every 3 s and, although nothing had changed, built the membership anew.

Change: heartbeats carry a digest of the sender's list. A VM of a fleet of 32 or more does not read while a relay of its region, which the store answered within 1.8 s, has the same list; relays, small fleets, and processes in their first quota window read as before. A list without a change does not touch membership and links.

Tests: tests/edge/test_vm_list.py, tests/edge/test_registration.py (fails without the change: the list is read ten times in 30 s).

--- a/src/hemlocktrestle/edge/_configuration_exchange.py
+++ b/src/hemlocktrestle/edge/_configuration_exchange.py
@@ -80,6 +80,11 @@
             vm: report for vm, report in self._reports.items() if vm in vms
         }
 
+    @property
+    def relays(self) -> tuple[str, ...]:
+        """The relays of this VM's region."""
+        return self._relays
+
     @property
     def is_relay(self) -> bool:
         """Whether other VMs rely on this one to watch the configuration."""
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -176,6 +176,7 @@
             self._health,
             on_vms=self._peers.apply_vms,
             on_busy=self._peers.apply_busy_customers,
+            is_current=self._peers.has_current_vms,
         )
         self._metrics = EdgeMetrics(
             self._gauges(dropped_count), self._labelled_gauges()
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -8,6 +8,7 @@
 from hemlocktrestle.edge._registration import VmEntry
 from hemlocktrestle.edge._replica_exchange import ReplicaExchange
 from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.edge._vm_list import VmList
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.gateway import (
     Configuration,
@@ -60,7 +61,7 @@
     def __init__(self, state: EdgeState, entry: VmEntry) -> None:
         self._state = state
         self._entry = entry
-        self._vms: dict[str, VmEntry] = {entry.vm: entry}
+        self._vm_list = VmList(entry)
         self.membership = Membership(
             _vm_record(entry), domain_of=region_of, role_key=SCHEDULER_ROLE
         )
@@ -102,16 +103,25 @@
 
     def apply_vms(self, entries: list[VmEntry]) -> None:
         """Apply the list of registered VMs."""
-        known = self._vms
+        known = self._vm_list.entries
         if not self._state.has_loaded_vms:
             log.info("vms_read", extra={"vm_count": len(entries)})
         self._state.has_loaded_vms = True
-        self._vms = {entry.vm: entry for entry in entries}
-        self._vms[self._entry.vm] = self._entry
-        if known.keys() != self._vms.keys():
-            log.info("vms_changed", extra={"vms": sorted(self._vms)})
+        if not self._vm_list.replace(entries):
+            return
+        if known.keys() != self._vm_list.entries.keys():
+            log.info("vms_changed", extra={"vms": sorted(self._vm_list.entries)})
         self.sync()
 
+    def has_current_vms(self) -> bool:
+        """Tell whether the list of VMs need not be read from the store again.
+
+        A process reads it during its first quota window, with the busy customers.
+        """
+        return not self._startup_share(now_ms()) and self._vm_list.is_confirmed(
+            self.exchange.relays
+        )
+
     def sync(self) -> None:
         """Update membership and links from the registered VMs and replicas."""
         region_of_zone = self._state.settings.region_of_zone
@@ -130,7 +140,7 @@
             )
             for record in self._state.replicas.replicas()
         )
-        vms = tuple(_vm_record(entry) for entry in self._vms.values())
+        vms = tuple(_vm_record(entry) for entry in self._vm_list.entries.values())
         self.membership.apply_listing(Listing(vms, upstreams))
         own_domain = self.membership.candidates(self._entry.region, CANDIDATE_COUNT)
         relays = tuple(record.name for record in own_domain)
@@ -152,7 +162,7 @@
             self.network.send_heartbeats()
 
     def _region_of(self, vm: str) -> str | None:
-        entry = self._vms.get(vm)
+        entry = self._vm_list.entries.get(vm)
         return entry.region if entry is not None else None
 
     def _receives_replicas(self, vm: str) -> bool:
@@ -172,7 +182,7 @@
         return self.demand.snapshot(
             self._state.quotas.demands(now),
             is_scheduler=scheduler == self._entry.vm,
-            vm_count=len(self._vms),
+            vm_count=len(self._vm_list.entries),
             now_ms=now,
             own_startup_share=self._startup_share(now),
             customer=customer,
@@ -208,6 +218,7 @@
             self._startup_share(now),
             startup_share,
             self.replica_exchange.follows_store,
+            self._vm_list.digest,
         )
 
     def on_heartbeat(self, vm: str, message: Message) -> None:
@@ -217,6 +228,7 @@
         now = now_ms()
         self.exchange.on_heartbeat(vm, message)
         self.replica_exchange.on_heartbeat(vm, message)
+        self._vm_list.on_heartbeat(vm, message)
         self.membership.on_heartbeat(
             vm,
             now,
@@ -224,7 +236,7 @@
             refusals=message.refusals,
             pools=message.pools,
         )
-        entry = self._vms.get(vm)
+        entry = self._vm_list.entries.get(vm)
         if entry is None:
             return
         if entry.region == self._entry.region:
--- a/src/hemlocktrestle/edge/_registration.py
+++ b/src/hemlocktrestle/edge/_registration.py
@@ -70,6 +70,7 @@
         health: records whether the store answers.
         on_vms: called with all VMs that are registered.
         on_busy: called with the customers that are recorded as busy.
+        is_current: tells whether the entries need not be read again.
     """
 
     name = "vms"
@@ -82,11 +83,13 @@
         *,
         on_vms: Callable[[list[VmEntry]], None],
         on_busy: Callable[[set[str]], None],
+        is_current: Callable[[], bool],
     ) -> None:
         super().__init__(store, health)
         self._entry = entry
         self._on_vms = on_vms
         self._on_busy = on_busy
+        self._is_current = is_current
         self._lease = 0
 
     async def deregister(self) -> None:
@@ -113,7 +116,9 @@
             if self.is_finished:
                 return
             await self._store.renew_lease(self._lease)
-            await self._read_entries(allow_stale=True)
+            self._health.record_answer(self.name)
+            if not self._is_current():
+                await self._read_entries(allow_stale=True)
 
     async def _read_entries(self, *, allow_stale: bool) -> None:
         page = await self._store.list(OWN_PREFIX, allow_stale=allow_stale)
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -97,7 +97,8 @@
     ``young`` is the startup share: the part of the quota window that lies before
     the start of the sender's process.  ``area_young`` is the sum over the domain.
 
-    ``follows_replicas`` tells whether the sender watches the replicas in the store.
+    ``follows_replicas`` tells whether the sender watches the replicas in the store;
+    ``vms_digest`` is a digest of the entries of the VMs that it knows.
     """
 
     tree_revision: int
@@ -112,6 +113,7 @@
     young: float = 0.0
     area_young: float = 0.0
     follows_replicas: bool = False
+    vms_digest: int = 0
 
 
 @message("ask")
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -56,6 +56,7 @@
   young @9 :Float64;
   areaYoung @10 :Float64;
   followsReplicas @11 :Bool;
+  vmsDigest @12 :UInt64;
 }
 
 struct CustomerDemand {
--- a/tests/edge/test_registration.py
+++ b/tests/edge/test_registration.py
@@ -34,12 +34,49 @@
                     StoreHealth(state),
                     on_vms=lambda entries: None,
                     on_busy=lambda customers: None,
+                    is_current=lambda: False,
                 )
                 await registrar.deregister()
             nursery.cancel_scope.cancel()
         self.assertEqual([], store.calls)
 
 
+class ReadTests(TrioTestCase):
+    """The list of VMs is read again only while no relay confirms it."""
+
+    async def test_a_current_list_is_not_read_again(self) -> None:
+        """Guards against bytes that grow with the square of the fleet."""
+        store = PlatformStoreStandIn()
+        state = EdgeState(
+            decode_settings(SETTINGS, source="test"),
+            fleet=lambda customer=None: FleetSnapshot(1, 1, {}),
+        )
+        current = [False]
+        read: list[int] = []
+        async with trio.open_nursery() as nursery:
+            backend = MemoryBackend(store, nursery)
+            async with PlatformStore("10.0.0.1:80", backend=backend) as client:
+                registrar = VmRegistrar(
+                    ENTRY,
+                    client,
+                    StoreHealth(state),
+                    on_vms=lambda entries: read.append(len(entries)),
+                    on_busy=lambda customers: None,
+                    is_current=lambda: current[0],
+                )
+                nursery.start_soon(registrar.run)
+                await trio.sleep(9)
+                self.assertTrue(3 <= len(read) <= 4, read)
+                current[0] = True
+                known = len(read)
+                await trio.sleep(30)
+                self.assertEqual(known, len(read))
+                current[0] = False
+                await trio.sleep(4)
+                self.assertTrue(len(read) > known)
+                nursery.cancel_scope.cancel()
+
+
 class EntryTests(TrioTestCase):
     """Entries of earlier and later versions can be read."""
 
