--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -27,6 +27,7 @@
 from hemlocktrestle.edge._placement import AttemptReport, Placement
 from hemlocktrestle.edge._quota_gate import EdgeQuotas
 from hemlocktrestle.edge._registration import BusyRecorder, VmEntry, VmRegistrar
+from hemlocktrestle.edge._request_log import log_request_ended
 from hemlocktrestle.edge._server import EdgeServer, ServedRequest
 from hemlocktrestle.edge._stall_monitor import StallMonitor
 from hemlocktrestle.edge._state import NOTICE_PERIOD_MS, EdgeState, now_ms
@@ -360,28 +361,7 @@
 
     def _on_request_ended(self, served: ServedRequest) -> None:
         self._metrics.record_request(served)
-        job, progress = served.job, served.progress
-        log.info(
-            "request_ended",
-            extra={
-                "request": progress.request_id,
-                "route": progress.route,
-                "service": job.service.name if job else "",
-                "customer": job.customer_name if job else "",
-                "rank": job.rank if job else None,
-                "outcome": served.outcome,
-                "status": served.status,
-                "deadline_ms": job.metadata.deadline_ms if job else 0,
-                "waited_ms": round(progress.waited_ms),
-                "first_ms": round(progress.first_ms),
-                "longest_gap_ms": round(progress.longest_gap_ms),
-                "prompt_tokens": job.metadata.prompt_tokens if job else 0,
-                "output_tokens": job.metadata.expected_output_tokens if job else 0,
-                "events": progress.event_count,
-                "replicas": progress.replicas,
-                "total_ms": round(now_ms() - job.request.arrived_ms) if job else 0,
-            },
-        )
+        log_request_ended(served)
 
 
 async def run_edge(
