Count an event as the caller's only once it is certain to be sent

The first replica sent its first event 1.2 s after it got the request, just as the time limit of the attempt ended; the second was asked to go on after that event, which the caller never got.

Cause: since the event was recorded in the stream's sequence before the time limit was lifted, and the expired limit is delivered there.

Change: the limit is lifted first, if the event follows, and the event recorded then.

--- a/src/hemlocktrestle/edge/_attempt.py
+++ b/src/hemlocktrestle/edge/_attempt.py
@@ -321,9 +321,11 @@
         sequence = self._progress.events
         async for piece in answer.body_chunks():
             events = splitter.feed(piece)
-            taken = sequence.take(events)
-            if taken:
+            taken: list[StreamEvent] = []
+            if events and sequence.follows(events[0]):
                 await _lift_time_limit(self._time_limit)
+                # An event counts as the caller's only once it is certain to be sent.
+                taken = sequence.take(events)
                 yield taken
                 self._time_limit.deadline = (
                     trio.current_time() + self._stall_timeout_s()
--- a/src/hemlocktrestle/gateway/_event_sequence.py
+++ b/src/hemlocktrestle/gateway/_event_sequence.py
@@ -30,14 +30,14 @@
         """Record and return the leading events that follow the ones before them."""
         taken = []
         for event in events:
-            if not self._follows(event):
+            if not self.follows(event):
                 break
             if event.event_id:
                 self._record(event.event_id)
             taken.append(event)
         return taken
 
-    def _follows(self, event: StreamEvent) -> bool:
+    def follows(self, event: StreamEvent) -> bool:
         """Tell whether an event may be relayed next.
 
         Ids increase.  Where they have been consecutive, the first event of another
