Remove the messages that were sent first on each new link

Cause: only the edge used them, for all replicas it knew; these are now fetched. Change: PeerNetwork.on_opened is gone. Measured: tests/peers pass.

--- a/src/hemlocktrestle/peers/_network.py
+++ b/src/hemlocktrestle/peers/_network.py
@@ -56,7 +56,6 @@
         self._handlers: dict[type, Handler] = {}
         # The last logged reason by peer: repeated failures to dial are logged once.
         self._last_end_reasons: dict[str, tuple[str, str]] = {}
-        self._on_opened: list[Callable[[str], list[Message]]] = []
         self._on_dialled_closed: list[Callable[[str], None]] = []
         self._on_accepted_closed: list[Callable[[str], None]] = []
 
@@ -72,10 +71,6 @@
         """Register a callback for the end of a link that a peer dialled."""
         self._on_accepted_closed.append(callback)
 
-    def on_opened(self, callback: Callable[[str], list[Message]]) -> None:
-        """Register a callback whose messages are sent first on each new link."""
-        self._on_opened.append(callback)
-
     def broadcast(
         self,
         message: Message,
@@ -201,7 +196,6 @@
     def _add_dialled(self, peer: Hello, link: Link) -> None:
         self._dialled[peer.vm] = link
         link.post(self._heartbeat())
-        self._send_initial_messages(peer.vm, link)
         self._last_end_reasons.pop(peer.vm, None)
         log.info("link_opened", extra={"peer": peer.vm})
 
@@ -211,16 +205,10 @@
         self._boot_ids[peer.vm] = peer.boot_id
         self._accepted[peer.vm] = link
         link.post(self._heartbeat())
-        self._send_initial_messages(peer.vm, link)
         redial = self._redial_events.get(peer.vm)
         if redial is not None:
             redial.set()
 
-    def _send_initial_messages(self, vm: str, link: Link) -> None:
-        for callback in self._on_opened:
-            for message in callback(vm):
-                link.post(message)
-
     def _remove_dialled(self, vm: str, link: Link) -> None:
         if self._dialled.get(vm) is link:
             del self._dialled[vm]
