Log when a replica falls silent and when a begun answer is cut

Cause: attempt_ended end=silent does not say how long a replica was silent nor how much of its answer the caller had, and a begun answer that this VM cut left no line but the status of request_ended, which is that of an answer that was never sent. A report of a request with no answer could not be told apart from one whose replica broke off.

Change: replica_silent (silent_ms, events, action) and answer_cut (cause, failure, events, sends). RequestProgress moves to a module of its own.

--- a/src/hemlocktrestle/edge/_attempt.py
+++ b/src/hemlocktrestle/edge/_attempt.py
@@ -6,13 +6,14 @@
 
 import trio
 
+from hemlocktrestle.edge._attempt_log import log_replica_silent
 from hemlocktrestle.edge._job import Job
 from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement
+from hemlocktrestle.edge._progress import RequestProgress
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import (
     AnswerClass,
-    EventSequence,
     EventSplitter,
     ExpectedAnswer,
     RequestKind,
@@ -49,33 +50,6 @@
 """Events of a stream after which its speed is reported to the pool scheduler."""
 
 
-class RequestProgress:
-    """Counters and timings of one request over all its attempts."""
-
-    def __init__(self) -> None:
-        self.request_id = ""
-        self.route = ""
-        self.connect_count = 0
-        self.send_count = 0
-        self.runs_count = 0
-        self.may_have_sent = False
-        self.events = EventSequence()
-        self.event_count = 0
-        self.first_ms = 0.0
-        self.last_event_ms = 0.0
-        self.longest_gap_ms = 0.0
-        self.replicas: list[str] = []
-        self.waited_ms = 0.0
-
-    def record_events(self, count: int, at_ms: float) -> None:
-        """Record events that were relayed to the caller."""
-        if self.event_count:
-            gap_ms = at_ms - self.last_event_ms
-            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
-        self.last_event_ms = at_ms
-        self.event_count += count
-
-
 class _BodyBuffer:
     """The body of a buffered answer, within the memory budget of all answers."""
 
@@ -201,6 +175,13 @@
                     end = await self._relay(answer)
             if self._time_limit.cancelled_caught:
                 end = AttemptEnd.SILENT
+                heard_ms = max(self._started_ms, progress.last_event_ms)
+                log_replica_silent(
+                    progress,
+                    self._placement,
+                    silent_ms=now_ms() - heard_ms,
+                    action="abandon",
+                )
                 self.failure = RequestError(
                     ErrorKind.UPSTREAM_SILENT, "replica fell silent"
                 )
--- a/src/hemlocktrestle/edge/_server.py
+++ b/src/hemlocktrestle/edge/_server.py
@@ -8,9 +8,11 @@
 import xxhash
 
 from hemlocktrestle.edge._answer import error_answer
-from hemlocktrestle.edge._attempt import Attempt, RequestProgress, SealedAnswer
+from hemlocktrestle.edge._attempt import Attempt, SealedAnswer
+from hemlocktrestle.edge._attempt_log import log_answer_cut
 from hemlocktrestle.edge._job import Job
 from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement, Placer
+from hemlocktrestle.edge._progress import RequestProgress
 from hemlocktrestle.edge._quota_gate import EdgeQuotas, over_quota
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.errors import ANSWERS, ErrorKind, RequestError
@@ -95,7 +97,9 @@
             outcome = error.kind.value
             answer = error_answer(error, may_have_sent=progress.may_have_sent)
             status = answer.status
-            if not connection.is_answer_started:
+            if connection.is_answer_started:
+                log_answer_cut(error, progress)
+            else:
                 await connection.send_answer(status, answer.headers, answer.body)
         finally:
             self.running_count -= 1
--- a/tests/edge/test_permit_placer.py
+++ b/tests/edge/test_permit_placer.py
@@ -5,9 +5,10 @@
 import trio
 
 from hemlocktrestle.edge import _attempt
-from hemlocktrestle.edge._attempt import Attempt, RequestProgress
+from hemlocktrestle.edge._attempt import Attempt
 from hemlocktrestle.edge._permit_placer import FAILURE_BY_END
 from hemlocktrestle.edge._placement import Placement
+from hemlocktrestle.edge._progress import RequestProgress
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.relay import ConnectTimeoutError
 from tests.support import TrioTestCase
