Add failing tests of replicas that pause while no other one takes over

What callers see: a resumable stream whose replica is silent for 1.5 s and would go on is cut after 3 of 8 events, with neither an end nor a refusal, if there is no other replica, the other one refuses or is unreachable, or the retry budget is spent. A repeatable request whose replica answers after 0.5 s gets 502 or 504.

Cause (confirmed by these tests): an attempt is abandoned by its time limit before it is known whether the request can go on elsewhere.

--- /dev/null
+++ b/tests/edge/test_silent_replica.py
@@ -0,0 +1,157 @@
+"""Tests of replicas that fall silent for a while and then go on.
+
+They guard against answers that this VM cuts because a replica paused, although no
+other replica could take over: the caller then got neither an answer nor a refusal.
+"""
+
+import trio
+
+from tests.edge.harness import (
+    EdgeHarness,
+    Reply,
+    Script,
+    answer_after,
+    answer_ok,
+    answer_status,
+    never_answer,
+)
+from tests.edge.test_server import STREAM, WHOLE, event, stream_of
+from tests.gateway.records import configuration, replica
+from tests.standins.http import Connection, Request
+from tests.support import TrioTestCase
+
+EVENT_LINES = {
+    "x-attempt-id": "a1",
+    "x-response-seal": "s",
+    "content-type": "text/event-stream",
+}
+
+REFUSES = answer_status(503, is_unrun=True)
+"""A replica that is full."""
+
+
+def paused_stream(pause_s: float) -> Script:
+    """Return a script that streams three events, pauses, and streams the rest."""
+
+    async def script(connection: Connection, request: Request) -> None:
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        await connection.send_head(200, EVENT_LINES)
+        for number in range(first, 9):
+            if number == 4:
+                await trio.sleep(pause_s)
+            await connection.send_chunk(event(number))
+            await trio.sleep(0.02)
+        await connection.finish()
+
+    return script
+
+
+class _SilentReplicaCase(TrioTestCase):
+    """Sends requests whose first replica pauses; the second one is the obstacle."""
+
+    service = "ledger"
+    found = configuration()
+
+    def harness(self, first: Script, second: Script | None = None) -> EdgeHarness:
+        """Return a harness; replicas without a script refuse connections."""
+        scripts = {"r1": first} | ({"r2": second} if second is not None else {})
+        records = tuple(replica(name, service=self.service) for name in ("r1", "r2"))
+        return EdgeHarness(self, scripts, found=self.found, records=records)
+
+    def lone_harness(self, first: Script) -> EdgeHarness:
+        """Return a harness with one replica."""
+        records = (replica("r1", service=self.service),)
+        return EdgeHarness(self, {"r1": first}, found=self.found, records=records)
+
+    def spend_retries(self, harness: EdgeHarness) -> None:
+        """Spend the budget for retries."""
+        budget = harness.state.retry_budget(self.service)
+        while budget.try_spend(1, trio.current_time() * 1000):
+            pass
+
+
+class PausedStreamTests(_SilentReplicaCase):
+    """A stream whose replica pauses for 1.5 s reaches its caller whole."""
+
+    service = "assistant"
+    found = configuration(STREAM)
+
+    async def send(self, harness: EdgeHarness) -> Reply:
+        """Send the request and check that its whole answer came."""
+        reply = await harness.send("/advice/1", method="POST", body=b"q")
+        self.assertEqual((200, WHOLE, True), (reply.status, reply.body, reply.is_whole))
+        return reply
+
+    async def test_a_stream_goes_on_where_no_other_replica_exists(self) -> None:
+        """Guards against a cut when there is no replica to resume at."""
+        harness = self.lone_harness(paused_stream(1.5))
+        await self.send(harness)
+        self.assertEqual(["r1"], harness.reached_replicas())
+
+    async def test_a_stream_is_not_lost_where_the_other_replica_refuses(self) -> None:
+        """Guards against a cut when the replica that would resume is full."""
+        await self.send(self.harness(paused_stream(1.5), REFUSES))
+
+    async def test_a_stream_goes_on_where_the_other_replica_is_unreachable(
+        self,
+    ) -> None:
+        """Guards against a cut when the replica that would resume is gone."""
+        harness = self.harness(paused_stream(1.5))
+        await self.send(harness)
+        self.assertEqual(["r1"], harness.reached_replicas())
+
+    async def test_a_stream_goes_on_where_the_retries_are_spent(self) -> None:
+        """Guards against a cut when the budget does not allow to resume."""
+        harness = self.harness(paused_stream(1.5), stream_of(range(1, 9)))
+        self.spend_retries(harness)
+        await self.send(harness)
+        self.assertEqual(["r1"], harness.reached_replicas())
+
+    async def test_a_stream_is_resumed_where_another_replica_is_free(self) -> None:
+        """A stream does not wait for its silent replica if it can go on elsewhere."""
+        harness = self.harness(stream_of(range(1, 4), end="silent"))
+        harness.scripts["r2"] = stream_of(range(1, 9))
+        await self.send(harness)
+        self.assertEqual(["r1", "r2"], harness.reached_replicas())
+
+
+class PausedAnswerTests(_SilentReplicaCase):
+    """A request whose replica is silent for 0.5 s and then answers is answered."""
+
+    async def send(self, harness: EdgeHarness) -> None:
+        """Send the request and check that its answer came."""
+        reply = await harness.send()
+        self.assertEqual(
+            (200, b"done", True), (reply.status, reply.body, reply.is_whole)
+        )
+
+    async def test_an_answer_comes_where_no_other_replica_exists(self) -> None:
+        """Guards against 504 when there is no replica to repeat the request at."""
+        harness = self.lone_harness(answer_after(500))
+        await self.send(harness)
+        self.assertEqual(["r1"], harness.reached_replicas())
+
+    async def test_an_answer_comes_where_the_other_replica_refuses(self) -> None:
+        """Guards against 502 when the replica of the repetition is full."""
+        await self.send(self.harness(answer_after(500), REFUSES))
+
+    async def test_an_answer_comes_where_the_other_replica_is_unreachable(
+        self,
+    ) -> None:
+        """Guards against 502 when the replica of the repetition is gone."""
+        harness = self.harness(answer_after(500))
+        await self.send(harness)
+        self.assertEqual(["r1"], harness.reached_replicas())
+
+    async def test_an_answer_comes_where_the_retries_are_spent(self) -> None:
+        """Guards against 504 when the budget allows no repetition."""
+        harness = self.harness(answer_after(500), answer_ok)
+        self.spend_retries(harness)
+        await self.send(harness)
+        self.assertEqual(["r1"], harness.reached_replicas())
+
+    async def test_a_silent_replica_is_left_for_one_that_answers(self) -> None:
+        """A request does not wait for its silent replica if another one is free."""
+        harness = self.harness(never_answer, answer_ok)
+        await self.send(harness)
+        self.assertEqual(["r1", "r2"], harness.reached_replicas())
