Refuse replicas' entries that cannot be used

Callers saw machines end again and again, or stop following the replicas, after another writer had left one odd entry among theirs. It can happen here: an entry nested too deeply raised RecursionError, which nothing caught, and ended the process with each read of the list. An entry with slots beyond 32 bits, a negative time of birth or a lone surrogate passed the decoder and failed in the encoding of the message that forwards it; one with a port over 65535 raised OverflowError in the connect.

Entries are now read by a parser with a fixed limit of depth, and each field has a type whose values fit wherever they are used: the messages' fields, header lines, socket addresses. Parser, check and field types are in the new package documents/, for all documents that come from others.

--- a/src/hemlocktrestle/platform/_registrations.py
+++ b/src/hemlocktrestle/platform/_registrations.py
@@ -1,31 +1,37 @@
 """Decodes the entries with which replicas register in the platform's store."""
 
-import json
-import re
-from typing import Annotated, Any, Literal, NotRequired
+from typing import Any, Literal, NotRequired
 
-from pydantic import ConfigDict, Field, TypeAdapter, ValidationError, with_config
+from pydantic import ConfigDict, TypeAdapter, with_config
 from typing_extensions import TypedDict
 
-from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.documents import (
+    Id,
+    IpAddress,
+    Name,
+    PositiveCount,
+    Revision,
+    SignedMilliseconds,
+    check,
+    decode_json,
+)
 from hemlocktrestle.gateway import ReplicaRecord
 
-_ADDRESS = re.compile(r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
-
 
 @with_config(ConfigDict(extra="ignore", strict=True))
 class _Registration(TypedDict):
-    service: Annotated[str, Field(min_length=1)]
-    address: Annotated[str, Field(pattern=_ADDRESS.pattern)]
-    zone: Annotated[str, Field(min_length=1)]
-    slots: Annotated[int, Field(gt=0)]
+    service: Name
+    address: IpAddress
+    zone: Name
+    slots: PositiveCount
     state: Literal["ready", "draining"]
-    coldRemainingMs: NotRequired[float]
+    coldRemainingMs: NotRequired[SignedMilliseconds]
     # Wall-clock milliseconds of the start; distinguishes restarts under one id.
-    born: NotRequired[int]
+    born: NotRequired[Revision]
 
 
 _ADAPTER: TypeAdapter[Any] = TypeAdapter(_Registration)
+_ID_ADAPTER: TypeAdapter[str] = TypeAdapter(Id)
 
 
 def decode_registration(replica_id: str, data: bytes) -> ReplicaRecord:
@@ -40,19 +46,12 @@
 
     Raises:
         RequestError: of kind ``SETTINGS_INVALID`` if the entry is invalid; the
-            message names the field.
+            message names the field.  An id that no header line can carry is an error,
+            too.
     """
-    try:
-        raw = _ADAPTER.validate_python(json.loads(data))
-    except ValidationError as error:
-        field = ".".join(str(part) for part in error.errors()[0]["loc"])
-        raise RequestError(
-            ErrorKind.SETTINGS_INVALID, f"registration {replica_id}: {field}"
-        ) from error
-    except ValueError as error:
-        raise RequestError(
-            ErrorKind.SETTINGS_INVALID, f"registration {replica_id}: not JSON"
-        ) from error
+    source = f"registration {replica_id}"
+    check(_ID_ADAPTER, replica_id, source=source)
+    raw = decode_json(_ADAPTER, data, source=source)
     return ReplicaRecord(
         replica_id=replica_id,
         service=raw["service"],
--- a/tests/edge/test_watchers.py
+++ b/tests/edge/test_watchers.py
@@ -12,6 +12,7 @@
 from hemlocktrestle.edge._watchers import ConfigurationWatcher, ReplicaWatcher
 from hemlocktrestle.gateway import FleetSnapshot
 from hemlocktrestle.platform import PlatformStore, decode_settings
+from tests.odd_values import NESTING
 from tests.platform.documents import (
     CONFIGURATION,
     REGISTRATION,
@@ -40,6 +41,18 @@
 )
 """Faults of the stand-in: attributes and the values to set."""
 
+ODD_ENTRIES: tuple[bytes, ...] = (
+    b"[" * NESTING,
+    as_bytes(changed(REGISTRATION, "slots", 10**30)),
+    as_bytes(changed(REGISTRATION, "slots", 2**32)),
+    as_bytes(changed(REGISTRATION, "slots", 10**400)),
+    as_bytes(changed(REGISTRATION, "born", -1)),
+    as_bytes(changed(REGISTRATION, "address", "10.0.0.1:99999")),
+    as_bytes(changed(REGISTRATION, "service", "\ud800")),
+    as_bytes(changed(REGISTRATION, "zone", "z" * 2_000_000)),
+)
+"""Entries of other writers, each with one thing that cannot be used."""
+
 Check = Callable[["WatchedStore"], Awaitable[None]]
 
 
@@ -243,6 +256,40 @@
 
         await self.run_with(check)
 
+    async def test_an_odd_entry_names_no_replica_and_the_others_hold(self) -> None:
+        """Guards against an entry of another writer that ends all who read it."""
+
+        async def check(watched: WatchedStore) -> None:
+            for number, odd in enumerate(ODD_ENTRIES):
+                name = f"a{number}"
+                watched.store.put("servers/odd", odd)
+                await trio.sleep(1)
+                self.assertEqual(["r1"], watched.replicas, repr(odd[:80]))
+                watched.register(name)
+                await trio.sleep(1)
+                self.assertEqual([name, "r1"], watched.replicas, repr(odd[:80]))
+                # The entry is among those of a listing, too.
+                watched.store.forget()
+                watched.store.remove(f"servers/{name}")
+                await trio.sleep(3)
+                self.assertEqual(["r1"], watched.replicas, repr(odd[:80]))
+
+        await self.run_with(check)
+
+    async def test_a_replica_whose_entry_turns_odd_is_not_used(self) -> None:
+        """It is used again with its next sound entry."""
+
+        async def check(watched: WatchedStore) -> None:
+            for odd in ODD_ENTRIES:
+                watched.store.put("servers/r1", odd)
+                await trio.sleep(1)
+                self.assertEqual([], watched.replicas, repr(odd[:80]))
+                watched.register("r1")
+                await trio.sleep(1)
+                self.assertEqual(["r1"], watched.replicas, repr(odd[:80]))
+
+        await self.run_with(check)
+
     async def test_entries_lapsed_in_an_outage_return_or_are_dropped(self) -> None:
         """Lapsed entries are kept while replicas may register again, then dropped."""
 
