Refuse configurations that cannot be used

The decoder took any number: a negative rank or objective, or tokens beyond 32 bits, failed in the encoding of a permit request, in the task of the link; one that is no number failed in a timeout; a customer's name with a line break failed in the head of the request to the replica. A document nested too deeply raised RecursionError and ended the process that watches it, with each read.

Each field now has a type from documents/, and a customer's rank above 31 counts as 31, so that the rank of a request fits its field. As before, a configuration that is refused leaves the one in force.

--- a/src/hemlocktrestle/gateway/_configuration.py
+++ b/src/hemlocktrestle/gateway/_configuration.py
@@ -158,6 +158,12 @@
 ROUTE_RANKS = 8
 """Number of distinct route ranks within one customer rank; higher ones count alike."""
 
+CUSTOMER_RANKS = 32
+"""Number of distinct customer ranks; higher ones count alike.
+
+With the route ranks they fit the field of a message that holds one byte.
+"""
+
 
 def urgency_rank(route: Route, customer: Customer | None) -> int:
     """Return the rank of a request, 0 the highest.
@@ -165,7 +171,8 @@
     Requests are ranked by customer, and with equal customer ranks by route.
     """
     own = customer.rank if customer is not None else None
-    return (own or 0) * ROUTE_RANKS + min(route.rank, ROUTE_RANKS - 1)
+    customer_rank = min(own or 0, CUSTOMER_RANKS - 1)
+    return customer_rank * ROUTE_RANKS + min(route.rank, ROUTE_RANKS - 1)
 
 
 def choose_service(route: Route, request_id: str) -> str:
--- a/src/hemlocktrestle/platform/_configuration.py
+++ b/src/hemlocktrestle/platform/_configuration.py
@@ -1,12 +1,22 @@
 """Decodes the operator's configuration document from the platform's store."""
 
-import json
 from typing import Annotated, Any, Literal, NotRequired
 
-from pydantic import ConfigDict, Field, TypeAdapter, ValidationError, with_config
+from pydantic import ConfigDict, Field, TypeAdapter, with_config
 from typing_extensions import TypedDict
 
-from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.documents import (
+    BYTES_MAX,
+    Amount,
+    Count,
+    HeaderText,
+    Milliseconds,
+    PositiveCount,
+    PositiveMilliseconds,
+    Revision,
+    Text,
+    decode_json,
+)
 from hemlocktrestle.gateway import (
     CallerLimits,
     Configuration,
@@ -18,29 +28,36 @@
     Target,
 )
 
+TOKENS_PER_EVENT_MAX = 4_096
+"""Most tokens in one event of a stream.
+
+The tokens of a million such events fit a field of a message.
+"""
+
 _IGNORE_EXTRA = ConfigDict(extra="ignore")
+_Bytes = Annotated[int, Field(ge=0, le=BYTES_MAX)]
 
 
 @with_config(_IGNORE_EXTRA)
 class _Split(TypedDict):
-    service: str
-    weight: Annotated[float, Field(ge=0)]
+    service: Text
+    weight: Amount
 
 
 @with_config(_IGNORE_EXTRA)
 class _Route(TypedDict):
-    name: NotRequired[str]
-    host: str
-    prefix: str
+    name: NotRequired[Text]
+    host: Text
+    prefix: Text
     kind: Literal["idempotent", "non_idempotent", "streaming"]
-    timeoutMs: Annotated[float, Field(gt=0)]
+    timeoutMs: PositiveMilliseconds
     # Latency objective of the first event or of the whole answer.
-    targetLatencyMs: NotRequired[float]
-    targetGapMs: NotRequired[float | None]
-    priority: NotRequired[int]
-    service: NotRequired[str | None]
+    targetLatencyMs: NotRequired[Milliseconds]
+    targetGapMs: NotRequired[Milliseconds | None]
+    priority: NotRequired[Count]
+    service: NotRequired[Text | None]
     weightedSplit: NotRequired[list[_Split] | None]
-    attempts: NotRequired[int]
+    attempts: NotRequired[Count]
     # Whether callers need no key; unrelated to the networks they call from.
     public: NotRequired[bool]
     streamResume: NotRequired[bool]
@@ -48,39 +65,39 @@
 
 @with_config(_IGNORE_EXTRA)
 class _Engine(TypedDict):
-    slots: Annotated[int, Field(gt=0)]
+    slots: PositiveCount
     # Tokens per event of a stream.
-    stride: NotRequired[int]
+    stride: NotRequired[Annotated[int, Field(ge=1, le=TOKENS_PER_EVENT_MAX)]]
 
 
 @with_config(_IGNORE_EXTRA)
 class _Service(TypedDict):
-    name: str
+    name: Text
     engine: NotRequired[_Engine | None]
 
 
 @with_config(_IGNORE_EXTRA)
 class _Tenant(TypedDict):
-    name: str
-    apiKeys: NotRequired[list[str]]
-    priority: NotRequired[int | None]
-    unit: NotRequired[str | None]
-    plainTokens: NotRequired[int | None]
-    ratePerS: NotRequired[float | None]
-    burst: NotRequired[float | None]
+    name: HeaderText
+    apiKeys: NotRequired[list[Text]]
+    priority: NotRequired[Count | None]
+    unit: NotRequired[Text | None]
+    plainTokens: NotRequired[Count | None]
+    ratePerS: NotRequired[Amount | None]
+    burst: NotRequired[Amount | None]
 
 
 @with_config(_IGNORE_EXTRA)
 class _CallerLimits(TypedDict):
-    maxHeaderBytes: NotRequired[int]
-    maxBodyBytes: NotRequired[int]
-    headerTimeoutMs: NotRequired[float]
-    idleTimeoutMs: NotRequired[float]
+    maxHeaderBytes: NotRequired[_Bytes]
+    maxBodyBytes: NotRequired[_Bytes]
+    headerTimeoutMs: NotRequired[Milliseconds]
+    idleTimeoutMs: NotRequired[Milliseconds]
 
 
 @with_config(_IGNORE_EXTRA)
 class _Configuration(TypedDict):
-    version: int
+    version: Revision
     routes: list[_Route]
     services: NotRequired[list[_Service]]
     limits: NotRequired[_CallerLimits]
@@ -108,19 +125,7 @@
     Raises:
         RequestError: of kind ``SETTINGS_INVALID``; the message names the field.
     """
-    try:
-        raw = _ADAPTER.validate_python(json.loads(data))
-    except ValidationError as error:
-        first = error.errors()[0]
-        field = ".".join(str(part) for part in first["loc"])
-        reason = first["msg"]
-        raise RequestError(
-            ErrorKind.SETTINGS_INVALID, f"configuration: {field}: {reason}"
-        ) from error
-    except ValueError as error:
-        raise RequestError(
-            ErrorKind.SETTINGS_INVALID, "configuration is not JSON"
-        ) from error
+    raw = decode_json(_ADAPTER, data, source="configuration")
     limits = raw.get("limits", {})
     defaults = CallerLimits()
     return Configuration(
--- a/tests/edge/test_watchers.py
+++ b/tests/edge/test_watchers.py
@@ -290,6 +290,21 @@
 
         await self.run_with(check)
 
+    async def test_odd_configurations_are_ignored(self) -> None:
+        """The one in force remains, and the next sound one is applied."""
+
+        async def check(watched: WatchedStore) -> None:
+            watched.store.put("op/config", b"[" * NESTING)
+            await trio.sleep(APPLY_S)
+            watched.configure(10**400)
+            await trio.sleep(APPLY_S)
+            self.assertEqual([10], watched.versions)
+            watched.configure(11)
+            await trio.sleep(APPLY_S)
+            self.assertEqual([10, 11], watched.versions)
+
+        await self.run_with(check)
+
     async def test_entries_lapsed_in_an_outage_return_or_are_dropped(self) -> None:
         """Lapsed entries are kept while replicas may register again, then dropped."""
 
--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -67,33 +67,44 @@
 
 NESTED: Any = json.loads("[" * 150 + "]" * 150)
 
-JSON_VALUES: st.SearchStrategy[Any] = st.recursive(
+_ODD_VALUES = st.sampled_from([*ODD_NUMBERS, *ODD_ADDRESSES, NESTED])
+
+_SCALARS: st.SearchStrategy[Any] = (
     st.none()
     | st.booleans()
     | st.integers()
     | st.integers(min_value=10**15, max_value=10**30)
     | st.floats()
     | st.text(st.characters(codec=None, exclude_categories=()), max_size=9)
-    | st.sampled_from([*ODD_NUMBERS, *ODD_ADDRESSES, NESTED]),
-    lambda inner: (
-        st.lists(inner, max_size=3)
-        | st.dictionaries(st.text(max_size=4), inner, max_size=3)
-    ),
-    max_leaves=4,
+)
+
+JSON_VALUES: st.SearchStrategy[Any] = (
+    _ODD_VALUES
+    | _SCALARS
+    | st.recursive(
+        _ODD_VALUES | _SCALARS,
+        lambda inner: (
+            st.lists(inner, max_size=3)
+            | st.dictionaries(st.text(max_size=4), inner, max_size=3)
+        ),
+        max_leaves=4,
+    )
 )
 """Any JSON value, with those that decoders have failed on among them."""
 
 
 def paths(document: Any, prefix: str = "") -> list[str]:
-    """Return the paths of all fields of a document, as ``changed`` takes them."""
-    if isinstance(document, dict):
-        inner = [(str(name), value) for name, value in document.items()]
-    elif isinstance(document, list):
-        inner = [(str(index), value) for index, value in enumerate(document)]
-    else:
+    """Return the paths of all named fields, as ``changed`` takes them."""
+    if isinstance(document, list):
+        return [
+            path
+            for index, value in enumerate(document)
+            for path in paths(value, f"{prefix}{index}.")
+        ]
+    if not isinstance(document, dict):
         return []
     found = []
-    for name, value in inner:
-        found.append(prefix + name)
+    for name, value in document.items():
+        found.append(f"{prefix}{name}")
         found += paths(value, f"{prefix}{name}.")
     return found
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -1,12 +1,21 @@
 """Tests of decoding the operator's configuration."""
 
+import math
+from typing import Any
+
+from hypothesis import given
 from testtools import TestCase
 
-from hemlocktrestle.errors import RequestError
-from hemlocktrestle.gateway import EngineLimits, RequestKind, Target
+from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.gateway import EngineLimits, RequestKind, Target, urgency_rank
 from hemlocktrestle.platform import decode_configuration
+from hemlocktrestle.wire import Ask, Release, decode, encode
+from tests.odd_values import JSON_VALUES, ODD_BYTES, ODD_NUMBERS, paths
 from tests.platform.documents import CONFIGURATION, as_bytes, changed
 
+EVENTS_MAX = 1_000_000
+"""Most events of one stream, as the largest message has to report them."""
+
 
 def error_message(data: bytes) -> str:
     """Return the error message for a configuration, empty if it is valid."""
@@ -57,3 +66,97 @@
         """Malformed JSON gives an ordinary error."""
         for data in (b"", b"{", b"\xff", b"[]", b"null"):
             self.assertIn("configuration", error_message(data))
+
+
+class OddConfigurationTests(TestCase):
+    """Guards against a configuration that is accepted and fails where it is used."""
+
+    def test_odd_bytes_are_refused(self) -> None:
+        """Bytes that cannot be read are refused with a reason, however deep."""
+        for data in ODD_BYTES:
+            self.assertIn("configuration", error_message(data))
+
+    def test_odd_numbers_are_refused(self) -> None:
+        """A number that cannot be used is refused, and its field is named."""
+        numbers = [
+            number
+            for number in ODD_NUMBERS
+            if number is not None and not isinstance(number, str)
+        ]
+        for path in (
+            "version",
+            "routes.0.timeoutMs",
+            "routes.0.targetLatencyMs",
+            "routes.0.targetGapMs",
+            "routes.0.priority",
+            "routes.0.attempts",
+            "services.0.engine.slots",
+            "services.0.engine.stride",
+            "limits.maxBodyBytes",
+            "limits.headerTimeoutMs",
+            "tenants.0.priority",
+            "tenants.0.plainTokens",
+            "tenants.0.ratePerS",
+            "tenants.0.burst",
+        ):
+            for number in numbers:
+                said = error_message(as_bytes(changed(CONFIGURATION, path, number)))
+                self.assertIn(path, said, repr(number)[:40])
+
+    def test_large_numbers_are_accepted(self) -> None:
+        """The bounds leave room for values that an operator may well state."""
+        for path, number in (
+            ("version", 2**53),
+            ("routes.0.timeoutMs", 86_400_000),
+            ("routes.0.priority", 1_000),
+            ("routes.0.attempts", 0),
+            ("limits.maxBodyBytes", 2**32),
+            ("tenants.0.priority", 1_000),
+            ("tenants.0.ratePerS", 1e12),
+        ):
+            said = error_message(as_bytes(changed(CONFIGURATION, path, number)))
+            self.assertEqual("", said, path)
+
+    def test_a_name_that_no_header_line_carries_is_refused(self) -> None:
+        """A customer's name is sent to replicas in a header line."""
+        for name in ("a\nb", "a\0", " a"):
+            data = as_bytes(changed(CONFIGURATION, "tenants.0.name", name))
+            self.assertIn("tenants.0.name", error_message(data))
+        surrogate = as_bytes(changed(CONFIGURATION, "tenants.0.name", "\ud800"))
+        self.assertIn("not JSON", error_message(surrogate))
+
+    @given(value=JSON_VALUES)
+    def test_any_value_of_any_field_is_converted_or_refused(self, value: Any) -> None:
+        """What is accepted can be used in the messages between VMs."""
+        for path in paths(CONFIGURATION):
+            try:
+                found = decode_configuration(
+                    as_bytes(changed(CONFIGURATION, path, value))
+                )
+            except RequestError as error:
+                self.assertIs(ErrorKind.SETTINGS_INVALID, error.kind)
+                continue
+            for route in found.routes:
+                for customer in [None, *found.customers.values()]:
+                    tokens = customer.default_tokens if customer is not None else 0
+                    ask = Ask(
+                        "r",
+                        route.targets[0].service,
+                        customer.name if customer is not None else "",
+                        urgency_rank(route, customer),
+                        1.0,
+                        tokens,
+                        1,
+                        0,
+                        int(route.objective_ms),
+                        aim_ms=int(route.objective_ms),
+                        route=route.name,
+                        amount=tokens,
+                    )
+                    self.assertEqual(ask, decode(encode(ask)))
+                self.assertTrue(math.isfinite(route.timeout_ms + route.gap_ms))
+            for service in found.services.values():
+                if service.engine is not None:
+                    tokens = EVENTS_MAX * service.engine.tokens_per_event
+                    release = Release("r", service.name, "", True, "", 0, 0, 0, tokens)
+                    self.assertEqual(release, decode(encode(release)))
