Refuse entries of VMs that cannot be used

An odd entry under the system's own prefix ended the process that read it: one nested too deeply raised RecursionError, one that is a number or a list raised AttributeError or TypeError in places, and one with an address or a size of another type was accepted and failed in the dialling of the link. Customers listed as busy were read in the same way.

--- a/src/hemlocktrestle/edge/_registration.py
+++ b/src/hemlocktrestle/edge/_registration.py
@@ -3,12 +3,22 @@
 import json
 import logging
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import trio
-
+from pydantic import TypeAdapter
+
+from hemlocktrestle.documents import (
+    Amount,
+    HostAddress,
+    Name,
+    Text,
+    check,
+    decode_json,
+)
 from hemlocktrestle.edge._state import now_ms
 from hemlocktrestle.edge._store_task import StoreHealth, StoreTask
+from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.platform import PlatformStore, StoreError
 
 log = logging.getLogger(__name__)
@@ -41,24 +51,38 @@
     ``cpu_cores`` and ``link_mbps`` are the size of the VM, 0 if it is not known.
     """
 
-    vm: str
-    zone: str
-    region: str
-    address: str
-    boot_id: str
-    cpu_cores: float = 0.0
-    link_mbps: float = 0.0
+    vm: Name
+    zone: Name
+    region: Name
+    address: HostAddress
+    boot_id: Name
+    cpu_cores: Amount = 0.0
+    link_mbps: Amount = 0.0
+
+
+_OBJECT_ADAPTER: TypeAdapter[dict[str, Any]] = TypeAdapter(dict[str, Any])
+_VM_ADAPTER: TypeAdapter[VmEntry] = TypeAdapter(VmEntry)
+_BUSY_ADAPTER: TypeAdapter[list[str]] = TypeAdapter(list[Text])
 
 
-def decode_vm_entry(value: bytes) -> VmEntry:
+def decode_vm_entry(key: str, value: bytes) -> VmEntry:
     """Decode a VM's entry; fields of later versions are ignored.
 
+    Args:
+        key: its key, which ends with the name of the VM.
+        value: the entry.
+
     Raises:
-        ValueError: the entry is not JSON.
-        TypeError: a field is missing.
+        RequestError: of kind ``SETTINGS_INVALID``; the message names the field.
     """
-    fields = json.loads(value)
-    return VmEntry(**{name: fields[name] for name in VmEntry._fields if name in fields})
+    fields = decode_json(_OBJECT_ADAPTER, value, source=key)
+    known = {name: fields[name] for name in VmEntry._fields if name in fields}
+    entry = check(_VM_ADAPTER, known, source=key)
+    if key != VM_PREFIX + entry.vm:
+        raise RequestError(
+            ErrorKind.SETTINGS_INVALID, f"{key}: vm: not the VM of the key"
+        )
+    return entry
 
 
 class VmRegistrar(StoreTask):
@@ -128,12 +152,14 @@
         for item in page.items:
             try:
                 if item.key.startswith(VM_PREFIX):
-                    entries.append(decode_vm_entry(item.value))
+                    entries.append(decode_vm_entry(item.key, item.value))
                 elif item.key.startswith(BUSY_PREFIX):
-                    busy.update(json.loads(item.value))
-            except (ValueError, TypeError) as error:
+                    names = decode_json(_BUSY_ADAPTER, item.value, source=item.key)
+                    busy.update(names)
+            except RequestError as error:
                 log.warning(
-                    "own_entry_refused", extra={"key": item.key, "reason": str(error)}
+                    "own_entry_refused",
+                    extra={"key": item.key, "reason": error.message},
                 )
         self._on_busy(busy)
         self._on_vms(entries)
--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -49,9 +49,6 @@
     "10.0.0.1:99999",
     "10.0.0.1:-1",
     "10.0.0.1:",
-    "10.0.0.256:80",
-    "10.0.0:80",
-    "999.999.999.999:80",
     "10.0.0.1:8\u0663",
     "10.0.0.\u0661:80",
     "10.0.0.1\0:80",
@@ -63,11 +60,21 @@
     7,
     None,
 )
-"""Texts that name no socket address."""
+"""Values that name no host and port."""
+
+ODD_IP_ADDRESSES: tuple[Any, ...] = (
+    *ODD_ADDRESSES,
+    "10.0.0.256:80",
+    "10.0.0:80",
+    "999.999.999.999:80",
+    "10.0.0.010:80",
+    "host:80",
+)
+"""Values that name no IPv4 address and port."""
 
 NESTED: Any = json.loads("[" * 150 + "]" * 150)
 
-_ODD_VALUES = st.sampled_from([*ODD_NUMBERS, *ODD_ADDRESSES, NESTED])
+_ODD_VALUES = st.sampled_from([*ODD_NUMBERS, *ODD_IP_ADDRESSES, NESTED])
 
 _SCALARS: st.SearchStrategy[Any] = (
     st.none()
--- a/tests/platform/test_registrations.py
+++ b/tests/platform/test_registrations.py
@@ -12,8 +12,8 @@
 from hemlocktrestle.wire import ReplicaNews, decode, encode
 from tests.odd_values import (
     JSON_VALUES,
-    ODD_ADDRESSES,
     ODD_BYTES,
+    ODD_IP_ADDRESSES,
     ODD_NUMBERS,
     paths,
 )
@@ -77,7 +77,7 @@
 
     def test_odd_addresses_are_refused(self) -> None:
         """Ports and octets out of range, and other digits than ASCII, are refused."""
-        for address in ODD_ADDRESSES:
+        for address in ODD_IP_ADDRESSES:
             entry = as_bytes(changed(REGISTRATION, "address", address))
             self.assertFalse(is_usable(entry), repr(address))
 
