Check the store's answers item by item

The client took the form of each answer for granted: an item without a field, of another type or with a value that is not base64 raised KeyError, TypeError or binascii.Error in the task that follows the store, and ended the process with each read. A listing whose pages repeat did not end.

An item that cannot be read is logged and skipped; one whose value cannot be decoded counts as empty, so that its reader refuses it as it does any odd entry. An answer of another form is a StoreError of the kind that exists for it, after which the task starts again.

--- a/src/hemlocktrestle/platform/_store.py
+++ b/src/hemlocktrestle/platform/_store.py
@@ -2,14 +2,22 @@
 
 import base64
 import json
+import logging
 import socket
 from contextlib import AsyncExitStack
 from enum import Enum
 from types import TracebackType
-from typing import Any, NamedTuple, Self
+from typing import Any, NamedTuple, NotRequired, Self, TypeVar
 from urllib.parse import quote, urlencode
 
 import httpcore
+from pydantic import TypeAdapter
+from typing_extensions import TypedDict
+
+from hemlocktrestle.documents import Revision, Text, check, parse_json
+from hemlocktrestle.errors import RequestError
+
+log = logging.getLogger(__name__)
 
 CONFIGURATION_KEY = "op/config"
 """Key of the operator's configuration."""
@@ -115,6 +123,46 @@
     revision: int
 
 
+class _Head(TypedDict):
+    currentRev: NotRequired[Revision]
+
+
+class _Page(TypedDict):
+    items: list[Any]
+    currentRev: Revision
+    hasMore: NotRequired[bool | None]
+
+
+class _Changes(TypedDict):
+    events: list[Any]
+    currentRev: Revision
+
+
+class _Written(TypedDict):
+    revision: Revision
+
+
+class _Lease(TypedDict):
+    lease: Revision
+
+
+class _Change(TypedDict):
+    key: Text
+    revision: Revision
+    value: NotRequired[Any]
+    tombstone: NotRequired[bool | None]
+
+
+_Answer = TypeVar("_Answer")
+
+_HEAD: TypeAdapter[_Head] = TypeAdapter(_Head)
+_PAGE: TypeAdapter[_Page] = TypeAdapter(_Page)
+_CHANGES: TypeAdapter[_Changes] = TypeAdapter(_Changes)
+_WRITTEN: TypeAdapter[_Written] = TypeAdapter(_Written)
+_LEASE: TypeAdapter[_Lease] = TypeAdapter(_Lease)
+_CHANGE: TypeAdapter[_Change] = TypeAdapter(_Change)
+
+
 class PlatformStore:
     """Client of the platform's store.
 
@@ -165,15 +213,18 @@
         Returns:
             The item, or ``None`` if the key is absent, and the store's revision.
         """
-        status, body = await self._call(
+        status, raw = await self._call(
             "GET",
             "/kv-key",
             {"key": key},
             ok=(200, 404),
             read_timeout_s=timeout_s,
         )
-        revision = int(body.get("currentRev", 0))
-        return (_item(body) if status == 200 else None), revision
+        revision = _checked(_HEAD, raw, "GET /kv-key").get("currentRev", 0)
+        if status != 200:
+            return None, revision
+        item = _item(_checked(_CHANGE, raw, "GET /kv-key"))
+        return (item if isinstance(item, Item) else None), revision
 
     async def list(self, prefix: str, *, allow_stale: bool = False) -> Page:
         """Read all keys under a prefix; the pages are not one consistent snapshot.
@@ -189,14 +240,20 @@
         items: list[Item] = []
         revision: int | None = None
         while True:
-            _, body = await self._call("GET", "/kv-range", query)
-            items += [_item(raw) for raw in body["items"]]
+            _, raw = await self._call("GET", "/kv-range", query)
+            body = _checked(_PAGE, raw, "GET /kv-range")
+            found = _changes(body["items"])
+            items += [item for item in found if isinstance(item, Item)]
             # Later pages may miss changes made after the first page was read, so a
             # watch has to start at the revision of the first page.
             revision = body["currentRev"] if revision is None else revision
             if not body.get("hasMore") or not body["items"]:
-                return Page(tuple(items), int(revision))
-            query["after"] = items[-1].key
+                return Page(tuple(items), revision)
+            if not found or query.get("after") == found[-1].key:
+                raise StoreError(
+                    StoreErrorKind.MALFORMED, "GET /kv-range: no next page"
+                )
+            query["after"] = found[-1].key
 
     async def watch(
         self,
@@ -216,28 +273,23 @@
         """
         query = {"prefix": prefix, "after": after, "waitMs": wait_ms}
         limit_s = wait_ms / 1000 + timeout_s
-        _, body = await self._call("GET", "/kv-watch", query, read_timeout_s=limit_s)
-        events = tuple(
-            RemovedItem(raw["key"], raw["revision"])
-            if raw.get("tombstone")
-            else _item(raw)
-            for raw in body["events"]
-        )
-        return WatchResult(events, int(body["currentRev"]))
+        _, raw = await self._call("GET", "/kv-watch", query, read_timeout_s=limit_s)
+        body = _checked(_CHANGES, raw, "GET /kv-watch")
+        return WatchResult(tuple(_changes(body["events"])), body["currentRev"])
 
     async def put(self, key: str, value: bytes, *, lease: int = 0) -> int:
         """Write one key unconditionally and return its revision."""
         encoded = base64.b64encode(value).decode()
         put = {"key": key, "value": encoded, "lease": lease}
-        _, body = await self._call(
+        _, raw = await self._call(
             "POST", "/kv-txn", body={"expect": [], "puts": [put], "deletes": []}
         )
-        return int(body["revision"])
+        return _checked(_WRITTEN, raw, "POST /kv-txn")["revision"]
 
     async def grant_lease(self, ttl_ms: int) -> int:
         """Create a lease and return its id."""
-        _, body = await self._call("POST", "/kv-lease", body={"ttlMs": ttl_ms})
-        return int(body["lease"])
+        _, raw = await self._call("POST", "/kv-lease", body={"ttlMs": ttl_ms})
+        return _checked(_LEASE, raw, "POST /kv-lease")["lease"]
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease; its time starts anew when the store gets the call."""
@@ -256,7 +308,7 @@
         body: dict[str, Any] | None = None,
         ok: tuple[int, ...] = (200, 204),
         read_timeout_s: float = CALL_TIMEOUT_S,
-    ) -> tuple[int, dict[str, Any]]:
+    ) -> tuple[int, Any]:
         self.call_count += 1
         url = self._url + path
         if query:
@@ -289,14 +341,52 @@
         if response.status not in ok:
             kind = _STATUS_KINDS.get(response.status, StoreErrorKind.MALFORMED)
             raise StoreError(kind, f"{method} {path}: status {response.status}")
+        if not response.content:
+            return response.status, {}
         try:
-            document = json.loads(response.content) if response.content else {}
-        except ValueError as error:
-            raise StoreError(
-                StoreErrorKind.MALFORMED, f"{method} {path}: not JSON"
-            ) from error
-        return response.status, document
+            return response.status, parse_json(
+                response.content, source=f"{method} {path}"
+            )
+        except RequestError as error:
+            raise StoreError(StoreErrorKind.MALFORMED, error.message) from error
+
 
+def _checked(adapter: TypeAdapter[_Answer], raw: Any, call: str) -> _Answer:
+    """Return an answer of the store with its type checked.
+
+    Raises:
+        StoreError: of kind ``MALFORMED``; the message names the field.
+    """
+    try:
+        return check(adapter, raw, source=call)
+    except RequestError as error:
+        raise StoreError(StoreErrorKind.MALFORMED, error.message) from error
 
-def _item(raw: dict[str, Any]) -> Item:
-    return Item(raw["key"], base64.b64decode(raw["value"]), int(raw["revision"]))
+
+def _changes(raws: list[Any]) -> list[Item | RemovedItem]:
+    """Return the items that can be read, in their order; log the others."""
+    found = []
+    for raw in raws:
+        try:
+            found.append(_item(check(_CHANGE, raw, source="item")))
+        except RequestError as error:
+            log.warning("store_item_unreadable", extra={"reason": error.message})
+    return found
+
+
+def _item(raw: _Change) -> Item | RemovedItem:
+    """Return an item, or its removal.
+
+    A value that is not base64 counts as empty, which is no document of any kind:
+    whoever reads the item refuses its latest value and does not keep an earlier one.
+    """
+    if raw.get("tombstone"):
+        return RemovedItem(raw["key"], raw["revision"])
+    try:
+        value = base64.b64decode(raw.get("value", ""))
+    except (ValueError, TypeError) as error:
+        log.warning(
+            "store_value_unreadable", extra={"key": raw["key"], "reason": str(error)}
+        )
+        value = b""
+    return Item(raw["key"], value, raw["revision"])
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,6 +1,9 @@
 """Tests of the client of the platform's store, against a stand-in."""
 
+import copy
 from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any
 
 import httpcore
 import trio
@@ -13,6 +16,7 @@
     StoreError,
     StoreErrorKind,
 )
+from tests.odd_values import NESTED, ODD_NUMBERS
 from tests.standins.platform_store import PlatformStoreStandIn
 from tests.support import TrioTestCase
 
@@ -168,3 +172,99 @@
             self.assertIsNone(await self.kind_of(client.list("x")))
 
         await self.run_with(check)
+
+    async def test_an_odd_item_hides_no_other(self) -> None:
+        """Guards against one item of a page, or of a watch, that ends its reader."""
+        odd: tuple[Any, ...] = (
+            7,
+            None,
+            [],
+            {},
+            {"key": 7, "value": "", "revision": 1},
+            {"key": "servers/x", "value": "", "revision": 10**30},
+            {"key": "servers/x", "value": "", "revision": -1},
+            NESTED,
+        )
+
+        async def check(standin: PlatformStoreStandIn, client: PlatformStore) -> None:
+            start = standin.revision
+            for number in range(5):
+                standin.put(f"servers/{number}", b"x")
+            for item in odd:
+                standin.on_answer = partial(_with_first, item)
+                page = await client.list("servers/")
+                self.assertEqual(5, len(page.items), repr(item))
+                seen = await client.watch("servers/", after=start, wait_ms=1_000)
+                self.assertEqual(5, len(seen.events), repr(item))
+
+        await self.run_with(check)
+
+    async def test_a_value_that_cannot_be_decoded_is_empty(self) -> None:
+        """The item is there, with a value that no reader takes for a document."""
+
+        async def check(standin: PlatformStoreStandIn, client: PlatformStore) -> None:
+            values: tuple[Any, ...] = ("A", "\u00e9", 7, None, [], NESTED)
+            for value in values:
+                item = {"key": "servers/a", "value": value, "revision": 7}
+                standin.on_answer = partial(_with_first, item)
+                page = await client.list("servers/")
+                self.assertEqual((Item("servers/a", b"", 7),), page.items, repr(value))
+
+        await self.run_with(check)
+
+    async def test_an_odd_answer_is_malformed(self) -> None:
+        """Guards against an answer of another form that ends the caller's task."""
+        odd: tuple[Any, ...] = (
+            7,
+            [],
+            NESTED,
+            None,
+            *({"currentRev": number, "items": []} for number in ODD_NUMBERS[:10]),
+            {"currentRev": 1, "items": 7},
+            {"currentRev": 1, "items": [7], "hasMore": True},
+            {"items": []},
+        )
+
+        async def check(standin: PlatformStoreStandIn, client: PlatformStore) -> None:
+            calls: tuple[Callable[[], Awaitable[object]], ...] = (
+                lambda: client.list("servers/"),
+                lambda: client.watch("servers/", after=1, wait_ms=100),
+                lambda: client.put("a", b"1"),
+                lambda: client.grant_lease(1_000),
+            )
+            for answer in odd:
+                standin.on_answer = partial(_instead, answer)
+                for call in calls:
+                    kind = await self.kind_of(call())
+                    self.assertEqual(StoreErrorKind.MALFORMED, kind, repr(answer)[:80])
+
+        await self.run_with(check)
+
+    async def test_a_page_that_repeats_itself_is_malformed(self) -> None:
+        """Guards against a listing that never ends."""
+
+        async def check(standin: PlatformStoreStandIn, client: PlatformStore) -> None:
+            item = {"key": "servers/a", "value": "", "revision": 7}
+            standin.on_answer = lambda _: {
+                "items": [item],
+                "hasMore": True,
+                "currentRev": 9,
+            }
+            with trio.fail_after(5):
+                kind = await self.kind_of(client.list("servers/"))
+            self.assertEqual(StoreErrorKind.MALFORMED, kind)
+
+        await self.run_with(check)
+
+
+def _with_first(item: Any, answer: dict[str, Any]) -> dict[str, Any]:
+    """Return an answer with an item before the others."""
+    found = copy.deepcopy(answer)
+    for name in {"items", "events"} & found.keys():
+        found[name].insert(0, item)
+    return found
+
+
+def _instead(wanted: Any, answer: Any) -> Any:
+    """Return the wanted answer whatever the store's own is."""
+    return wanted
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -28,7 +28,8 @@
     Faults: ``status`` answers every call with that status; ``silent`` never answers;
     ``lose_answers`` applies that many writes and closes their connections before the
     answer; ``history_from`` is the oldest revision that watches can start from;
-    ``garbage`` sends a body that is not JSON.
+    ``garbage`` sends a body that is not JSON; ``on_answer`` may change the documents
+    that are sent.
     ``delay_s`` delays every answer.
     ``watched_count`` counts the changes that watches were sent.
     ``on_put`` may change the values that VMs write, such as the address in an entry,
@@ -49,6 +50,7 @@
         self.history_from = 0
         self.garbage = False
         self.on_put: Callable[[str, bytes], bytes] = lambda key, value: value
+        self.on_answer: Callable[[Any], Any] = lambda document: document
         self._last_lease = 70_000
         self._changed = trio.Event()
 
@@ -111,7 +113,7 @@
         answer = await handler(query, request, parts[1:])
         if answer is None:
             return False
-        await connection.send_json(answer[1], answer[0])
+        await connection.send_json(self.on_answer(answer[1]), answer[0])
         return True
 
     async def _kv_key(
