Let replicas pause and answer without framing in the soak, and check for cuts

Cause: the soak had no sound replica that is silent for a moment, no answer that ends with its connection and no deeply nested or out-of-range entry, and no check that a whole request gets a whole answer while nothing disturbs its VM, its replica or the store. So it could see neither of the two new kinds of failures.

Change: faults pause_a_replica and answer_without_framing, which count as no disturbance; odd entries in register_garbage; check answers_are_whole, with a test that it fires. Seeds 905 and 906 join the regression seeds; seed 703 keeps the faults that it was drawn from, without the new ones.

--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -42,6 +42,13 @@
             is_undisturbed(name, from_s, until_s) for name in (vm, STORE, SOAK_PROCESS)
         )
 
+    def has_sound_replica(self, run: Run, from_s: float, until_s: float) -> bool:
+        """Tell whether the replica of a run lives and was undisturbed."""
+        replica = self.deployment.replicas.get(run.replica)
+        return replica is not None and self.deployment.timeline.is_undisturbed(
+            replica.key, from_s, until_s
+        )
+
 
 Check = Callable[[Evidence], Iterator[str]]
 
@@ -227,6 +234,26 @@
             )
 
 
+@check(TIMED_CHECKS)
+def answers_are_whole(evidence: Evidence) -> Iterator[str]:
+    """Undisturbed VMs answer in full unless a replica broke off or time ran out."""
+    for record in evidence.records:
+        took_s = record.ended_s - record.at_s
+        is_cut = record.left_s is None and not (record.status and record.is_whole)
+        if not is_cut or took_s >= DEADLINE_MS / 1000 - TOLERANCE_S / 2:
+            continue
+        from_s = record.at_s - CONTACT_S
+        runs = evidence.runs.get(record.attempt, [])
+        if evidence.was_undisturbed(record.vm, from_s, record.ended_s) and all(
+            evidence.has_sound_replica(run, from_s, record.ended_s) for run in runs
+        ):
+            replicas = [run.replica for run in runs]
+            yield (
+                f"{record.attempt} at {record.vm} was cut after {took_s:.2f} s, "
+                f"sent to {replicas}"
+            )
+
+
 @check(TIMED_CHECKS)
 def deadlines_are_handed_on(evidence: Evidence) -> Iterator[str]:
     """A replica gets no more than the rest of the caller's deadline."""
--- a/tests/soak/_edge.py
+++ b/tests/soak/_edge.py
@@ -48,6 +48,7 @@
     is_timed: bool = True,
     log_path: Path | None = None,
     vm_count: int = VM_COUNT,
+    without: frozenset[str] = frozenset(),
 ) -> Report:
     """Run one soak.
 
@@ -57,6 +58,7 @@
         is_timed: whether guarantees with a time limit are checked too.
         log_path: file for the log lines of all processes, if any.
         vm_count: how many VMs.
+        without: names of faults that are left out.
 
     Returns:
         The report of the soak.
@@ -80,7 +82,8 @@
                     nursery.start_soon(caller.run)
                 nursery.start_soon(_watch_own_stalls, deployment)
                 await trio.sleep(1.0)
-                await _inject(deployment, rng, seconds, injected)
+                names = sorted(FAULTS.keys() - without)
+                await _inject(deployment, rng, names, seconds, injected)
                 await trio.sleep(RECOVERY_S)
                 if is_timed:
                     violations += _unrecovered(records)
@@ -105,13 +108,17 @@
 
 
 async def _inject(
-    deployment: Deployment, rng: random.Random, seconds: float, injected: Counter[str]
+    deployment: Deployment,
+    rng: random.Random,
+    names: list[str],
+    seconds: float,
+    injected: Counter[str],
 ) -> None:
     """Start faults one after another; they may overlap."""
     end_s = trio.current_time() + seconds
     async with trio.open_nursery() as nursery:
         while trio.current_time() < end_s:
-            name = rng.choice(sorted(FAULTS))
+            name = rng.choice(names)
             injected[name] += 1
             # Each fault has its own random source, independent of concurrent tasks.
             own = random.Random(rng.random())
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -1,5 +1,6 @@
 """Registry of the faults that a soak injects from outside the processes."""
 
+import json
 import random
 import signal
 from collections.abc import Awaitable, Callable, Iterator
@@ -7,7 +8,7 @@
 
 import trio
 
-from tests.platform.documents import SETTINGS
+from tests.platform.documents import REGISTRATION, SETTINGS
 from tests.soak._deployment import VM_PREFIX, Deployment, Replica, Vm
 from tests.soak._timeline import STORE
 from tests.standins.relay import RelayedLink
@@ -18,10 +19,36 @@
 END_SLACK_S = 1.0
 """Tolerance after the grace period for a process to exit, in seconds."""
 
+
+def _odd_entry(field: str, value: object) -> bytes:
+    """Return an entry that is sound but for one field."""
+    entry = {**REGISTRATION, "address": "127.0.0.1:9", field: value}
+    return json.dumps(entry).encode()
+
+
 LINK_MODES = ("cut", "silent", "hole", "one_way", "slow")
 
 REPLICA_MODES = ("break", "mute", "fail", "garbage", "late", "full")
 
+PAUSE_S_MAX = 1.4
+"""Longest pause of a sound replica, in seconds.
+
+A stream's caller has 2 s, so the answer still comes in time.
+"""
+
+ODD_ENTRIES = (
+    b"{",
+    b'{"service": 3}',
+    b"\xff\x00",
+    b"[]",
+    b"[" * 100_000,
+    _odd_entry("slots", 10**30),
+    _odd_entry("born", 10**30),
+    _odd_entry("address", "127.0.0.1:99999"),
+    _odd_entry("coldRemainingMs", float("inf")),
+)
+"""Entries of another writer that name no replica to use."""
+
 Fault = Callable[[Deployment, random.Random], Awaitable[None]]
 
 FAULTS: dict[str, Fault] = {}
@@ -253,6 +280,27 @@
         replica.standin.mode = ""
 
 
+@fault
+async def pause_a_replica(deployment: Deployment, rng: random.Random) -> None:
+    """One replica sends nothing for a moment and goes on, which disturbs nothing."""
+    standin = _replica(deployment, rng).standin
+    standin.is_paused = True
+    await trio.sleep(rng.uniform(0.3, PAUSE_S_MAX))
+    standin.is_paused = False
+
+
+@fault
+async def answer_without_framing(deployment: Deployment, rng: random.Random) -> None:
+    """One replica's answers end with their connections, which disturbs nothing."""
+    standin = _replica(deployment, rng).standin
+    if standin.mode:
+        return
+    standin.mode = "unframed"
+    await trio.sleep(rng.uniform(0.5, 3.0))
+    if standin.mode == "unframed":
+        standin.mode = ""
+
+
 @fault
 async def crash_a_replica(deployment: Deployment, rng: random.Random) -> None:
     """One replica disappears; its entry is removed later and another is added."""
@@ -303,6 +351,6 @@
 async def register_garbage(deployment: Deployment, rng: random.Random) -> None:
     """A malformed registration is written, which must be ignored."""
     key = f"servers/x-{rng.randint(1, 999)}"
-    deployment.store.put(key, rng.choice([b"{", b'{"service": 3}', b"\xff\x00", b"[]"]))
+    deployment.store.put(key, rng.choice(ODD_ENTRIES))
     await trio.sleep(1.0)
     deployment.store.remove(key)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -92,6 +92,7 @@
                 caller_record(),
                 ({"headers": {"x-deadline-ms": "9000"}},),
             ),
+            "answers_are_whole": (caller_record(is_whole=False, body=b"do"), ({},)),
             "all_is_answered": (caller_record(ended_s=103.0), ({},)),
         }
         for name, (one, runs) in cases.items():
--- a/tests/soak/test_edge.py
+++ b/tests/soak/test_edge.py
@@ -1,6 +1,7 @@
 """A short soak test of the edge daemon."""
 
 from functools import partial
+from typing import NamedTuple
 
 import trio
 from testtools import TestCase
@@ -10,10 +11,29 @@
 SEED = 1
 SECONDS = 4.0
 
-REGRESSION_SECONDS = 10.0
+REGRESSION_SECONDS = 12.0
 
-REGRESSION_SEEDS = {703: "a VM that had no lease yet ended lease 0"}
-"""Seeds that once violated a guarantee, each with the cause that was fixed."""
+
+class Regression(NamedTuple):
+    """A seed that once violated a guarantee.
+
+    Args:
+        cause: the cause that was fixed.
+        without: faults that were added later, which would change the drawn ones.
+    """
+
+    cause: str
+    without: frozenset[str] = frozenset()
+
+
+REGRESSION_SEEDS = {
+    703: Regression(
+        "a VM that had no lease yet ended lease 0",
+        frozenset({"pause_a_replica", "answer_without_framing"}),
+    ),
+    905: Regression("a deeply nested entry of a replica ended each process"),
+    906: Regression("an entry with a port out of range ended a process"),
+}
 
 
 class EdgeSoakTests(TestCase):
@@ -28,7 +48,13 @@
 
     def test_seeds_that_once_failed_have_no_violations(self) -> None:
         """The faults are those of the failed run; their effects may come otherwise."""
-        for seed, cause in REGRESSION_SEEDS.items():
-            run = partial(soak_edge, REGRESSION_SECONDS, seed, is_timed=False)
+        for seed, regression in REGRESSION_SEEDS.items():
+            run = partial(
+                soak_edge,
+                REGRESSION_SECONDS,
+                seed,
+                is_timed=False,
+                without=regression.without,
+            )
             report = trio.run(run)
-            self.assertEqual([], report.violations, cause)
+            self.assertEqual([], report.violations, regression.cause)
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -1,7 +1,7 @@
 """A stand-in for a replica on the users' platform; its answers carry a seal header."""
 
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import NamedTuple
 
 import trio
@@ -10,6 +10,9 @@
 
 WHOLE = b"done"
 
+PAUSE_CHECK_S = 0.02
+"""Time between checks whether a pause has ended, in seconds."""
+
 
 class Run(NamedTuple):
     """One request that a replica began to execute; the time is in seconds."""
@@ -27,7 +30,10 @@
     Faults, by ``mode``: ``break`` closes the connection in the middle of the answer;
     ``mute`` executes and does not answer; ``fail`` executes and answers 500;
     ``garbage`` sends bytes that are not HTTP; ``late`` sends a second answer after
-    the first; ``full`` refuses requests without executing them.
+    the first; ``full`` refuses requests without executing them; ``unframed`` answers
+    with neither a length nor chunks, and ends with the connection.
+
+    While ``is_paused`` it goes on running requests and sends nothing.
 
     Args:
         replica_id: the id under which it registers.
@@ -52,6 +58,7 @@
         self.event_ms = event_ms
         self.work_ms = work_ms
         self.mode = ""
+        self.is_paused = False
         self.attempt_ids: list[str] = []
         self.runs: list[Run] = []
 
@@ -94,6 +101,7 @@
             await connection.finish()
             return
         await trio.sleep(self.work_ms / 1000)
+        await self._wait_while_paused()
         await connection.send_head(
             200, {**self._answer_headers(request), "content-length": "4"}
         )
@@ -103,14 +111,24 @@
     async def _stream(
         self, connection: Connection, request: Request, last: int
     ) -> None:
-        attempt = request.headers["x-attempt-id"]
         lines = {**self._answer_headers(request), "content-type": "text/event-stream"}
+        await self._wait_while_paused()
         await connection.send_head(200, lines)
+        async for event in self._events(request, last):
+            await connection.send_chunk(event)
+
+    async def _events(self, request: Request, last: int) -> AsyncIterator[bytes]:
+        attempt = request.headers["x-attempt-id"]
         first = int(request.headers.get("last-event-id", "0")) + 1
         for number in range(first, last + 1):
-            await connection.send_chunk(f"id: {number}\ndata: {attempt}\n\n".encode())
+            await self._wait_while_paused()
+            yield f"id: {number}\ndata: {attempt}\n\n".encode()
             await trio.sleep(self.event_ms / 1000)
 
+    async def _wait_while_paused(self) -> None:
+        while self.is_paused:
+            await trio.sleep(PAUSE_CHECK_S)
+
     async def _break(self, connection: Connection, request: Request) -> None:
         if request.target.startswith("/advice/"):
             await self._stream(connection, request, self.event_count // 2)
@@ -139,6 +157,26 @@
             b"content-length: 5\r\n\r\nwrong"
         )
 
+    async def _unframed(self, connection: Connection, request: Request) -> None:
+        is_stream = request.target.startswith("/advice/")
+        lines = self._answer_headers(request)
+        if is_stream:
+            lines["content-type"] = "text/event-stream"
+        head = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
+        send = connection.stream.send_all
+        await self._wait_while_paused()
+        try:
+            await send(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
+            if is_stream:
+                async for event in self._events(request, self.event_count):
+                    await send(event)
+            else:
+                await send(WHOLE)
+            await connection.stream.aclose()
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise GoneError from error
+        raise GoneError
+
     def _answer_headers(self, request: Request) -> dict[str, str]:
         return {
             "x-attempt-id": request.headers["x-attempt-id"],
@@ -154,4 +192,5 @@
     "fail": ReplicaStandIn._fail,
     "garbage": ReplicaStandIn._garbage,
     "late": ReplicaStandIn._late,
+    "unframed": ReplicaStandIn._unframed,
 }
