Check addresses before a connect

An address with a port over 65535, which the entry of another writer or a message of an earlier version brings, raised OverflowError in the connect; one without a port raised ValueError. Neither is an OSError, so both ended the request's or the link's task, and with it the process.

Addresses are split by one function, which checks host and port; what it refuses counts as not reachable, as other failures of a connect do.

Before: the tests of both connects failed (OverflowError, ValueError). After: tests/relay, tests/peers, tests/platform, 108 passed.

--- a/src/hemlocktrestle/adapters/_http_client.py
+++ b/src/hemlocktrestle/adapters/_http_client.py
@@ -14,6 +14,7 @@
     NotifyingBackend,
     NotifyingStream,
 )
+from hemlocktrestle.documents import host_and_port
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.ports import (
     REQUEST_ID_HEADER,
@@ -104,12 +105,13 @@
 
     async def is_reachable(self, address: str) -> bool:
         """Tell whether an upstream accepts a new connection; see the port."""
-        host, port = address.rsplit(":", 1)
         try:
+            host, port = host_and_port(address)
             stream = await self._backend.connect_tcp(
-                host, int(port), timeout=CONNECT_TIMEOUT_S
+                host, port, timeout=CONNECT_TIMEOUT_S
             )
-        except (httpcore.NetworkError, httpcore.TimeoutException):
+        except (httpcore.NetworkError, httpcore.TimeoutException, ValueError):
+            # ValueError: the address names no host and port.
             return False
         await stream.aclose()
         return True
--- a/src/hemlocktrestle/documents/__init__.py
+++ b/src/hemlocktrestle/documents/__init__.py
@@ -28,6 +28,7 @@
     Revision,
     SignedMilliseconds,
     Text,
+    host_and_port,
     saturated,
 )
 from hemlocktrestle.documents._json import check, decode_json, parse_json
@@ -58,6 +59,7 @@
     "Text",
     "check",
     "decode_json",
+    "host_and_port",
     "parse_json",
     "saturated",
 ]
--- a/src/hemlocktrestle/documents/_fields.py
+++ b/src/hemlocktrestle/documents/_fields.py
@@ -41,35 +41,36 @@
 _CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 
 
-def _split_address(text: str, *, port_min: int) -> str:
-    """Return the host of an address whose port is in range.
+def host_and_port(address: str, *, port_min: int = 1) -> tuple[str, int]:
+    """Return the host and the port of an address.
+
+    Args:
+        address: a host by name or IPv4 address, a colon and a port.
+        port_min: the smallest port, 0 for addresses to listen on.
 
     Raises:
-        ValueError: it has no port, or one out of range.
+        ValueError: the host cannot be looked up, or the port is out of range.
     """
-    host, _, port = text.rpartition(":")
-    if not _PORT.fullmatch(port) or not port_min <= int(port) <= PORT_MAX:
-        raise ValueError("no port, or one out of range")
-    return host
-
-
-def _check_host(host: str) -> None:
+    host, _, port = address.rpartition(":")
     if len(host) > NAME_CHARS_MAX or not _HOST.fullmatch(host):
         raise ValueError("no host")
+    if not _PORT.fullmatch(port) or not port_min <= int(port) <= PORT_MAX:
+        raise ValueError("no port, or one out of range")
+    return host, int(port)
 
 
 def _check_ip_address(text: str) -> str:
-    IPv4Address(_split_address(text, port_min=1))
+    IPv4Address(host_and_port(text)[0])
     return text
 
 
 def _check_host_address(text: str) -> str:
-    _check_host(_split_address(text, port_min=1))
+    host_and_port(text)
     return text
 
 
 def _check_listen_address(text: str) -> str:
-    _check_host(_split_address(text, port_min=0))
+    host_and_port(text, port_min=0)
     return text
 
 
--- a/src/hemlocktrestle/peers/_link.py
+++ b/src/hemlocktrestle/peers/_link.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from hemlocktrestle.documents import host_and_port
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.wire import (
     PROTOCOL_VERSION,
@@ -202,11 +203,16 @@
     Raises:
         RequestError: why the link ended.
     """
-    host, port = address.rsplit(":", 1)
+    try:
+        host, port = host_and_port(address)
+    except ValueError as error:
+        raise RequestError(
+            ErrorKind.PEER_FRAME, "peer has no usable address"
+        ) from error
     async with AsyncExitStack() as stack:
         try:
             with trio.fail_after(HANDSHAKE_TIMEOUT_S):
-                stream: trio.abc.Stream = await trio.open_tcp_stream(host, int(port))
+                stream: trio.abc.Stream = await trio.open_tcp_stream(host, port)
                 if tls is not None:
                     stream = trio.SSLStream(stream, tls, server_hostname=expected_vm)
                 stack.push_async_callback(trio.aclose_forcefully, stream)
--- a/src/hemlocktrestle/relay/_client.py
+++ b/src/hemlocktrestle/relay/_client.py
@@ -12,6 +12,7 @@
 import h11
 import trio
 
+from hemlocktrestle.documents import host_and_port
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import Headers
 
@@ -143,11 +144,16 @@
         ConnectTimeoutError: the replica did not reply in time; nothing was sent.
         RequestError: of kind ``UPSTREAM_UNREACHABLE``; nothing was sent.
     """
-    host, _, port = address.rpartition(":")
+    try:
+        target = host_and_port(address)
+    except ValueError as error:
+        raise RequestError(
+            ErrorKind.UPSTREAM_UNREACHABLE, "replica has no usable address"
+        ) from error
     sock = trio.socket.socket()
     try:
         with trio.fail_after(CONNECT_TIMEOUT_S):
-            await sock.connect((host, int(port)))
+            await sock.connect(target)
     except trio.TooSlowError as error:
         sock.close()
         raise ConnectTimeoutError(
--- a/tests/adapters/test_http_client.py
+++ b/tests/adapters/test_http_client.py
@@ -209,6 +209,7 @@
             async with HttpUpstreamClient(backend=network) as client:
                 self.assertTrue(await client.is_reachable(ADDRESS))
                 self.assertFalse(await client.is_reachable("e2:1"))
+                self.assertFalse(await client.is_reachable("e2:99999"))
             nursery.cancel_scope.cancel()
 
 
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -7,7 +7,7 @@
 
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.peers import LinkEvents, accept
-from hemlocktrestle.peers._link import RECEIVE_TIMEOUT_S
+from hemlocktrestle.peers._link import RECEIVE_TIMEOUT_S, dial
 from hemlocktrestle.wire import (
     FRAME_BYTES_MAX,
     PROTOCOL_VERSION,
@@ -17,6 +17,7 @@
     Message,
     frame_bytes,
 )
+from tests.odd_values import ODD_ADDRESSES
 from tests.support import TrioTestCase
 
 OURS = Hello(PROTOCOL_VERSION, "v1", "z", "r", "boot")
@@ -147,3 +148,24 @@
             await trio.sleep(0.1)
             self.assertEqual([HEARTBEAT], good.received)
             nursery.cancel_scope.cancel()
+
+
+class DialTests(TrioTestCase):
+    """A link that cannot be opened ends with an error that gives the reason."""
+
+    async def test_an_address_that_cannot_be_used(self) -> None:
+        """Guards against an odd address in a VM's entry that ends the process."""
+        events = LinkEvents(
+            lambda hello, link: None,
+            lambda vm, message: None,
+            lambda vm, link: None,
+        )
+        for address in ODD_ADDRESSES:
+            if not isinstance(address, str):
+                continue
+            try:
+                await dial(address, "v2", hello=OURS, events=events, tls=None)
+            except RequestError as error:
+                self.assertIs(ErrorKind.PEER_FRAME, error.kind)
+            else:
+                self.fail(f"the link was opened: {address!r}")
--- a/tests/relay/test_client.py
+++ b/tests/relay/test_client.py
@@ -4,8 +4,9 @@
 
 from testtools import ExpectedException
 
-from hemlocktrestle.errors import RequestError
+from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.relay import ConnectTimeoutError, open_connection
+from tests.odd_values import ODD_ADDRESSES
 from tests.support import TrioTestCase
 
 
@@ -33,3 +34,15 @@
                 self.assertNotIsInstance(error, ConnectTimeoutError)
             else:
                 self.fail("the connection was opened")
+
+    async def test_an_address_that_cannot_be_used_is_unreachable(self) -> None:
+        """Guards against a port out of range, which raised ``OverflowError``."""
+        for address in ODD_ADDRESSES:
+            if not isinstance(address, str):
+                continue
+            try:
+                await open_connection(address)
+            except RequestError as error:
+                self.assertIs(ErrorKind.UPSTREAM_UNREACHABLE, error.kind)
+            else:
+                self.fail(f"the connection was opened: {address!r}")
