Drop a message that cannot be encoded, and keep the link

A message with a value that does not fit its field raised KjException or OverflowError in the task that sends on the link, or in the one that sends heartbeats and changes to all, and ended the process.

encode raises the project's error with the reason. The link and the broadcasts log message_dropped and go on: the peer lacks one message, as with a full queue, for which every exchange has a timeout. A frame that a peer's decoder refuses closes only that link, with a log line, as before; a test now also changes single bytes of valid frames.

--- a/src/hemlocktrestle/peers/_link.py
+++ b/src/hemlocktrestle/peers/_link.py
@@ -9,6 +9,7 @@
 
 from hemlocktrestle.documents import host_and_port
 from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.peers._outgoing import frame_or_drop
 from hemlocktrestle.wire import (
     PROTOCOL_VERSION,
     FrameReader,
@@ -111,7 +112,7 @@
         events.opened(peer, self)
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._send_all, nursery.cancel_scope)
+                nursery.start_soon(self._send_all, peer_vm, nursery.cancel_scope)
                 try:
                     await self._receive_all(peer_vm, events)
                 finally:
@@ -158,13 +159,13 @@
             for message in self._reader.feed(data):
                 events.received(peer_vm, message)
 
-    async def _send_all(self, scope: trio.CancelScope) -> None:
+    async def _send_all(self, peer_vm: str, scope: trio.CancelScope) -> None:
         try:
             async for message in self._outbox_out:
-                data = bytearray(_frame_of(message))
+                data = bytearray(_frame_of(message, peer_vm))
                 while True:
                     try:
-                        data += _frame_of(self._outbox_out.receive_nowait())
+                        data += _frame_of(self._outbox_out.receive_nowait(), peer_vm)
                     except (trio.WouldBlock, trio.EndOfChannel):
                         break
                 self._is_sending = True
@@ -174,8 +175,10 @@
             scope.cancel()
 
 
-def _frame_of(message: Message | bytes) -> bytes:
-    return message if isinstance(message, bytes) else frame_bytes(message)
+def _frame_of(message: Message | bytes, peer_vm: str) -> bytes:
+    if isinstance(message, bytes):
+        return message
+    return frame_or_drop(message, peer=peer_vm)
 
 
 def _checked_hello(peer: Message, expected_vm: str | None) -> Hello:
--- a/src/hemlocktrestle/peers/_network.py
+++ b/src/hemlocktrestle/peers/_network.py
@@ -10,8 +10,9 @@
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.membership import Backoff, VmRecord
 from hemlocktrestle.peers._link import Link, LinkEvents, accept, dial
+from hemlocktrestle.peers._outgoing import frame_or_drop
 from hemlocktrestle.timers import sleep_until_multiple
-from hemlocktrestle.wire import Heartbeat, Hello, Message, frame_bytes
+from hemlocktrestle.wire import Heartbeat, Hello, Message
 
 log = logging.getLogger(__name__)
 
@@ -86,9 +87,9 @@
             to: tells which VMs get it; all by default.
         """
         links = {**self._accepted, **self._dialled}
-        frame = frame_bytes(message)
+        frame = frame_or_drop(message, peer="")
         for vm, link in links.items():
-            if vm != skip and (to is None or to(vm)):
+            if frame and vm != skip and (to is None or to(vm)):
                 link.post(frame)
 
     def send(self, vm: str, message: Message) -> bool:
@@ -112,8 +113,8 @@
         links = (*self._dialled.values(), *self._accepted.values())
         if not links:
             return
-        frame = frame_bytes(self._heartbeat())
-        for link in links:
+        frame = frame_or_drop(self._heartbeat(), peer="")
+        for link in links if frame else ():
             link.post(frame)
 
     @property
--- a/src/hemlocktrestle/wire/_codec.py
+++ b/src/hemlocktrestle/wire/_codec.py
@@ -11,6 +11,12 @@
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.wire._messages import MESSAGE_TYPES, Message
 
+REASON_CHARS_MAX = 200
+"""Most characters of the library's reason in an error message.
+
+Its texts go on with a trace of the stack.
+"""
+
 FRAME_BYTES_MAX = 1 << 20
 """Maximum size of a frame without its length prefix, in bytes."""
 
@@ -91,9 +97,25 @@
 
     Returns:
         The bytes of one ``Frame``.
+
+    Raises:
+        RequestError: of kind ``PEER_FRAME`` if a value does not fit its field.
     """
     frame = _SCHEMA.Frame.new_message()
-    _write_record(frame.init(_MEMBER_NAMES[type(item)]), item)
+    try:
+        _write_record(frame.init(_MEMBER_NAMES[type(item)]), item)
+    except (
+        capnp.KjException,
+        OverflowError,
+        ValueError,
+        TypeError,
+        AttributeError,
+    ) as error:
+        reason = str(error).partition("\n")[0][:REASON_CHARS_MAX]
+        name = type(item).__name__
+        raise RequestError(
+            ErrorKind.PEER_FRAME, f"{name} cannot be encoded: {reason}"
+        ) from error
     return cast(bytes, frame.to_bytes())
 
 
@@ -132,11 +154,15 @@
         Length prefix and frame.
 
     Raises:
-        RequestError: of kind ``PEER_FRAME`` if the frame is too large.
+        RequestError: of kind ``PEER_FRAME`` if a value does not fit its field, or
+            the frame is too large.
     """
     body = encode(item)
     if len(body) > FRAME_BYTES_MAX:
-        raise RequestError(ErrorKind.PEER_FRAME, "frame exceeds the largest size")
+        name = type(item).__name__
+        raise RequestError(
+            ErrorKind.PEER_FRAME, f"{name}: frame exceeds the largest size"
+        )
     return struct.pack(">I", len(body)) + body
 
 
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -6,7 +6,7 @@
 from trio.testing import memory_stream_pair
 
 from hemlocktrestle.errors import ErrorKind, RequestError
-from hemlocktrestle.peers import LinkEvents, accept
+from hemlocktrestle.peers import Link, LinkEvents, accept
 from hemlocktrestle.peers._link import RECEIVE_TIMEOUT_S, dial
 from hemlocktrestle.wire import (
     FRAME_BYTES_MAX,
@@ -150,6 +150,44 @@
             nursery.cancel_scope.cancel()
 
 
+class OutgoingTests(TrioTestCase):
+    """A message that cannot be encoded is dropped, and the link goes on."""
+
+    async def test_a_message_that_does_not_fit_is_dropped(self) -> None:
+        """Guards against one odd number that ends the link, or the process."""
+        links: list[Link] = []
+        received: list[Message] = []
+        ours, theirs = memory_stream_pair()
+        events = LinkEvents(
+            lambda hello, link: links.append(link),
+            lambda vm, message: None,
+            lambda vm, link: None,
+        )
+
+        async def serve() -> None:
+            await accept(
+                theirs, hello=OURS, events=events, peer_names=lambda stream: None
+            )
+
+        async def read() -> None:
+            reader = FrameReader()
+            while data := await ours.receive_some(65_536):
+                received.extend(reader.feed(bytes(data)))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve)
+            nursery.start_soon(read)
+            await ours.send_all(frame_bytes(PEER))
+            await trio.sleep(0.1)
+            for revision in (-1, 10**30, 2**64):
+                links[0].post(HEARTBEAT._replace(tree_revision=revision))
+                await trio.sleep(0.1)
+                links[0].post(HEARTBEAT)
+                await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+        self.assertEqual([OURS, HEARTBEAT, HEARTBEAT, HEARTBEAT], received)
+
+
 class DialTests(TrioTestCase):
     """A link that cannot be opened ends with an error that gives the reason."""
 
--- a/tests/peers/test_network.py
+++ b/tests/peers/test_network.py
@@ -54,6 +54,36 @@
             self.assertEqual([1, 2], [item.tree_revision for item in heartbeats[-2:]])
 
 
+class OddMessageTests(TrioTestCase):
+    """A message that cannot be encoded does not end the task that sends it."""
+
+    async def test_a_heartbeat_and_a_broadcast_that_do_not_fit_are_dropped(
+        self,
+    ) -> None:
+        """Guards against one odd number in the demand that ends the process."""
+        revision = -1
+
+        def build() -> Heartbeat:
+            return Heartbeat(revision, "l", 0, False)
+
+        network = PeerNetwork(
+            hello=_hello("v0"), heartbeat=build, peer_names=lambda stream: None
+        )
+        received: list[Message] = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(network.run)
+            ours, theirs = trio.testing.memory_stream_pair()
+            nursery.start_soon(network.accept, theirs)
+            nursery.start_soon(_read, ours, _hello("v1"), received)
+            await trio.sleep(HEARTBEAT_INTERVAL_S)
+            network.broadcast(build())
+            self.assertEqual([_hello("v0")], received)
+            revision = 7
+            await trio.sleep(HEARTBEAT_INTERVAL_S * 2)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(build(), received[-1])
+
+
 def _hello(vm: str) -> Hello:
     return Hello(PROTOCOL_VERSION, vm, "z", "r", "boot")
 
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -1,12 +1,13 @@
 """Tests of the encoding of messages."""
 
 import struct
+from typing import Any, get_origin, get_type_hints
 
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import ExpectedException, TestCase
 
-from hemlocktrestle.errors import RequestError
+from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.wire import (
     FRAME_BYTES_MAX,
     Ask,
@@ -18,6 +19,8 @@
     encode,
     frame_bytes,
 )
+from hemlocktrestle.wire._messages import MESSAGE_TYPES
+from tests.odd_values import JSON_VALUES
 
 ASK = Ask("r1.0", "assistant", "clinics", 1, 2.5, 100, 50, 2**63, 9000, ("e1", "e2"))
 HEARTBEAT = Heartbeat(7, "line", 120, True, (PoolSummary("assistant", 3, 40, 2),))
@@ -41,6 +44,38 @@
         except RequestError as error:
             self.assertEqual("peer_frame", error.kind.value)
 
+    @given(
+        index=st.integers(min_value=0, max_value=300),
+        mask=st.integers(min_value=1, max_value=255),
+    )
+    def test_changed_bytes_give_a_message_or_a_peer_frame_error(
+        self, index: int, mask: int
+    ) -> None:
+        """Nor does it for a frame in which one byte was changed."""
+        for message in (ASK, HEARTBEAT):
+            data = bytearray(encode(message))
+            data[index % len(data)] ^= mask
+            try:
+                decode(bytes(data))
+            except RequestError as error:
+                self.assertIs(ErrorKind.PEER_FRAME, error.kind)
+
+    @given(value=JSON_VALUES)
+    def test_any_value_in_any_field_is_encoded_or_refused(self, value: Any) -> None:
+        """Guards against a number too large that ends the task of the link."""
+        for record in MESSAGE_TYPES.values():
+            hints = get_type_hints(record)
+            fields = {
+                name: (get_origin(hint) or hint)() for name, hint in hints.items()
+            }
+            for name, hint in hints.items():
+                if get_origin(hint) is not None:
+                    continue
+                try:
+                    decode(encode(record(**{**fields, name: value})))
+                except RequestError as error:
+                    self.assertIs(ErrorKind.PEER_FRAME, error.kind)
+
 
 class FrameReaderTests(TestCase):
     """Frames are read from a stream that arrives in chunks of any size."""
