--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -6,8 +6,8 @@
 from trio.testing import memory_stream_pair
 
 from hemlocktrestle.errors import ErrorKind, RequestError
-from hemlocktrestle.peers import LinkEvents, accept
-from hemlocktrestle.peers._link import RECEIVE_TIMEOUT_S
+from hemlocktrestle.peers import Link, LinkEvents, accept
+from hemlocktrestle.peers._link import RECEIVE_TIMEOUT_S, dial
 from hemlocktrestle.wire import (
     FRAME_BYTES_MAX,
     PROTOCOL_VERSION,
@@ -17,6 +17,7 @@
     Message,
     frame_bytes,
 )
+from tests.odd_values import ODD_ADDRESSES
 from tests.support import TrioTestCase
 
 OURS = Hello(PROTOCOL_VERSION, "v1", "z", "r", "boot")
@@ -147,3 +148,62 @@
             await trio.sleep(0.1)
             self.assertEqual([HEARTBEAT], good.received)
             nursery.cancel_scope.cancel()
+
+
+class OutgoingTests(TrioTestCase):
+    """A message that cannot be encoded is dropped, and the link goes on."""
+
+    async def test_a_message_that_does_not_fit_is_dropped(self) -> None:
+        """Guards against one odd number that ends the link, or the process."""
+        links: list[Link] = []
+        received: list[Message] = []
+        ours, theirs = memory_stream_pair()
+        events = LinkEvents(
+            lambda hello, link: links.append(link),
+            lambda vm, message: None,
+            lambda vm, link: None,
+        )
+
+        async def serve() -> None:
+            await accept(
+                theirs, hello=OURS, events=events, peer_names=lambda stream: None
+            )
+
+        async def read() -> None:
+            reader = FrameReader()
+            while data := await ours.receive_some(65_536):
+                received.extend(reader.feed(bytes(data)))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve)
+            nursery.start_soon(read)
+            await ours.send_all(frame_bytes(PEER))
+            await trio.sleep(0.1)
+            for revision in (-1, 10**30, 2**64):
+                links[0].post(HEARTBEAT._replace(tree_revision=revision))
+                await trio.sleep(0.1)
+                links[0].post(HEARTBEAT)
+                await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+        self.assertEqual([OURS, HEARTBEAT, HEARTBEAT, HEARTBEAT], received)
+
+
+class DialTests(TrioTestCase):
+    """A link that cannot be opened ends with an error that gives the reason."""
+
+    async def test_an_address_that_cannot_be_used(self) -> None:
+        """Guards against an odd address in a VM's entry that ends the process."""
+        events = LinkEvents(
+            lambda hello, link: None,
+            lambda vm, message: None,
+            lambda vm, link: None,
+        )
+        for address in ODD_ADDRESSES:
+            if not isinstance(address, str):
+                continue
+            try:
+                await dial(address, "v2", hello=OURS, events=events, tls=None)
+            except RequestError as error:
+                self.assertIs(ErrorKind.PEER_FRAME, error.kind)
+            else:
+                self.fail(f"the link was opened: {address!r}")
