Ignore token counts that a permit request cannot carry

What it does: a request that states 2^32 tokens or more (X-Token-Usage or X-Length-Hint) cannot be encoded as a permit request to another VM; the error is no RequestError and ends the whole process, with all its requests.

Change: counts over 2^31 - 1 count as absent, as other malformed values do; the sum of two is within the 32 bits of the message.

Measured: encode() of such an Ask raises OverflowError or KjException; the new test of tests/platform/test_headers.py failed before and passes.

--- a/src/hemlocktrestle/platform/_headers.py
+++ b/src/hemlocktrestle/platform/_headers.py
@@ -47,6 +47,10 @@
 """Headers of a caller's request that are not forwarded; the edge sets its own."""
 
 
+TOKENS_MAX = 2**31 - 1
+"""Largest count of tokens; permit requests carry the sum of two counts in 32 bits."""
+
+
 class HeaderCodec:
     """Parses and builds the platform's header lines; stateless."""
 
@@ -68,9 +72,9 @@
             path=target.partition("?")[0],
             key=_text(lines, _KEY),
             deadline_ms=_number(_text(lines, _DEADLINE)),
-            prompt_tokens=int(_number(tokens[0]) or 0),
-            output_tokens_max=int(_number(tokens[-1]) or 0) if len(tokens) > 1 else 0,
-            output_tokens_hint=int(_number(_text(lines, _LENGTH_HINT)) or 0),
+            prompt_tokens=_count(tokens[0]),
+            output_tokens_max=_count(tokens[-1]) if len(tokens) > 1 else 0,
+            output_tokens_hint=_count(_text(lines, _LENGTH_HINT)),
             states_tokens=_TOKENS in lines,
             last_event_id=_text(lines, _LAST_EVENT),
         )
@@ -148,6 +152,11 @@
     return lines.get(name, b"").decode("latin-1").strip()
 
 
+def _count(text: str) -> int:
+    value = _number(text) or 0
+    return int(value) if value <= TOKENS_MAX else 0
+
+
 def _number(text: str) -> float | None:
     try:
         value = float(text)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -50,6 +50,19 @@
         self.assertEqual((1460, 80, 60), metadata[5:8])
         self.assertEqual(1540, metadata.tokens)
 
+    def test_token_counts_out_of_range_count_as_absent(self) -> None:
+        """Guards against a permit request that cannot be encoded and ends the process.
+
+        Its token counts, and the sum of two of them, have 32 bits.
+        """
+        for value in (b"1e300,1e300", b"4294967296,4294967296"):
+            hint = value.partition(b",")[0]
+            lines = ((b"x-token-usage", value), (b"x-length-hint", hint))
+            metadata = HeaderCodec().parse_request("/", lines)
+            self.assertEqual((0, 0, 0), metadata[5:8])
+        largest = ((b"x-token-usage", b"2147483647,2147483647"),)
+        self.assertTrue(HeaderCodec().parse_request("/", largest).tokens < 2**32)
+
     @given(lines=LINES)
     def test_no_header_values_raise(self, lines: list[tuple[bytes, bytes]]) -> None:
         """No header values of a caller raise an error."""
