Treat a replica with an invalid address as unreachable

What it does: a registration whose port is over 65535 passes the check of its form; the connect raises OverflowError, which is no RequestError and ends the whole process, with all its requests.

Change: open_connection raises RequestError for it, as for any other replica that cannot be reached.

Measured: the new test of tests/relay/test_client.py failed before (OverflowError) and passes.

--- a/src/hemlocktrestle/relay/_client.py
+++ b/src/hemlocktrestle/relay/_client.py
@@ -153,7 +153,8 @@
         raise ConnectTimeoutError(
             ErrorKind.UPSTREAM_UNREACHABLE, "replica did not take the connection"
         ) from error
-    except OSError as error:
+    except (OSError, OverflowError, ValueError) as error:
+        # An address that is no port of a host raises one of the last two.
         sock.close()
         raise RequestError(
             ErrorKind.UPSTREAM_UNREACHABLE, "replica could not be reached"
--- a/tests/relay/test_client.py
+++ b/tests/relay/test_client.py
@@ -33,3 +33,9 @@
                 self.assertNotIsInstance(error, ConnectTimeoutError)
             else:
                 self.fail("the connection was opened")
+
+    async def test_an_invalid_address_is_unreachable(self) -> None:
+        """Guards against a registration with such an address that ends the process."""
+        for address in ("127.0.0.1:99999", "127.0.0.1:"):
+            with ExpectedException(RequestError):
+                await open_connection(address)
