End only the request in which an unexpected error occurs

What it does: an exception other than RequestError in a request's path left the caller's connection, ended the task that accepts connections and so the process, with all its requests; their callers got neither an answer nor a refusal.

Change: CallerConnection logs it (request_failed, with the traceback), answers 500 if no part of an answer was sent, and closes that connection.

Measured: the new test of tests/relay/test_server.py failed before (ValueError left the connection) and passes.

--- a/src/hemlocktrestle/relay/_server.py
+++ b/src/hemlocktrestle/relay/_server.py
@@ -127,6 +127,10 @@
             # The answer is not valid HTTP: the connection is closed without it.
             reason = str(errors.exceptions[0])
             log.warning("answer_not_sendable", extra={"reason": reason})
+        except* Exception as errors:
+            # An error in one request must not end the process and all the others.
+            log.error("request_failed", exc_info=errors)
+            await self._answer_internal_error()
         finally:
             self._release_body()
             await trio.aclose_forcefully(self._stream)
@@ -158,12 +162,14 @@
         handle: Callable[[CallerRequest, "CallerConnection"], Awaitable[None]],
         request: CallerRequest,
     ) -> None:
-        async with trio.open_nursery() as nursery:
-            self._handler_scope = nursery.cancel_scope
-            nursery.start_soon(self._cancel_on_disconnect, nursery.cancel_scope)
-            await handle(request, self)
-            nursery.cancel_scope.cancel()
-        self._handler_scope = None
+        try:
+            async with trio.open_nursery() as nursery:
+                self._handler_scope = nursery.cancel_scope
+                nursery.start_soon(self._cancel_on_disconnect, nursery.cancel_scope)
+                await handle(request, self)
+                nursery.cancel_scope.cancel()
+        finally:
+            self._handler_scope = None
 
     async def _cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
         """Cancel the handler when the caller disconnects; buffer pipelined input."""
@@ -295,6 +301,13 @@
         )
         await self.send_answer(answer.status, lines, b"")
 
+    async def _answer_internal_error(self) -> None:
+        """Answer 500 if no part of another answer was sent."""
+        try:
+            await self._refuse(RequestError(ErrorKind.INTERNAL, "internal error"))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            log.debug("caller_connection_broke")
+
     async def _send(self, data: bytes | None) -> None:
         data = self._unsent_head + (data or b"")
         self._unsent_head = b""
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -104,6 +104,26 @@
         self.assertEqual(1, received.count(b"HTTP/1.1 200"))
         self.assertIn(b"connection: close", received.lower())
 
+    async def test_an_unexpected_error_ends_only_its_own_request(self) -> None:
+        """Guards against one request that ends the process with all the others."""
+
+        async def fail(request: CallerRequest, connection: CallerConnection) -> None:
+            raise ValueError(request.target)
+
+        async def fail_late(
+            request: CallerRequest, connection: CallerConnection
+        ) -> None:
+            connection.start_answer(200, [])
+            await connection.send_chunk(b"part")
+            raise ValueError(request.target)
+
+        self.patch(self, "handle", fail)
+        received = await self.exchange(GET)
+        self.assertTrue(received.startswith(b"HTTP/1.1 500"), received)
+        self.patch(self, "handle", fail_late)
+        received = await self.exchange(GET)
+        self.assertTrue(received.endswith(b"part\r\n"), received)
+
     async def test_a_smuggled_request_is_not_handled(self) -> None:
         """A request with both a length and chunks does not smuggle a second one."""
         smuggled = (
