Answer the requests that are open at the end of an edge's shutdown

Callers saw: after SIGTERM, requests that were taken in the notice period and had no answer at 0.96 of the grace period lost their connection without one. This held for requests at a replica, which may run only once, and for requests that waited for a permit and were never sent. A permit that came late, or a repeat, still went to a replica that had no time left.

Cause: the drain knew two times, the end of the notice and the end of the process, and ended what was open by cancelling the connections. It also waited for the store before it counted the notice.

test_late_in_a_shutdown sets the same state through Shutdown.begin(), since draining_since_ms is gone; its checks are unchanged.

--- a/src/hemlocktrestle/edge/_attempt.py
+++ b/src/hemlocktrestle/edge/_attempt.py
@@ -362,11 +362,13 @@
     """Remove the time limit before data is sent to the caller.
 
     Cancellation is delivered only at a checkpoint.  A limit that has already
-    expired is therefore delivered here; otherwise it would take effect while the
-    answer is being sent, and cut an answer that counts as sent.
+    expired, or an end of the request, is therefore delivered here; otherwise it
+    would take effect while the answer is being sent, and cut an answer that counts
+    as sent.
     """
     if scope.cancel_called:
         await trio.lowlevel.checkpoint()
+    await trio.lowlevel.checkpoint_if_cancelled()
     scope.deadline = float("inf")
 
 
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -30,7 +30,7 @@
 from hemlocktrestle.edge._request_log import log_request_ended
 from hemlocktrestle.edge._server import EdgeServer, ServedRequest
 from hemlocktrestle.edge._stall_monitor import StallMonitor
-from hemlocktrestle.edge._state import NOTICE_PERIOD_MS, EdgeState, now_ms
+from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.edge._store_task import StoreHealth
 from hemlocktrestle.edge._watchers import ConfigurationWatcher, ReplicaWatcher
 from hemlocktrestle.errors import RequestError
@@ -67,9 +67,6 @@
 SCHEDULER_CHECK_S = 0.25
 """Time between checks whether a pool's scheduler has moved, in seconds."""
 
-DRAIN_SHARE = 0.96
-"""Share of the grace period after which requests in flight are cancelled."""
-
 DESCRIPTORS_PER_CALLER = 2
 """File descriptors that one caller needs: its connection and one to a replica."""
 
@@ -249,18 +246,12 @@
         log.info("stopped")
 
     async def _drain(self) -> None:
-        """Drain: hand over pools, deregister, then wait for connections to close."""
-        self.state.draining_since_ms = now_ms()
+        """Drain: hand over pools, deregister and answer what is open."""
+        self.state.shutdown.begin()
         self._peers.membership.is_draining = True
         self._scheduler_task.hand_over()
         self._network.send_heartbeats()
-        grace_s = self._settings.bounds.grace_ms / 1000
-        with trio.move_on_after(grace_s * DRAIN_SHARE):
-            await self._registrar.deregister()
-            await trio.sleep(NOTICE_PERIOD_MS / 1000)
-            while self._caller_listener.connection_count:
-                self._caller_listener.close_idle()
-                await trio.sleep(0.05)
+        await self.state.shutdown.run(self._caller_listener, self._registrar.deregister)
 
     async def _await_signals(self, signals: AsyncIterator[int]) -> None:
         async for number in signals:
--- a/src/hemlocktrestle/edge/_server.py
+++ b/src/hemlocktrestle/edge/_server.py
@@ -85,7 +85,10 @@
         self.running_count += 1
         try:
             job = self._admit(request, progress)
-            with trio.move_on_at(job.deadline_at_ms / 1000) as scope:
+            with (
+                self._state.shutdown.limit_answer(connection),
+                trio.move_on_at(job.deadline_at_ms / 1000) as scope,
+            ):
                 status = await self._run_attempts(job, connection, progress)
                 outcome = "answered"
             if scope.cancelled_caught:
@@ -174,7 +177,10 @@
             if progress.event_count:
                 job = job._replace(is_begun=True)
             try:
-                placement = await self._placer.obtain(job, excluded=frozenset(excluded))
+                with self._state.shutdown.limit_wait(is_begun=job.is_begun):
+                    placement = await self._placer.obtain(
+                        job, excluded=frozenset(excluded)
+                    )
             except RequestError as error:
                 if progress.may_have_sent:
                     break
@@ -245,6 +251,9 @@
             "may run once": bool(progress.runs_count) and not job.route.may_retry,
             "sends": progress.send_count >= SENDS_MAX,
             "connections": progress.connect_count >= CONNECTS_MAX,
+            "shutdown": self._state.ends_retries
+            and bool(progress.runs_count)
+            and not progress.event_count,
         }
         for reason, applies in obstacles.items():
             if applies:
--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from hemlocktrestle.edge._shutdown import Phase, Shutdown
 from hemlocktrestle.gateway import (
     CallerLimits,
     Configuration,
@@ -23,12 +24,6 @@
 sent.
 """
 
-NOTICE_PERIOD_MS = 2_800.0
-"""Time after the stop signal in which new requests are accepted, in milliseconds.
-
-The load balancer checks once a second and removes a VM after two failed checks.
-"""
-
 
 def now_ms() -> float:
     """Return the monotonic time of the process in milliseconds."""
@@ -59,7 +54,7 @@
         self.has_loaded_vms = False
         self.quotas = QuotaTracker(now_ms())
         self.stored_busy_customers: set[str] = set()
-        self.draining_since_ms: float | None = None
+        self.shutdown = Shutdown(lambda: self.settings.bounds.grace_ms)
         body_bytes_max = int(settings.memory_bytes * BODY_MEMORY_SHARE)
         self.request_budget = BodyMemoryBudget(body_bytes_max)
         self.answer_budget = BodyMemoryBudget(body_bytes_max)
@@ -68,13 +63,17 @@
     @property
     def is_draining(self) -> bool:
         """Whether this VM is shutting down."""
-        return self.draining_since_ms is not None
+        return self.shutdown.has_begun
 
     @property
     def accepts_requests(self) -> bool:
         """Whether new requests are accepted, also early in a shutdown."""
-        since_ms = self.draining_since_ms
-        return since_ms is None or now_ms() - since_ms < NOTICE_PERIOD_MS
+        return not self.shutdown.has_reached(Phase.CLOSING)
+
+    @property
+    def ends_retries(self) -> bool:
+        """Whether the shutdown leaves a replica no time for one more attempt."""
+        return self.shutdown.has_reached(Phase.FINISHING)
 
     @property
     def limits(self) -> CallerLimits:
--- a/tests/edge/test_processes.py
+++ b/tests/edge/test_processes.py
@@ -132,14 +132,16 @@
 
 
 @asynccontextmanager
-async def running_edge() -> AsyncIterator[tuple[Edge, Platform]]:
+async def running_edge(
+    settings: dict[str, Any] = SETTINGS,
+) -> AsyncIterator[tuple[Edge, Platform]]:
     """Run one edge process against a stand-in of the platform."""
     with TemporaryDirectory() as folder, trio.fail_after(HANG_TIMEOUT_S):
         async with trio.open_nursery() as nursery:
             platform = Platform()
             await platform.start(nursery)
             document = {
-                **SETTINGS,
+                **settings,
                 "internalPorts": [0, 0],
                 "listen": {"front": "127.0.0.1:0", "readyAddr": "127.0.0.1:0"},
                 "platformSettings": {"address": platform.addresses["store"]},
--- a/tests/edge/test_server.py
+++ b/tests/edge/test_server.py
@@ -236,7 +236,7 @@
     async def test_late_in_a_shutdown(self) -> None:
         """Requests are served in the notice period and refused with 503 after it."""
         harness = EdgeHarness(self, {"r1": answer_ok})
-        harness.state.draining_since_ms = trio.current_time() * 1000
+        harness.state.shutdown.begin()
         early = await harness.send()
         self.assertEqual((200, b"close"), (early.status, early.headers[b"connection"]))
         await trio.sleep(3)
