Close no connection of a caller on a request that has arrived

Callers saw: in a shutdown, a connection closed though half a head was sent on it, or the whole request lay in the socket, or it had just been opened. A request that came behind an answer which began before the shutdown, and so did not announce the close, was read and dropped.

Cause: a connection counted as idle until a whole head was parsed, and an idle one was cancelled from outside, whatever had arrived. After an answer in a shutdown the connection closed also where the answer had not said so.

Now a connection is idle only while no byte of a request has come, is closed after 0.5 s without one, and reads once more before it closes. After an answer that announced no close, it waits 10 ms for a request. Requests that are still being received at the end of the grace period get 503.

--- a/src/hemlocktrestle/edge/_listeners.py
+++ b/src/hemlocktrestle/edge/_listeners.py
@@ -27,6 +27,12 @@
 ACCEPT_PAUSE_S = 0.05
 """Pause before accepting again when no file descriptor is free, in seconds."""
 
+IDLE_CLOSE_S = 0.5
+"""Time without a request after which a connection is closed at shutdown, in seconds.
+
+A new connection's first request arrives within it, also from another region.
+"""
+
 
 def listen(address: str) -> trio.SocketListener:
     """Return a listener on an address and port.
@@ -77,7 +83,7 @@
         self._state = state
         self._handle = handle
         self._connection_limit = trio.CapacityLimiter(connections_max)
-        self._open: dict[CallerConnection, trio.CancelScope] = {}
+        self._open: set[CallerConnection] = set()
 
     @property
     def connection_count(self) -> int:
@@ -101,10 +107,17 @@
                 nursery.start_soon(self._serve, stream, token)
 
     def close_idle(self) -> None:
-        """Close connections that have no request in flight."""
-        for connection, scope in list(self._open.items()):
-            if connection.is_idle:
-                scope.cancel()
+        """Close connections that have waited for a request for a while."""
+        idle_since_s = trio.current_time() - IDLE_CLOSE_S
+        for connection in self._open:
+            if connection.is_idle and connection.idle_since_s < idle_since_s:
+                connection.stop_reading()
+
+    def refuse_unread(self) -> None:
+        """Refuse requests that are still being received."""
+        for connection in self._open:
+            if not connection.is_idle:
+                connection.stop_reading()
 
     async def _serve(self, stream: trio.SocketStream, token: object) -> None:
         connection = CallerConnection(
@@ -114,11 +127,10 @@
             body_budget=self._body_budget,
         )
         try:
-            with trio.CancelScope() as scope:
-                self._open[connection] = scope
-                await connection.serve(self._handle)
+            self._open.add(connection)
+            await connection.serve(self._handle)
         finally:
-            self._open.pop(connection, None)
+            self._open.discard(connection)
             self._connection_limit.release_on_behalf_of(token)
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
--- a/src/hemlocktrestle/edge/_shutdown.py
+++ b/src/hemlocktrestle/edge/_shutdown.py
@@ -59,6 +59,10 @@
         """Close connections that have no request in flight."""
         ...
 
+    def refuse_unread(self) -> None:
+        """Refuse requests that are still being received."""
+        ...
+
 
 class _Unanswered(NamedTuple):
     connection: Answering
@@ -165,14 +169,15 @@
                 while callers.connection_count:
                     callers.close_idle()
                     if self.has_reached(Phase.ANSWERING):
-                        self._end_unanswered()
+                        self._end_unanswered(callers)
                     await trio.sleep(CHECK_INTERVAL_S)
         if callers.connection_count:
             # The event loop may have been late for the phase before.
-            self._end_unanswered()
+            self._end_unanswered(callers)
             await trio.sleep(CHECK_INTERVAL_S)
 
-    def _end_unanswered(self) -> None:
+    def _end_unanswered(self, callers: Callers) -> None:
+        callers.refuse_unread()
         for request in self._unanswered:
             if not request.connection.is_answer_started:
                 request.scope.cancel()
--- a/src/hemlocktrestle/relay/_server.py
+++ b/src/hemlocktrestle/relay/_server.py
@@ -26,6 +26,9 @@
 BODY_READ_TIMEOUT_S = 10.0
 """Longest pause between two reads of a request body, in seconds."""
 
+LAST_READ_TIMEOUT_S = 0.01
+"""Time to read what has arrived on an idle connection that is closed, in seconds."""
+
 
 class CallerRequest(NamedTuple):
     """A complete request of a caller.
@@ -72,9 +75,24 @@
         self.is_answer_started = False
         self._unsent_head = b""
         self._handler_scope: trio.CancelScope | None = None
-        self.is_idle = True
+        self._is_between_requests = True
+        self._has_answered = False
+        self.idle_since_s = trio.current_time()
+        self._read_scope = trio.CancelScope()
         self._is_head_request = False
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing of a request has arrived since the last answer."""
+        return self._is_between_requests and not self._machine.trailing_data[0]
+
+    def stop_reading(self) -> None:
+        """Close the connection, or refuse the request that is being received.
+
+        A request that has already arrived on an idle connection is still served.
+        """
+        self._read_scope.cancel()
+
     def start_answer(
         self, status: int, headers: list[tuple[bytes, bytes]], *, reason: bytes = b""
     ) -> None:
@@ -143,8 +161,9 @@
             await self._handle_until_disconnect(handle, request)
             self._release_body()
             states = {self._machine.our_state, self._machine.their_state}
-            if states != {h11.DONE} or self._is_closing():
+            if states != {h11.DONE}:
                 return
+            self._has_answered = True
             self._machine.start_next_cycle()
 
     def _new_machine(self) -> h11.Connection:
@@ -209,9 +228,14 @@
 
     async def _read_head(self) -> h11.Request | None:
         limits = self._limits()
-        idle_until_s = trio.current_time() + limits.idle_timeout_ms / 1000
+        idle_s = limits.idle_timeout_ms / 1000
+        if self._is_closing() and self._has_answered:
+            # Its answer began before the shutdown and did not announce the close.
+            idle_s = LAST_READ_TIMEOUT_S
+        idle_until_s = trio.current_time() + idle_s
         head_until_s = float("inf")
-        self.is_idle = True
+        self._is_between_requests = True
+        self.idle_since_s = trio.current_time()
         while True:
             try:
                 event = self._machine.next_event()
@@ -223,7 +247,7 @@
                 )
                 raise RequestError(kind, "request cannot be read") from error
             if isinstance(event, h11.Request):
-                self.is_idle = False
+                self._is_between_requests = False
                 return event
             if event is not h11.NEED_DATA:
                 return None
@@ -231,14 +255,12 @@
             if is_head_started and head_until_s == float("inf"):
                 head_until_s = trio.current_time() + limits.header_timeout_ms / 1000
             until_s = head_until_s if is_head_started else idle_until_s
-            data = None
-            with trio.move_on_at(until_s):
-                data = await self._stream.receive_some(RECEIVE_BYTES)
+            data = await self._receive(until_s)
             if data is None:
                 if is_head_started:
-                    raise RequestError(ErrorKind.SLOW_SENDER, "head came too slowly")
+                    raise self._unread_error("head came too slowly")
                 return None
-            self._machine.receive_data(bytes(data))
+            self._machine.receive_data(data)
             if not data and not is_head_started:
                 return None
 
@@ -262,15 +284,29 @@
             elif isinstance(event, h11.EndOfMessage):
                 return bytes(pieces)
             elif event is h11.NEED_DATA:
-                data = None
-                with trio.move_on_after(BODY_READ_TIMEOUT_S):
-                    data = await self._stream.receive_some(RECEIVE_BYTES)
+                data = await self._receive(trio.current_time() + BODY_READ_TIMEOUT_S)
                 if data is None:
-                    raise RequestError(ErrorKind.SLOW_SENDER, "body came too slowly")
-                self._machine.receive_data(bytes(data))
+                    raise self._unread_error("body came too slowly")
+                self._machine.receive_data(data)
             else:
                 return None
 
+    async def _receive(self, until_s: float) -> bytes | None:
+        """Receive bytes; ``None`` if none came in time or reading was stopped."""
+        with trio.CancelScope(deadline=until_s) as self._read_scope:
+            return bytes(await self._stream.receive_some(RECEIVE_BYTES))
+        if self.is_idle and trio.current_time() < until_s:
+            # Stopped: a request may have arrived that was not read yet.
+            with trio.move_on_after(LAST_READ_TIMEOUT_S):
+                return bytes(await self._stream.receive_some(RECEIVE_BYTES))
+        return None
+
+    def _unread_error(self, message: str) -> RequestError:
+        """Return the error of a request that did not arrive in time."""
+        if self._is_closing():
+            return RequestError(ErrorKind.DRAINING, "this VM is leaving")
+        return RequestError(ErrorKind.SLOW_SENDER, message)
+
     def _reserve_body(self, count: int) -> None:
         if not self._body_budget.reserve(count):
             raise RequestError(ErrorKind.SHED, "no memory is left for bodies")
--- a/tests/edge/test_listeners.py
+++ b/tests/edge/test_listeners.py
@@ -1,11 +1,18 @@
 """Tests of the listeners of an edge process."""
 
+import os
+from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 
 import trio
 from testtools import TestCase
 
-from hemlocktrestle.edge._listeners import CallerListener, address_of, listen
+from hemlocktrestle.edge._listeners import (
+    IDLE_CLOSE_S,
+    CallerListener,
+    address_of,
+    listen,
+)
 from hemlocktrestle.edge._state import EdgeState
 from hemlocktrestle.gateway import FleetSnapshot
 from hemlocktrestle.platform import decode_settings
@@ -16,11 +23,29 @@
 
 GET = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n"
 
+POST = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nhi"
+
 
 async def _answer(request: CallerRequest, connection: CallerConnection) -> None:
     await connection.send_answer(200, [], b"")
 
 
+def _state() -> EdgeState:
+    return EdgeState(
+        decode_settings(SETTINGS, source="test"),
+        fleet=lambda customer=None: FleetSnapshot(1, 1, {}),
+    )
+
+
+def _listener(state: EdgeState) -> CallerListener:
+    return CallerListener(
+        state,
+        _answer,
+        connections_max=CONNECTIONS_MAX,
+        body_budget=BodyMemoryBudget(1_000),
+    )
+
+
 class CallerListenerTests(TestCase):
     """The number of callers' connections is bounded."""
 
@@ -29,16 +54,7 @@
         trio.run(self._bounded)
 
     async def _bounded(self) -> None:
-        state = EdgeState(
-            decode_settings(SETTINGS, source="test"),
-            fleet=lambda customer=None: FleetSnapshot(1, 1, {}),
-        )
-        listener = CallerListener(
-            state,
-            _answer,
-            connections_max=CONNECTIONS_MAX,
-            body_budget=BodyMemoryBudget(1_000),
-        )
+        listener = _listener(_state())
         listening = listen("127.0.0.1:0")
         host, _, port = address_of(listening).rpartition(":")
         async with AsyncExitStack() as stack:
@@ -59,3 +75,83 @@
             self.assertIn(b"200", bytes(await streams[-1].receive_some()))
             self.assertEqual(CONNECTIONS_MAX, listener.connection_count)
             nursery.cancel_scope.cancel()
+
+
+class ClosingTests(TestCase):
+    """Connections that are closed in a shutdown cut off no request."""
+
+    def run_with_caller(
+        self,
+        check: Callable[
+            [EdgeState, CallerListener, trio.SocketStream], Awaitable[None]
+        ],
+    ) -> None:
+        """Run a check with a listener and a connection that has served a request."""
+
+        async def run() -> None:
+            state = _state()
+            listener = _listener(state)
+            listening = listen("127.0.0.1:0")
+            host, _, port = address_of(listening).rpartition(":")
+            with trio.fail_after(30):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(listener.run, listening)
+                    async with await trio.open_tcp_stream(host, int(port)) as stream:
+                        await stream.send_all(GET)
+                        self.assertIn(b"200", bytes(await stream.receive_some()))
+                        await check(state, listener, stream)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    def test_a_request_in_the_socket_is_answered(self) -> None:
+        """Guards against closing a connection on a request that has just arrived."""
+
+        async def check(
+            state: EdgeState, listener: CallerListener, stream: trio.SocketStream
+        ) -> None:
+            await trio.sleep(IDLE_CLOSE_S + 0.1)
+            state.shutdown.begin()
+            # No other task runs between the two calls.
+            os.write(stream.socket.fileno(), GET)
+            listener.close_idle()
+            self.assertIn(b"200", bytes(await stream.receive_some()))
+
+        self.run_with_caller(check)
+
+    def test_an_idle_connection_is_closed(self) -> None:
+        """It is closed once it has been idle for a while, not before."""
+
+        async def check(
+            state: EdgeState, listener: CallerListener, stream: trio.SocketStream
+        ) -> None:
+            await trio.sleep(0.1)
+            state.shutdown.begin()
+            listener.close_idle()
+            await trio.sleep(0.1)
+            self.assertEqual(1, listener.connection_count)
+            await trio.sleep(IDLE_CLOSE_S)
+            listener.close_idle()
+            self.assertEqual(b"", bytes(await stream.receive_some()))
+
+        self.run_with_caller(check)
+
+    def test_a_request_that_is_being_received_is_refused_at_the_end(self) -> None:
+        """Guards against a connection that closes on half a request without answer."""
+
+        async def check(
+            state: EdgeState, listener: CallerListener, stream: trio.SocketStream
+        ) -> None:
+            state.shutdown.begin()
+            for part in (GET[:9], POST[:-1]):
+                host, port = stream.socket.getpeername()[:2]
+                async with await trio.open_tcp_stream(host, port) as caller:
+                    await caller.send_all(part)
+                    await trio.sleep(0.1)
+                    listener.close_idle()
+                    listener.refuse_unread()
+                    answer = bytes(await caller.receive_some())
+                    self.assertEqual(b"HTTP/1.1 503 ", answer[:13])
+                    self.assertIn(b"retry-after", answer)
+
+        self.run_with_caller(check)
--- a/tests/edge/test_shutdown.py
+++ b/tests/edge/test_shutdown.py
@@ -46,9 +46,16 @@
 
     connection_count = 1
 
+    def __init__(self) -> None:
+        self.refused_count = 0
+
     def close_idle(self) -> None:
         """Close nothing."""
 
+    def refuse_unread(self) -> None:
+        """Count the calls."""
+        self.refused_count += 1
+
 
 async def _deregister() -> None:
     """Answer at once, as a store without faults."""
@@ -137,7 +144,7 @@
                 # The relaying task waits for the body by then.
                 await trio.sleep(0.05)
                 await connection.send_chunk(b"id: 1\n\n")
-                shutdown._end_unanswered()
+                shutdown._end_unanswered(_OpenCallers())
 
             harness.scripts["r1"] = script
             reply, _ = await self.send_and_stop(harness, path=path)
@@ -294,7 +301,9 @@
         shutdown = Shutdown(lambda: GRACE_MS)
         began_s = trio.current_time()
         shutdown.begin()
-        await shutdown.run(_OpenCallers(), trio.sleep_forever)
+        callers = _OpenCallers()
+        await shutdown.run(callers, trio.sleep_forever)
         ended_ms = (trio.current_time() - began_s) * 1000
         lateness_ms = ended_ms - GRACE_MS * Phase.ENDED.value
         self.assertTrue(0 <= lateness_ms < MARGIN_MS, lateness_ms)
+        self.assertTrue(callers.refused_count)
--- a/tests/edge/test_shutdown_processes.py
+++ b/tests/edge/test_shutdown_processes.py
@@ -22,6 +22,9 @@
 
 SHORT_GRACE = changed(SETTINGS, "contractBounds.graceS", GRACE_S)
 
+AFTER_NOTICE_S = 3.2
+"""Time after the signal when no new request is accepted, in seconds."""
+
 REPLICA_SLOTS = 4
 """Requests that the replica of the stand-in platform takes at once."""
 
@@ -154,3 +157,39 @@
         self.assertTrue(stop.elapsed_s < GRACE_S * 0.6, stop.elapsed_s)
         await stop.ended_s()
         self.assertEqual(REPLICA_SLOTS, len(platform.replica.runs))
+
+    def test_a_half_read_request_is_refused(self) -> None:
+        """Guards against closing a connection as idle that has sent half a head."""
+        self.run_with_edge(self._send_in_halves)
+
+    async def _send_in_halves(self, edge: Edge, platform: Platform) -> None:
+        caller = await connect(edge)
+        stop = Stop(edge)
+        await stop.sleep_until(1.0)
+        await caller.send_all(request()[:30])
+        await stop.sleep_until(AFTER_NOTICE_S)
+        await caller.send_all(request()[30:])
+        answer = await read_answer(caller)
+        self.assertEqual(REFUSED, answer[:13])
+        self.assertIn(b"connection: close\r\n", answer.lower())
+        self.assertEqual([], platform.replica.runs)
+
+    def test_a_new_connection_is_answered(self) -> None:
+        """Guards against closing a connection before its first request has arrived.
+
+        The load balancer may send connections for as long as the process runs.
+        """
+        self.run_with_edge(self._connect_late)
+
+    async def _connect_late(self, edge: Edge, platform: Platform) -> None:
+        running = await connect(edge)
+        platform.replica.work_ms = 60_000
+        await running.send_all(request())
+        await edge.logged("request_permitted")
+        stop = Stop(edge)
+        await stop.sleep_until(AFTER_NOTICE_S)
+        caller = await connect(edge)
+        await trio.sleep(0.15)
+        await caller.send_all(request(2))
+        self.assertEqual(REFUSED, (await read_answer(caller))[:13])
+        self.assertEqual(1, len(platform.replica.runs))
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -104,6 +104,25 @@
         self.assertEqual(1, received.count(b"HTTP/1.1 200"))
         self.assertIn(b"connection: close", received.lower())
 
+    async def test_a_request_behind_an_unannounced_close_is_answered(self) -> None:
+        """Guards against closing on a request that came behind a running answer.
+
+        The answer began before the shutdown, so the caller could not expect the close.
+        """
+
+        async def handle(request: CallerRequest, connection: CallerConnection) -> None:
+            connection.start_answer(200, [(b"content-length", b"0")])
+            self.is_closing = True
+            await connection.finish()
+
+        self.patch(self, "handle", handle)
+        started_s = trio.current_time()
+        received = await self.exchange(GET + GET)
+        self.assertEqual(2, received.count(b"HTTP/1.1 200"))
+        self.assertEqual(1, received.lower().count(b"connection: close"))
+        received = await self.exchange(GET)
+        self.assertTrue(trio.current_time() - started_s < 1.0)
+
     async def test_a_smuggled_request_is_not_handled(self) -> None:
         """A request with both a length and chunks does not smuggle a second one."""
         smuggled = (
