--- a/src/hemlocktrestle/edge/_attempt_sequence.py
+++ b/src/hemlocktrestle/edge/_attempt_sequence.py
@@ -29,7 +29,9 @@
 SEARCH_PAUSE_S_MAX = 1.0
 """Longest pause between two searches, in seconds."""
 
-_LASTING_OBSTACLES = frozenset({"attempts", "may run once", "sends", "connections"})
+_LASTING_OBSTACLES = frozenset(
+    {"attempts", "may run once", "sends", "connections", "shutdown"}
+)
 """Obstacles to one more attempt that do not pass with time."""
 
 
@@ -157,9 +159,10 @@
         progress = self._progress
         job = self._job._replace(is_begun=bool(progress.event_count))
         try:
-            placement = await self._placer.obtain(
-                job, excluded=frozenset(self._excluded)
-            )
+            with self._state.shutdown.limit_wait(is_begun=job.is_begun):
+                placement = await self._placer.obtain(
+                    job, excluded=frozenset(self._excluded)
+                )
         except RequestError:
             # The other replicas may have room by the next search.
             self._excluded.intersection_update(progress.replicas[-1:])
@@ -208,6 +211,9 @@
             "may run once": bool(progress.runs_count) and not route.may_retry,
             "sends": progress.send_count >= SENDS_MAX and not self._is_owed,
             "connections": progress.connect_count >= CONNECTS_MAX and not self._is_owed,
+            "shutdown": self._state.ends_retries
+            and bool(progress.runs_count)
+            and not progress.event_count,
         }
         for reason, applies in obstacles.items():
             if applies:
--- a/src/hemlocktrestle/edge/_server.py
+++ b/src/hemlocktrestle/edge/_server.py
@@ -82,7 +82,10 @@
         self.running_count += 1
         try:
             job = self._admit(request, progress)
-            with trio.move_on_at(job.deadline_at_ms / 1000) as scope:
+            with (
+                self._state.shutdown.limit_answer(connection),
+                trio.move_on_at(job.deadline_at_ms / 1000) as scope,
+            ):
                 status = await self._run_attempts(job, connection, progress)
                 outcome = "answered"
             if scope.cancelled_caught:
--- a/src/hemlocktrestle/edge/_silence.py
+++ b/src/hemlocktrestle/edge/_silence.py
@@ -67,12 +67,12 @@
     async def suspend(self) -> None:
         """Remove the time limit before data is sent to the caller.
 
-        Cancellation is delivered only at a checkpoint.  An attempt that has already
-        been ended is therefore left here; otherwise the cancellation would take
-        effect while the answer is being sent, and cut an answer that counts as sent.
+        Cancellation is delivered only at a checkpoint.  An attempt or a request that
+        has already been ended is therefore left here; otherwise the cancellation
+        would take effect while the answer is being sent, and cut an answer that
+        counts as sent.
         """
-        if self._attempt_scope.cancel_called:
-            await trio.lowlevel.checkpoint()
+        await trio.lowlevel.checkpoint_if_cancelled()
         self._set_due(math.inf)
         self._search_scope.cancel()
 
