Compare ids of events that have too many digits

An id of more than 4,300 digits, in Last-Event-ID or in a replica's stream, raised ValueError in the conversion to a number, which is no RequestError and so is not handled as a failure of the attempt.

An id of more than 18 digits now counts as one that is no number.

Before: both new tests failed (ValueError: Exceeds the limit). After: tests/gateway and tests/daemon/test_stream_resume.py, 48 passed.

--- a/src/hemlocktrestle/daemon/_stream_resume.py
+++ b/src/hemlocktrestle/daemon/_stream_resume.py
@@ -11,6 +11,7 @@
 
 from hemlocktrestle.daemon._relay import STREAM_END, ends_with_mark
 from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.gateway import ID_DIGITS_MAX
 from hemlocktrestle.ports import (
     STREAM_ID_HEADER,
     BeforeWait,
@@ -271,4 +272,6 @@
     """Split an event id into its text and the number at its end, if it has one."""
     prefix = event_id.rstrip(b"0123456789")
     digits = event_id[len(prefix) :]
-    return prefix, int(digits) if digits else None
+    if not 0 < len(digits) <= ID_DIGITS_MAX:
+        return prefix, None
+    return prefix, int(digits)
--- a/src/hemlocktrestle/gateway/__init__.py
+++ b/src/hemlocktrestle/gateway/__init__.py
@@ -18,7 +18,7 @@
     choose_service,
     urgency_rank,
 )
-from hemlocktrestle.gateway._event_sequence import EventSequence
+from hemlocktrestle.gateway._event_sequence import ID_DIGITS_MAX, EventSequence
 from hemlocktrestle.gateway._events import EventSplitter, StreamEvent
 from hemlocktrestle.gateway._fleet_demand import FleetDemand
 from hemlocktrestle.gateway._quota import Demand, FleetSnapshot, Quota, QuotaTracker
@@ -36,6 +36,7 @@
 from hemlocktrestle.gateway._retry_budget import RetryBudget
 
 __all__ = [
+    "ID_DIGITS_MAX",
     "STORE_RECOVERY_GRACE_MS",
     "AnswerClass",
     "AnswerMetadata",
--- a/src/hemlocktrestle/gateway/_event_sequence.py
+++ b/src/hemlocktrestle/gateway/_event_sequence.py
@@ -7,6 +7,12 @@
 CONSECUTIVE_EVENTS_MIN = 2
 """Events after which a stream whose ids had no gap is expected to have none."""
 
+ID_DIGITS_MAX = 18
+"""Most digits of an id that counts as a number.
+
+Python converts no text of more than 4,300 digits.
+"""
+
 
 class EventSequence:
     """The events of one stream that the caller has, in order and once.
@@ -65,10 +71,14 @@
         """
         if not self.last_id:
             return 1
-        if self.last_id.isdecimal() and event_id.isdecimal():
+        if _is_number(self.last_id) and _is_number(event_id):
             return int(event_id) - int(self.last_id)
         return int(event_id not in {self._first_id, self.last_id})
 
 
+def _is_number(event_id: str) -> bool:
+    return event_id.isdecimal() and len(event_id) <= ID_DIGITS_MAX
+
+
 def _is_comment(event: bytes) -> bool:
     return all(line.startswith(b":") for line in event.splitlines() if line)
--- a/tests/daemon/test_stream_resume.py
+++ b/tests/daemon/test_stream_resume.py
@@ -3,7 +3,11 @@
 from testtools import TestCase
 
 from hemlocktrestle.daemon._relay import STREAM_END, ends_with_mark, is_self_delimited
-from hemlocktrestle.daemon._stream_resume import EVENT_BYTES_MAX, EventSplitter
+from hemlocktrestle.daemon._stream_resume import (
+    EVENT_BYTES_MAX,
+    EventSplitter,
+    _split_id,
+)
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.ports import Headers, UpstreamAnswer
 
@@ -67,3 +71,12 @@
         ):
             answer = answer_with(headers, status)
             self.assertEqual(is_stated, is_self_delimited(answer), str(headers))
+
+
+class EventIdTests(TestCase):
+    """Ids of events are split into a text and a number."""
+
+    def test_a_number_of_many_digits_is_no_number(self) -> None:
+        """Guards against an id that is too long to be converted to a number."""
+        self.assertEqual((b"a", 12), _split_id(b"a12"))
+        self.assertEqual((b"a", None), _split_id(b"a" + b"9" * 5_000))
--- a/tests/gateway/test_event_sequence.py
+++ b/tests/gateway/test_event_sequence.py
@@ -34,6 +34,12 @@
         ):
             self.assertEqual(expected, taken_ids(EventSequence(), *given))
 
+    def test_ids_of_many_digits_are_compared(self) -> None:
+        """Guards against an id that is too long to be converted to a number."""
+        long = "9" * 5_000
+        self.assertEqual(["1"], taken_ids(EventSequence(long), "1", "1"))
+        self.assertEqual([long, "1"], taken_ids(EventSequence("7"), long, "1"))
+
     def test_an_event_without_an_id_is_not_taken(self) -> None:
         """Text that only looks like an event, such as an error's, is not taken."""
         for data in (b"error: boom\n\n", b"data: x\n\n", b"HTTP/1.1 200 OK\r\n\r\n"):
