Check the replicas that other VMs forward

While VMs of two versions run side by side, one of the earlier version forwards an odd entry that it accepted: an address with a port out of range, or no slots, by which the local choice of a replica divides.

The fields of a ReplicaRecord have the types of documents/, and an update that does not fit them names no replica, with a log line; the others of its batch hold.

Before: the new test failed, with the odd replicas in the registry. After: tests/gateway, the exchange's and the watchers' tests pass.

--- a/src/hemlocktrestle/edge/_replica_exchange.py
+++ b/src/hemlocktrestle/edge/_replica_exchange.py
@@ -10,7 +10,11 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from pydantic import TypeAdapter
+
+from hemlocktrestle.documents import check
 from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.errors import RequestError
 from hemlocktrestle.gateway import ReplicaRecord, ReplicaUpdate
 from hemlocktrestle.peers import PeerNetwork
 from hemlocktrestle.wire import (
@@ -236,10 +240,17 @@
     )
 
 
+_RECORD_ADAPTER: TypeAdapter[ReplicaRecord] = TypeAdapter(ReplicaRecord)
+
+
 def _update_of(news: ReplicaNews) -> ReplicaUpdate:
+    """Return the update that a message brings.
+
+    A VM of an earlier version also forwards entries that cannot be used.
+    """
     record = None
     if not news.is_gone:
-        record = ReplicaRecord(
+        fields = ReplicaRecord(
             replica_id=news.replica_id,
             service=news.service,
             address=news.address,
@@ -249,4 +260,13 @@
             cold_ms=news.cold_ms,
             born_ms=news.born_ms,
         )
+        try:
+            record = check(
+                _RECORD_ADAPTER, tuple(fields), source=f"replica {news.replica_id}"
+            )
+        except RequestError as error:
+            log.warning(
+                "registration_refused",
+                extra={"reason": error.message, "store_revision": news.revision},
+            )
     return ReplicaUpdate(news.replica_id, news.revision, record)
--- a/src/hemlocktrestle/gateway/_replicas.py
+++ b/src/hemlocktrestle/gateway/_replicas.py
@@ -3,6 +3,15 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from hemlocktrestle.documents import (
+    Id,
+    IpAddress,
+    Name,
+    PositiveCount,
+    Revision,
+    SignedMilliseconds,
+)
+
 STORE_RECOVERY_GRACE_MS = 2_200.0
 """Time after the store's recovery in which expired entries return, in milliseconds.
 
@@ -24,14 +33,14 @@
         born_ms: wall-clock time of its start, 0 if not stated.
     """
 
-    replica_id: str
-    service: str
-    address: str
-    zone: str
-    slots: int
+    replica_id: Id
+    service: Name
+    address: IpAddress
+    zone: Name
+    slots: PositiveCount
     is_draining: bool
-    cold_ms: float
-    born_ms: int
+    cold_ms: SignedMilliseconds
+    born_ms: Revision
 
 
 class ReplicaUpdate(NamedTuple):
--- a/tests/edge/test_replica_exchange.py
+++ b/tests/edge/test_replica_exchange.py
@@ -1,5 +1,6 @@
 """Tests of the changes of replicas that VMs send each other."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -223,6 +224,40 @@
         )
 
 
+class OddUpdateTests(TrioTestCase):
+    """An update that cannot be used names no replica; the others of a batch hold."""
+
+    async def test_an_odd_update_names_no_replica(self) -> None:
+        """Guards against entries that a VM of an earlier version forwards."""
+        exchange, state, _ = new_exchange("vm-1")
+        sound = LEAVING._replace(is_draining=False)
+        odd: tuple[dict[str, Any], ...] = (
+            {"address": "10.0.0.9:99999"},
+            {"address": ""},
+            {"slots": 0},
+            {"slots": 2**32 - 1},
+            {"born_ms": 2**64 - 1},
+            {"cold_ms": math.nan},
+            {"replica_id": "a b"},
+            {"service": ""},
+        )
+        for number, fields in enumerate(odd):
+            exchange.on_batch(
+                "vm-2",
+                ReplicaBatch(
+                    number,
+                    50,
+                    False,
+                    (
+                        sound._replace(**{"replica_id": f"odd-{number}", **fields}),
+                        sound._replace(replica_id=f"i-{number}"),
+                    ),
+                ),
+            )
+        found = sorted(record.replica_id for record in state.replicas.replicas())
+        self.assertEqual([f"i-{number}" for number in range(len(odd))], found)
+
+
 class RecipientTests(TrioTestCase):
     """A relay serves its own region, and the other regions' relays."""
 
