Take a refusal of an unknown kind for no permit

A scheduler of a later version may refuse with a kind that the requester does not know; the conversion raised ValueError in the request's task. The refusal is logged and counts as that of a scheduler that has gone, so that the next one is asked, and then this VM chooses alone.

Before: the new test failed (ValueError). After: tests/peers pass.

--- a/src/hemlocktrestle/peers/_permit_client.py
+++ b/src/hemlocktrestle/peers/_permit_client.py
@@ -319,7 +319,7 @@
     ) -> HeldPermit:
         if isinstance(reply, Refusal):
             raise RequestError(
-                ErrorKind(reply.kind),
+                _kind_of(reply),
                 "no permit was given",
                 retry_after_ms=reply.retry_after_ms or None,
             )
@@ -341,8 +341,17 @@
         ErrorKind.RATE_LIMITED,
     }
 )
+_KNOWN_KINDS = frozenset(kind.value for kind in ErrorKind)
 _NEXT_ZONE_KINDS = frozenset({ErrorKind.NO_UPSTREAM, ErrorKind.SHED})
 
 
 def _unused_release(permit: Permit) -> Release:
     return Release(permit.ask_id, permit.pool, permit.upstream, False, "", 0, 0, 0, 0)
+
+
+def _kind_of(refusal: Refusal) -> ErrorKind:
+    """Return the kind of a refusal; one of a later version grants no permit either."""
+    if refusal.kind not in _KNOWN_KINDS:
+        log.warning("refusal_unknown", extra={"reason": refusal.kind})
+        return ErrorKind.SCHEDULER_GONE
+    return ErrorKind(refusal.kind)
--- a/tests/peers/test_permit_client.py
+++ b/tests/peers/test_permit_client.py
@@ -14,6 +14,7 @@
     Message,
     Permit,
     Queued,
+    Refusal,
     Release,
     Running,
     Withdraw,
@@ -133,6 +134,19 @@
         self.assertTrue(now_ms() - started_ms <= 900.001)
         self.assertEqual({"v1", "v2", "v3"}, {vm for vm, _ in self.sent})
 
+    async def test_a_refusal_of_an_unknown_kind_is_no_permit(self) -> None:
+        """Guards against a kind of a later version that ends the requester."""
+        client = self._new_client()
+
+        def refuse(vm: str, message: Message) -> bool:
+            if isinstance(message, Ask):
+                client.on_message(vm, Refusal(message.ask_id, "of a later version"))
+            return True
+
+        self.patch(client, "_send", refuse)
+        with ExpectedException(RequestError):
+            await client.obtain(ASK, zones=("z",), deadline_at_ms=now_ms() + 2_000)
+
     async def test_a_permit_of_a_scheduler_that_thaws_is_given_back(self) -> None:
         """A permit for a request that is no longer pending is released unused."""
         client = self._new_client()
