--- a/src/hemlocktrestle/platform/_headers.py
+++ b/src/hemlocktrestle/platform/_headers.py
@@ -1,5 +1,6 @@
 """Parses and builds the platform's header lines."""
 
+from hemlocktrestle.documents import COUNT_MAX, MS_MAX
 from hemlocktrestle.gateway import AnswerMetadata, Headers, RequestMetadata
 
 _REQUEST_ID = b"x-attempt-id"
@@ -47,10 +48,6 @@
 """Headers of a caller's request that are not forwarded; the edge sets its own."""
 
 
-TOKENS_MAX = 2**31 - 1
-"""Largest count of tokens; permit requests carry the sum of two counts in 32 bits."""
-
-
 class HeaderCodec:
     """Parses and builds the platform's header lines; stateless."""
 
@@ -71,7 +68,7 @@
             host=_text(lines, b"host").rsplit(":", 1)[0],
             path=target.partition("?")[0],
             key=_text(lines, _KEY),
-            deadline_ms=_number(_text(lines, _DEADLINE)),
+            deadline_ms=_number(_text(lines, _DEADLINE), MS_MAX),
             prompt_tokens=_count(tokens[0]),
             output_tokens_max=_count(tokens[-1]) if len(tokens) > 1 else 0,
             output_tokens_hint=_count(_text(lines, _LENGTH_HINT)),
@@ -153,14 +150,13 @@
 
 
 def _count(text: str) -> int:
-    value = _number(text) or 0
-    return int(value) if value <= TOKENS_MAX else 0
+    return int(_number(text, COUNT_MAX) or 0)
 
 
-def _number(text: str) -> float | None:
+def _number(text: str, maximum: float) -> float | None:
     try:
         value = float(text)
     except ValueError:
         return None
-    # NaN, infinite and negative values count as absent.
-    return value if 0 <= value < float("inf") else None
+    # NaN, negative values and those over the maximum count as absent.
+    return value if 0 <= value <= maximum else None
