Look at the registry only for leaving replicas that are not known

Each answer of a replica that leaves built a set of all registered replicas, also when the replica was known. The registrations of the remembered ones are now looked up, and only when another one is learned.

--- a/src/hemlocktrestle/edge/_replica_notices.py
+++ b/src/hemlocktrestle/edge/_replica_notices.py
@@ -209,6 +209,10 @@
             if record is not None and not record.is_draining and self.is_leaving(record)
         ]
 
+    def _is_listed(self, incarnation: Incarnation) -> bool:
+        record = self._registry.find(incarnation.replica_id)
+        return record is not None and record.born_ms == incarnation.born_ms
+
     def _record_leaving(
         self,
         incarnation: Incarnation,
@@ -217,11 +221,7 @@
         request_id: str = "",
         status: int = 0,
     ) -> None:
-        listed = {
-            Incarnation(record.replica_id, record.born_ms)
-            for record in self._registry.replicas()
-        }
-        if not self.leaving.record(incarnation, listed, self._now_ms()):
+        if not self.leaving.record(incarnation, self._is_listed, self._now_ms()):
             return
         record = self._registry.find(incarnation.replica_id)
         log.info(
@@ -233,7 +233,7 @@
                 "request": request_id,
                 "status": status,
                 "address": record.address if record else "",
-                "is_listed": incarnation in listed,
+                "is_listed": self._is_listed(incarnation),
                 "is_draining": record.is_draining if record else False,
             },
         )
--- a/src/hemlocktrestle/gateway/_leaving.py
+++ b/src/hemlocktrestle/gateway/_leaving.py
@@ -1,6 +1,6 @@
 """Replicas that said in an answer that they leave, by incarnation."""
 
-from collections.abc import Collection, Iterator
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 BORN_UNKNOWN = 0
@@ -49,13 +49,16 @@
                 yield Incarnation(replica_id, born_ms)
 
     def record(
-        self, incarnation: Incarnation, listed: Collection[Incarnation], now_ms: float
+        self,
+        incarnation: Incarnation,
+        is_listed: Callable[[Incarnation], bool],
+        now_ms: float,
     ) -> bool:
         """Record that an incarnation leaves.
 
         Args:
             incarnation: the one that leaves.
-            listed: the incarnations that are registered; they are not forgotten.
+            is_listed: tells whether an incarnation is registered and so not forgotten.
             now_ms: the time of the process in milliseconds.
 
         Returns:
@@ -65,7 +68,7 @@
         is_new = incarnation.born_ms not in starts
         starts[incarnation.born_ms] = now_ms
         if is_new:
-            self._forget(listed, now_ms)
+            self._forget(is_listed, now_ms)
         return is_new
 
     def learned_ms(self, incarnation: Incarnation, now_ms: float) -> float | None:
@@ -83,11 +86,11 @@
         ]
         return max(possible, default=None)
 
-    def _forget(self, listed: Collection[Incarnation], now_ms: float) -> None:
+    def _forget(self, is_listed: Callable[[Incarnation], bool], now_ms: float) -> None:
         """Forget what has ended, and the oldest beyond the bound."""
         for known in list(self):
             age_ms = now_ms - self._learned_ms[known.replica_id][known.born_ms]
-            if known not in listed and age_ms >= LEAVING_KEPT_MS:
+            if age_ms >= LEAVING_KEPT_MS and not is_listed(known):
                 self._drop(known)
         excess_count = len(self) - LEAVING_COUNT_MAX
         if excess_count > 0:
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -10,14 +10,18 @@
 FIRST = Incarnation("r1", 7)
 
 
+def _is_none(incarnation: Incarnation) -> bool:
+    return False
+
+
 class LeavingIncarnationsTests(TestCase):
     """What one incarnation said binds itself alone, and is bounded."""
 
     def test_it_binds_neither_another_start_nor_another_id(self) -> None:
         """Guards against capacity that is lost when a replica starts again."""
         known = LeavingIncarnations()
-        self.assertTrue(known.record(FIRST, (), 10))
-        self.assertFalse(known.record(FIRST, (), 20))
+        self.assertTrue(known.record(FIRST, _is_none, 10))
+        self.assertFalse(known.record(FIRST, _is_none, 20))
         self.assertEqual(20, known.learned_ms(FIRST, 30))
         self.assertIsNone(known.learned_ms(Incarnation("r1", 8), 30))
         self.assertIsNone(known.learned_ms(Incarnation("r2", 7), 30))
@@ -26,7 +30,7 @@
         """Guards against sends to a leaving replica whose entry is not read yet."""
         for told, asked in ((BORN_UNKNOWN, 7), (7, BORN_UNKNOWN)):
             known = LeavingIncarnations()
-            known.record(Incarnation("r1", told), (), 0)
+            known.record(Incarnation("r1", told), _is_none, 0)
             found = Incarnation("r1", asked)
             self.assertEqual(0, known.learned_ms(found, LEAVING_KEPT_MS - 1))
             self.assertIsNone(known.learned_ms(found, LEAVING_KEPT_MS))
@@ -36,8 +40,8 @@
         known = LeavingIncarnations()
         other = Incarnation("r2", 7)
         for incarnation in (FIRST, other):
-            known.record(incarnation, (), 0)
-        known.record(Incarnation("r3", 7), (FIRST,), LEAVING_KEPT_MS)
+            known.record(incarnation, _is_none, 0)
+        known.record(Incarnation("r3", 7), (FIRST,).__contains__, LEAVING_KEPT_MS)
         self.assertEqual(0, known.learned_ms(FIRST, 10 * LEAVING_KEPT_MS))
         self.assertIsNone(known.learned_ms(other, LEAVING_KEPT_MS))
         self.assertEqual(2, len(known))
@@ -46,7 +50,7 @@
         """Their number is bounded, whatever other VMs report."""
         known = LeavingIncarnations()
         for number in range(LEAVING_COUNT_MAX + 2):
-            known.record(Incarnation(f"r{number}", 7), (), number)
+            known.record(Incarnation(f"r{number}", 7), _is_none, number)
         self.assertEqual(LEAVING_COUNT_MAX, len(known))
         self.assertIsNone(known.learned_ms(Incarnation("r1", 7), 10_000))
         self.assertIsNotNone(known.learned_ms(Incarnation("r2", 7), 10_000))
@@ -75,7 +79,7 @@
             if is_answer and replica_id in registered:
                 listed = {Incarnation(*item) for item in registered.items()}
                 incarnation = Incarnation(replica_id, registered[replica_id])
-                known.record(incarnation, listed, now)
+                known.record(incarnation, listed.__contains__, now)
                 told.add(incarnation)
             else:
                 registered[replica_id] = max(
