Let an upstream of the zone daemon pause that asks for it

An upstream that refused with 503 and Retry-After got requests again as soon as a probe found it healthy, each of which met the next refusal.

The dispatcher keeps the pause of the upstream at that address: permit requests name it as excluded, and a permit granted earlier lapses right before the first byte would be sent, without the retry budget. Bounds are those of the edge. The caller's Retry-After stays that of the error kind, and the return after the pause is bounded by the scheduler's slots alone.

Run: tests/daemon/test_upstream_pauses.py, the first test failed before (requests at 1.5 s and 4.0 s of a pause of 6.5 s) and passes now; the second guards what is no time.

--- a/src/hemlocktrestle/daemon/_dispatch.py
+++ b/src/hemlocktrestle/daemon/_dispatch.py
@@ -19,6 +19,7 @@
 )
 from hemlocktrestle.daemon._request_parser import Job, is_chat
 from hemlocktrestle.daemon._stream_resume import ResumableStream
+from hemlocktrestle.daemon._upstream_pauses import UpstreamPauses
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.membership import Membership, ZoneLoad, order_zones
 from hemlocktrestle.peers._permit_client import HeldPermit, PermitClient
@@ -123,6 +124,7 @@
         self._now_ms = now_ms
         self._jitter = jitter
         self._budget = RetryBudget()
+        self._pauses = UpstreamPauses(membership, now_ms)
 
     async def run(
         self,
@@ -166,9 +168,10 @@
     ) -> RelayedAnswer:
         excluded: tuple[str, ...] = ()
         for attempt in range(DISPATCH_ATTEMPTS_MAX):
+            unusable = excluded + self._pauses.paused_names(job.pool)
             numbered = job._replace(
                 ask=job.ask._replace(
-                    ask_id=f"{job.ask.ask_id}.{attempt}", excluded=excluded
+                    ask_id=f"{job.ask.ask_id}.{attempt}", excluded=unusable
                 )
             )
             progress.start_attempt()
@@ -203,7 +206,7 @@
             with trio.move_on_after(
                 max(0.0, job.deadline_at_ms - started_ms) / 1000
             ) as scope:
-                relayed = await self._dispatch(job, call, responder)
+                relayed = await self._dispatch(job, held, call, responder)
             if scope.cancelled_caught:
                 raise _deadline_error(progress)
             failure = ""
@@ -274,16 +277,18 @@
             raise RequestError(
                 ErrorKind.PERMIT_STALE, "permit lapsed before it was used"
             )
+        self._pauses.check(held.permit)
         check_send()
 
     async def _dispatch(
-        self, job: Job, call: UpstreamCall, responder: Responder
+        self, job: Job, held: HeldPermit, call: UpstreamCall, responder: Responder
     ) -> RelayedAnswer:
         async with AsyncExitStack() as stack:
             span = stack.enter_context(self._tracer.start_as_current_span("dispatch"))
             answer = await stack.enter_async_context(self._upstreams.call(call))
             span.set_attribute("status", answer.status)
             if answer.status == 503:
+                self._pauses.on_refusal(held.permit, answer.headers)
                 raise RequestError(
                     ErrorKind.UPSTREAM_REFUSED, "upstream refused the work"
                 )
