--- a/src/hemlocktrestle/edge/_attempt.py
+++ b/src/hemlocktrestle/edge/_attempt.py
@@ -242,9 +242,11 @@
 
     async def _relay(self, answer: ReplicaAnswer) -> AttemptEnd:
         self.status = answer.status
+        metadata = self._state.header_codec.parse_answer(answer.headers)
+        self._state.replica_notices.on_answer(self.placement, answer.status, metadata)
         verdict = classify_answer(
             answer.status,
-            self._state.header_codec.parse_answer(answer.headers),
+            metadata,
             ExpectedAnswer(
                 self._job.metadata.request_id,
                 is_stream=self._job.route.kind is RequestKind.STREAM,
@@ -266,6 +268,7 @@
         self.failure = RequestError(
             ErrorKind.NO_UPSTREAM, f"replica did not take it: {answer.status}"
         )
+        self._state.replica_notices.explain(self._job, self.failure)
         return AttemptEnd.NOT_RUN
 
     async def _relay_buffered(self, answer: ReplicaAnswer) -> AttemptEnd:
--- a/src/hemlocktrestle/edge/_placement.py
+++ b/src/hemlocktrestle/edge/_placement.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple, Protocol
 
 from hemlocktrestle.edge._job import Job
+from hemlocktrestle.gateway import BORN_UNKNOWN
 
 
 class AttemptEnd(Enum):
@@ -18,6 +19,7 @@
     SILENT = "silent"
     ABANDONED = "abandoned"
     UNUSED = "unused"
+    HELD_BACK = "held-back"
 
 
 class Placement(NamedTuple):
@@ -29,6 +31,8 @@
         address: where it takes requests.
         granted_by: the VM that granted the permit, empty if there is none.
         waited_ms: how long the request waited for the permit.
+        born_ms: start of the replica, as this VM knew it when it was chosen.
+        round_id: the pause of the replica after which this is sent, 0 for none.
     """
 
     permit_id: str
@@ -36,12 +40,14 @@
     address: str
     granted_by: str
     waited_ms: float
+    born_ms: int = BORN_UNKNOWN
+    round_id: int = 0
 
 
 CONNECT_FAILURES = frozenset({AttemptEnd.UNREACHABLE, AttemptEnd.CONNECT_TIMEOUT})
 """Ends of attempts that got no connection to the replica."""
 
-UNSENT_ENDS = CONNECT_FAILURES | {AttemptEnd.UNUSED}
+UNSENT_ENDS = CONNECT_FAILURES | {AttemptEnd.UNUSED, AttemptEnd.HELD_BACK}
 """Ends of attempts that sent nothing to the replica."""
 
 
--- a/src/hemlocktrestle/edge/_server.py
+++ b/src/hemlocktrestle/edge/_server.py
@@ -12,6 +12,7 @@
 from hemlocktrestle.edge._attempt_log import log_answer_cut
 from hemlocktrestle.edge._attempt_sequence import AttemptSequence
 from hemlocktrestle.edge._job import Job
+from hemlocktrestle.edge._notice_placer import NoticePlacer
 from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement, Placer
 from hemlocktrestle.edge._progress import RequestProgress
 from hemlocktrestle.edge._quota_gate import EdgeQuotas, over_quota
@@ -67,7 +68,7 @@
     ) -> None:
         self._on_attempt = on_attempt
         self._state = state
-        self._placer = placer
+        self._placer = NoticePlacer(state, placer)
         self._quotas = quotas
         self._quarantine = quarantine
         self._on_served = on_served
--- a/src/hemlocktrestle/gateway/__init__.py
+++ b/src/hemlocktrestle/gateway/__init__.py
@@ -21,6 +21,12 @@
 from hemlocktrestle.gateway._event_sequence import ID_DIGITS_MAX, EventSequence
 from hemlocktrestle.gateway._events import EventSplitter, StreamEvent
 from hemlocktrestle.gateway._fleet_demand import FleetDemand
+from hemlocktrestle.gateway._leaving import (
+    BORN_UNKNOWN,
+    Incarnation,
+    LeavingIncarnations,
+)
+from hemlocktrestle.gateway._pauses import Pause, ReplicaPauses, bounded_pause_ms
 from hemlocktrestle.gateway._quota import Demand, FleetSnapshot, Quota, QuotaTracker
 from hemlocktrestle.gateway._replicas import (
     STORE_RECOVERY_GRACE_MS,
@@ -36,6 +42,7 @@
 from hemlocktrestle.gateway._retry_budget import RetryBudget
 
 __all__ = [
+    "BORN_UNKNOWN",
     "ID_DIGITS_MAX",
     "STORE_RECOVERY_GRACE_MS",
     "AnswerClass",
@@ -52,8 +59,12 @@
     "FleetDemand",
     "FleetSnapshot",
     "Headers",
+    "Incarnation",
+    "LeavingIncarnations",
+    "Pause",
     "Quota",
     "QuotaTracker",
+    "ReplicaPauses",
     "ReplicaRecord",
     "ReplicaRegistry",
     "ReplicaUpdate",
@@ -64,6 +75,7 @@
     "Service",
     "StreamEvent",
     "Target",
+    "bounded_pause_ms",
     "choose_service",
     "classify_answer",
     "urgency_rank",
--- a/src/hemlocktrestle/platform/_headers.py
+++ b/src/hemlocktrestle/platform/_headers.py
@@ -1,5 +1,7 @@
 """Parses and builds the platform's header lines."""
 
+import math
+
 from hemlocktrestle.documents import COUNT_MAX, MS_MAX
 from hemlocktrestle.gateway import AnswerMetadata, Headers, RequestMetadata
 
@@ -14,6 +16,9 @@
 _EXPECTED_REPLICA = b"x-expect-instance"
 _SEAL = b"x-response-seal"
 _NOT_EXECUTED = b"x-not-executed"
+_LEAVING = b"server-leaving"
+# Seconds, also fractions.
+_PAUSE = b"retry-after"
 
 _HOP_BY_HOP = frozenset(
     {
@@ -123,6 +128,10 @@
             request_id=b", ".join(sorted(ids)).decode("latin-1"),
             is_encoded=lines.get(b"content-encoding", b"identity") != b"identity",
             is_event_stream=content_type.strip().lower() == "text/event-stream",
+            is_leaving=any(
+                name == _LEAVING and value.strip() == b"1" for name, value in headers
+            ),
+            pause_ms=_stated_ms(_text(lines, _PAUSE)) if _PAUSE in lines else None,
         )
 
     def forwarded_answer_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
@@ -149,6 +158,13 @@
     return lines.get(name, b"").decode("latin-1").strip()
 
 
+def _stated_ms(seconds: str) -> float:
+    try:
+        return float(seconds) * 1000
+    except ValueError:
+        return math.nan
+
+
 def _count(text: str) -> int:
     return int(_number(text, COUNT_MAX) or 0)
 
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -151,13 +151,27 @@
 
 
 class _RecordingPlacer(LocalPlacer):
-    """A local placer that records how the attempts ended, by replica."""
+    """A local placer that records how the attempts ended, by replica.
+
+    Unless it is excluded, the preferred replica is chosen whatever this VM knows.
+    """
 
     def __init__(
-        self, state: EdgeState, released: list[tuple[str, AttemptEnd]]
+        self,
+        state: EdgeState,
+        released: list[tuple[str, AttemptEnd]],
+        *,
+        preferred: str = "",
     ) -> None:
         super().__init__(state, jitter=_ConstantRandom())  # type: ignore[arg-type]
         self._released = released
+        self._preferred = preferred
+
+    async def obtain(self, job: Job, *, excluded: frozenset[str]) -> Placement:
+        """Return the preferred replica, or the least loaded one."""
+        if self._preferred and self._preferred not in excluded:
+            return Placement("p1", self._preferred, self._preferred, "vm-2", 0.0)
+        return await super().obtain(job, excluded=excluded)
 
     def release(self, job: Job, placement: Placement, report: AttemptReport) -> None:
         """Record the end of the attempt and release the placement."""
@@ -173,6 +187,7 @@
         replicas: scripts by replica id; the id is also the address.
         found: the configuration, by default an ordinary one.
         records: the replicas' registrations, by default ordinary ones.
+        preferred: replica that is chosen first, as by a scheduler that lags.
     """
 
     def __init__(
@@ -182,6 +197,7 @@
         *,
         found: Configuration | None = None,
         records: tuple[ReplicaRecord, ...] = (),
+        preferred: str = "",
     ) -> None:
         self.state = EdgeState(
             decode_settings(SETTINGS, source="test"),
@@ -200,7 +216,8 @@
         self.requests: list[tuple[str, Request]] = []
         self.quarantine = QuarantineRegistry()
         self._nursery: trio.Nursery | None = None
-        placer = _RecordingPlacer(self.state, self.released)
+        self._shared_nursery: trio.Nursery | None = None
+        placer = _RecordingPlacer(self.state, self.released, preferred=preferred)
         self.server = EdgeServer(
             self.state,
             placer,
@@ -231,7 +248,7 @@
             lines["Content-Length"] = str(len(body))
         reply = Reply()
         async with trio.open_nursery() as nursery:
-            self._nursery = nursery
+            self._nursery = self._shared_nursery or nursery
             ours, theirs = trio.testing.memory_stream_pair()
             connection = CallerConnection(
                 theirs,
@@ -253,6 +270,16 @@
             nursery.cancel_scope.cancel()
         return reply
 
+    async def send_together(self, count: int) -> None:
+        """Send ordinary requests at once, and wait until all are answered."""
+        async with trio.open_nursery() as replicas:
+            self._shared_nursery = replicas
+            async with trio.open_nursery() as callers:
+                for _ in range(count):
+                    callers.start_soon(self.send)
+            self._shared_nursery = None
+            replicas.cancel_scope.cancel()
+
     async def _open(self, address: str) -> Any:
         script = self.scripts.get(address)
         if script is None:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,5 +1,6 @@
 """Tests of parsing and building the platform's header lines."""
 
+import math
 from typing import Any
 
 from hypothesis import given
@@ -168,6 +169,23 @@
         packed = HeaderCodec().parse_answer(((b"content-encoding", b"gzip"),))
         self.assertTrue(packed.is_encoded)
 
+    def test_only_the_stated_value_means_that_a_replica_leaves(self) -> None:
+        """Another value, or none, says nothing."""
+        for value, is_leaving in ((b"1", True), (b" 1 ", True), (b"0", False)):
+            metadata = HeaderCodec().parse_answer(((b"server-leaving", value),))
+            self.assertEqual(is_leaving, metadata.is_leaving)
+        self.assertFalse(HeaderCodec().parse_answer(self.HEAD).is_leaving)
+
+    def test_a_pause_is_stated_in_seconds(self) -> None:
+        """Any number is parsed; what is none is NaN, and no line is no pause."""
+        for value, pause_ms in ((b"2", 2_000.0), (b"0.25", 250.0), (b"-1", -1_000.0)):
+            metadata = HeaderCodec().parse_answer(((b"retry-after", value),))
+            self.assertEqual(pause_ms, metadata.pause_ms)
+        for value in (b"", b"soon", b"Sat, 05 Dec 2026 06:50:00 GMT"):
+            metadata = HeaderCodec().parse_answer(((b"retry-after", value),))
+            self.assertTrue(math.isnan(metadata.pause_ms or 0.0), value)
+        self.assertIsNone(HeaderCodec().parse_answer(self.HEAD).pause_ms)
+
     def test_hop_by_hop_headers_are_dropped(self) -> None:
         """Hop-by-hop headers are dropped, and all others are forwarded unchanged."""
         lines = HeaderCodec().forwarded_answer_headers(self.HEAD)
