Refuse prompts with a part that crashes replicas

Cause: a request that crashes replicas was known by a digest of the whole request, and no two of these are alike.

Each VM now keeps the crashes with the parts (all but the last) of the requests that ran there without content of an answer, and the parts of requests that were answered. A pure module derives from both, whatever their order, which parts are quarantined. Requests with one are refused as not run, on arrival and again before each send; a request is not repeated while its own crash may be due to its parts. Crashes travel in the suspicion, which gets new fields, and are sent again when a link opens; acquittals travel in the heartbeat, so that an earlier version of a VM ignores them and nothing can pile up.

Ruled out: a decision that is kept once it is taken.

--- a/src/hemlocktrestle/cli/_explain.py
+++ b/src/hemlocktrestle/cli/_explain.py
@@ -156,6 +156,16 @@
     )
 
 
+def _describe_quarantined(lines: list[Line], end: Line) -> str:
+    refusal = _last_event(lines, "part_refused")
+    if not refusal:
+        return "Requests like it crashed replicas; see request_suspected."
+    return (
+        f"Part {refusal.get('part')} of its prompt is quarantined for these crashes, "
+        f"by replica and request: {refusal.get('crashes')}."
+    )
+
+
 _CAUSES = {
     "answered": _describe_answered,
     "deadline_in_queue": _describe_queue_timeout,
@@ -166,5 +176,6 @@
     "no_upstream": _describe_failed_attempt,
     "deadline_running": _describe_deadline,
     "caller_gone": _describe_caller_gone,
+    "quarantined": _describe_quarantined,
 }
 """Functions that describe the cause, by the outcome in the last ``request_ended``."""
--- a/src/hemlocktrestle/edge/_attempt.py
+++ b/src/hemlocktrestle/edge/_attempt.py
@@ -159,6 +159,7 @@
             self._first_ms,
             now_ms() - self._started_ms,
             self._event_count,
+            self.status,
         )
 
     def report_cancelled(self) -> AttemptReport:
--- a/src/hemlocktrestle/edge/_crash_monitor.py
+++ b/src/hemlocktrestle/edge/_crash_monitor.py
@@ -6,7 +6,8 @@
 import trio
 
 from hemlocktrestle.edge._job import Job
-from hemlocktrestle.edge._placement import Placement
+from hemlocktrestle.edge._part_gate import PartGate
+from hemlocktrestle.edge._placement import AttemptReport, Placement
 from hemlocktrestle.edge._state import now_ms
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.peers import PeerNetwork
@@ -38,33 +39,44 @@
     Args:
         quarantine: registry of suspected requests.
         network: links to other VMs.
+        part_gate: records the parts of prompts that a crash may be blamed on.
     """
 
-    def __init__(self, quarantine: QuarantineRegistry, network: PeerNetwork) -> None:
+    def __init__(
+        self,
+        quarantine: QuarantineRegistry,
+        network: PeerNetwork,
+        part_gate: PartGate,
+    ) -> None:
+        self._part_gate = part_gate
         self._quarantine = quarantine
         self._network = network
         self._probe_sender, self._probe_receiver = trio.open_memory_channel[
             _PendingProbe
         ](PENDING_PROBES_MAX)
 
-    def on_replica_disconnected(self, job: Job, placement: Placement) -> None:
+    def on_replica_disconnected(
+        self, job: Job, placement: Placement, report: AttemptReport
+    ) -> None:
         """Queue a probe of a replica that closed the connection during a request."""
-        suspicion = Suspicion(
-            job.service.name,
-            job.fingerprint,
-            placement.replica_id,
-            job.metadata.request_id,
-        )
+        suspicion = self._part_gate.create_suspicion(job, placement, report)
         try:
             self._probe_sender.send_nowait(_PendingProbe(suspicion, placement.address))
         except trio.WouldBlock:
             log.warning("broken_replicas_not_looked_at")
+            self._part_gate.on_probed(suspicion)
 
     def on_message(self, vm: str, message: Message) -> None:
         """Record a suspicion of another VM, and forward it if it is new."""
         if isinstance(message, Suspicion):
             self._record_suspicion(message, source=vm)
 
+    def on_link_opened(self, vm: str) -> None:
+        """Send the crashes that another VM may not know: it may have restarted."""
+        for suspicion in self._part_gate.known_suspicions():
+            if not self._network.reply(vm, suspicion):
+                self._network.send(vm, suspicion)
+
     async def run(self) -> None:
         """Probe replicas that closed connections, until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -72,6 +84,12 @@
                 nursery.start_soon(self._probe, pending)
 
     async def _probe(self, pending: _PendingProbe) -> None:
+        try:
+            await self._probe_replica(pending)
+        finally:
+            self._part_gate.on_probed(pending.suspicion)
+
+    async def _probe_replica(self, pending: _PendingProbe) -> None:
         await trio.sleep(PROBE_DELAY_S)
         try:
             stream = await open_connection(pending.address)
@@ -92,6 +110,7 @@
         await trio.aclose_forcefully(stream)
 
     def _record_suspicion(self, suspicion: Suspicion, *, source: str) -> None:
+        self._part_gate.record_crash(suspicion, source=source)
         known = self._quarantine.find(suspicion.fingerprint, now_ms())
         if known is not None and suspicion.upstream in known.upstreams:
             return
@@ -112,4 +131,6 @@
                 "is_quarantined": entry.is_quarantined,
             },
         )
-        self._network.broadcast(suspicion, skip=source)
+        if not suspicion.age_ms:
+            # One that is sent again comes from each of the VMs that know it.
+            self._network.broadcast(suspicion, skip=source)
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -139,7 +139,9 @@
             gate=quotas,
         )
         self._peers.scheduler_task = self._scheduler_task
-        self._crash_monitor = CrashMonitor(self._quarantine, self._network)
+        self._crash_monitor = CrashMonitor(
+            self._quarantine, self._network, self._peers.part_gate
+        )
         self._permit_client = PermitClient(
             membership,
             send=self._network.send,
@@ -158,6 +160,7 @@
             self._placer,
             quotas=quotas,
             quarantine=self._quarantine,
+            part_gate=self._peers.part_gate,
             on_served=self._on_request_ended,
             on_replica_disconnected=self._crash_monitor.on_replica_disconnected,
             on_attempt=self._on_attempt_ended,
@@ -299,6 +302,8 @@
             log_lines_dropped=dropped_count,
             inbox_wait_ms=lambda: self._scheduler_task.inbox_wait_ms,
             configuration_bytes_sent=lambda: self._peers.exchange.bytes_sent,
+            parts_quarantined=lambda: self._peers.part_gate.quarantined_count,
+            part_refusals=lambda: self._peers.part_gate.refused_count,
         )
 
     def _labelled_gauges(self) -> LabelledGauges:
@@ -348,6 +353,7 @@
         network.register_handler(TreeFetch, self._peers.exchange.on_fetch)
         network.register_handler(Suspicion, self._crash_monitor.on_message)
         self.state.on_configuration = self._peers.on_configuration_changed
+        network.on_opened(self._crash_monitor.on_link_opened)
         network.on_dialled_closed(self._permit_client.on_link_closed)
         network.on_dialled_closed(self._peers.membership.on_disconnected)
         network.on_dialled_closed(replicas.on_link_closed)
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -5,6 +5,7 @@
 import trio
 
 from hemlocktrestle.edge._configuration_exchange import ConfigurationExchange
+from hemlocktrestle.edge._part_gate import PartGate
 from hemlocktrestle.edge._registration import VmEntry
 from hemlocktrestle.edge._replica_exchange import ReplicaExchange
 from hemlocktrestle.edge._state import EdgeState, now_ms
@@ -77,6 +78,7 @@
         )
         self._candidates: dict[str, VmRecord] = {}
         self._network: PeerNetwork | None = None
+        self.part_gate = PartGate(state)
         self.scheduler_task: SchedulerTask | None = None
 
     @property
@@ -219,6 +221,7 @@
             startup_share,
             self.replica_exchange.follows_store,
             self._vm_list.digest,
+            self.part_gate.sound_parts(),
         )
 
     def on_heartbeat(self, vm: str, message: Message) -> None:
@@ -229,6 +232,7 @@
         self.exchange.on_heartbeat(vm, message)
         self.replica_exchange.on_heartbeat(vm, message)
         self._vm_list.on_heartbeat(vm, message)
+        self.part_gate.on_heartbeat(vm, message)
         self.membership.on_heartbeat(
             vm,
             now,
--- a/src/hemlocktrestle/edge/_metrics.py
+++ b/src/hemlocktrestle/edge/_metrics.py
@@ -57,6 +57,8 @@
     log_lines_dropped: Callable[[], float]
     inbox_wait_ms: Callable[[], float]
     configuration_bytes_sent: Callable[[], float]
+    parts_quarantined: Callable[[], float]
+    part_refusals: Callable[[], float]
 
 
 class LabelledGauges(NamedTuple):
@@ -84,6 +86,8 @@
     "log_lines_dropped": "Log lines that were not written, since the start.",
     "inbox_wait_ms": "Time that the last message waited for the scheduler's task.",
     "configuration_bytes_sent": "Bytes of configurations sent to other VMs.",
+    "parts_quarantined": "Parts of prompts that are refused for crashing replicas.",
+    "part_refusals": "Requests refused for a part of their prompts, since the start.",
     "pool_oldest_in_hand_ms": "Age of the oldest request counted as in hand.",
     "pool_queued_asks": "Asks that wait in front of a pool kept here.",
     "pool_free_slots": "Requests that a pool kept here may still be given.",
--- a/src/hemlocktrestle/edge/_placement.py
+++ b/src/hemlocktrestle/edge/_placement.py
@@ -49,12 +49,14 @@
         first_ms: time to the first event or the whole answer, 0 if none came.
         total_ms: time to its end.
         event_count: number of stream events received.
+        status: status of the answer, 0 if its head did not come.
     """
 
     end: AttemptEnd
     first_ms: float
     total_ms: float
     event_count: int
+    status: int = 0
 
 
 class Placer(Protocol):
--- a/src/hemlocktrestle/edge/_server.py
+++ b/src/hemlocktrestle/edge/_server.py
@@ -10,6 +10,7 @@
 from hemlocktrestle.edge._answer import error_answer
 from hemlocktrestle.edge._attempt import Attempt, RequestProgress, SealedAnswer
 from hemlocktrestle.edge._job import Job
+from hemlocktrestle.edge._part_gate import PartGate
 from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement, Placer
 from hemlocktrestle.edge._quota_gate import EdgeQuotas, over_quota
 from hemlocktrestle.edge._state import EdgeState, now_ms
@@ -51,6 +52,7 @@
         placer: decides when requests are sent, and to which replicas.
         quotas: counts requests against quotas.
         quarantine: registry of requests that crash replicas.
+        part_gate: refuses requests with parts that crash replicas.
         on_served: called when a request has ended.
         on_replica_disconnected: called when a replica closed the connection without
             an answer.
@@ -64,8 +66,9 @@
         *,
         quotas: EdgeQuotas,
         quarantine: QuarantineRegistry,
+        part_gate: PartGate,
         on_served: Callable[[ServedRequest], None],
-        on_replica_disconnected: Callable[[Job, Placement], None],
+        on_replica_disconnected: Callable[[Job, Placement, AttemptReport], None],
         on_attempt: Callable[[Job, Placement, AttemptReport], None] = _ignore,
     ) -> None:
         self._on_attempt = on_attempt
@@ -73,6 +76,7 @@
         self._placer = placer
         self._quotas = quotas
         self._quarantine = quarantine
+        self._part_gate = part_gate
         self._on_served = on_served
         self._on_replica_disconnected = on_replica_disconnected
         self.running_count = 0
@@ -146,6 +150,7 @@
             raise RequestError(
                 ErrorKind.QUARANTINED, "requests like this one crash replicas"
             )
+        self._part_gate.check(job)
         self._spend_quota(job)
         self._state.retry_budget(service.name).record_request(now_ms())
         return job
@@ -174,7 +179,7 @@
             if progress.event_count:
                 job = job._replace(is_begun=True)
             try:
-                placement = await self._placer.obtain(job, excluded=frozenset(excluded))
+                placement = await self._obtain(job, frozenset(excluded))
             except RequestError as error:
                 if progress.may_have_sent:
                     break
@@ -206,10 +211,12 @@
             finally:
                 if report.end is AttemptEnd.ABANDONED:
                     report = attempt.report_cancelled()
+                self._part_gate.on_attempt_ended(job, report)
                 self._placer.release(job, placement, report)
             self._record_end(job, placement, attempt, report)
             if report.end is AttemptEnd.RELAYED:
                 return attempt.status
+            await self._part_gate.wait_for_verdict(job, placement)
             failure = attempt.failure or failure
             sealed = attempt.sealed_answer or sealed
         if connection.is_answer_started:
@@ -219,6 +226,17 @@
             return sealed.status
         raise failure
 
+    async def _obtain(self, job: Job, excluded: frozenset[str]) -> Placement:
+        """Wait for a placement; a part may have been quarantined in the meantime."""
+        placement = await self._placer.obtain(job, excluded=excluded)
+        try:
+            self._part_gate.check(job)
+        except RequestError:
+            unsent = AttemptReport(AttemptEnd.ABANDONED, 0.0, 0.0, 0)
+            self._placer.release(job, placement, unsent)
+            raise
+        return placement
+
     def _may_send(
         self, job: Job, progress: RequestProgress, failure: RequestError
     ) -> bool:
@@ -245,6 +263,7 @@
             "may run once": bool(progress.runs_count) and not job.route.may_retry,
             "sends": progress.send_count >= SENDS_MAX,
             "connections": progress.connect_count >= CONNECTS_MAX,
+            "suspected part": self._part_gate.is_suspected(job),
         }
         for reason, applies in obstacles.items():
             if applies:
@@ -273,7 +292,7 @@
         )
         self._on_attempt(job, placement, report)
         if report.end is AttemptEnd.BROKEN:
-            self._on_replica_disconnected(job, placement)
+            self._on_replica_disconnected(job, placement, report)
         elif report.end is AttemptEnd.RELAYED:
             self._quarantine.clear_suspicion(job.fingerprint)
 
--- a/src/hemlocktrestle/gateway/_request.py
+++ b/src/hemlocktrestle/gateway/_request.py
@@ -20,6 +20,8 @@
         output_tokens_hint: the caller's estimate of them, 0 if not stated.
         states_tokens: whether the request states its tokens.
         last_event_id: event after which the caller resumes a stream, empty if none.
+        prompt_parts: ids of the parts of its prompt that other requests may share, in
+            order.
     """
 
     request_id: str
@@ -32,6 +34,7 @@
     output_tokens_hint: int
     states_tokens: bool
     last_event_id: str = ""
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def tokens(self) -> int:
--- a/src/hemlocktrestle/peers/_network.py
+++ b/src/hemlocktrestle/peers/_network.py
@@ -56,6 +56,7 @@
         self._handlers: dict[type, Handler] = {}
         # The last logged reason by peer: repeated failures to dial are logged once.
         self._last_end_reasons: dict[str, tuple[str, str]] = {}
+        self._on_opened: list[Callable[[str], None]] = []
         self._on_dialled_closed: list[Callable[[str], None]] = []
         self._on_accepted_closed: list[Callable[[str], None]] = []
 
@@ -63,6 +64,10 @@
         """Register the handler for a message type; it must not block."""
         self._handlers[message_type] = handler
 
+    def on_opened(self, callback: Callable[[str], None]) -> None:
+        """Register a callback for each link that is opened, by either VM."""
+        self._on_opened.append(callback)
+
     def on_dialled_closed(self, callback: Callable[[str], None]) -> None:
         """Register a callback for the end of a link that this VM dialled."""
         self._on_dialled_closed.append(callback)
@@ -198,6 +203,7 @@
         link.post(self._heartbeat())
         self._last_end_reasons.pop(peer.vm, None)
         log.info("link_opened", extra={"peer": peer.vm})
+        self._notify(self._on_opened, peer.vm)
 
     def _add_accepted(self, peer: Hello, link: Link) -> None:
         if self._boot_ids.get(peer.vm, peer.boot_id) != peer.boot_id:
@@ -205,6 +211,7 @@
         self._boot_ids[peer.vm] = peer.boot_id
         self._accepted[peer.vm] = link
         link.post(self._heartbeat())
+        self._notify(self._on_opened, peer.vm)
         redial = self._redial_events.get(peer.vm)
         if redial is not None:
             redial.set()
--- a/src/hemlocktrestle/platform/_headers.py
+++ b/src/hemlocktrestle/platform/_headers.py
@@ -1,5 +1,7 @@
 """Parses and builds the platform's header lines."""
 
+import re
+
 from hemlocktrestle.gateway import AnswerMetadata, Headers, RequestMetadata
 
 _REQUEST_ID = b"x-attempt-id"
@@ -8,12 +10,19 @@
 _CUSTOMER = b"x-tenant"
 # Two numbers: tokens of the prompt, and the largest number of tokens to generate.
 _TOKENS = b"x-token-usage"
+# The parts of the prompt in order, each with its tokens.
+_PROMPT_PARTS = b"x-prompt-prefix"
 _LENGTH_HINT = b"x-length-hint"
 _LAST_EVENT = b"last-event-id"
 _EXPECTED_REPLICA = b"x-expect-instance"
 _SEAL = b"x-response-seal"
 _NOT_EXECUTED = b"x-not-executed"
 
+_PROMPT_PART = re.compile(r"\s*([0-9a-f]{1,64}):[0-9]+\s*", re.IGNORECASE)
+
+PROMPT_PARTS_MAX = 32
+"""Parts of a prompt that are read; the ones after them are ignored."""
+
 _HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -73,6 +82,7 @@
             output_tokens_hint=int(_number(_text(lines, _LENGTH_HINT)) or 0),
             states_tokens=_TOKENS in lines,
             last_event_id=_text(lines, _LAST_EVENT),
+            prompt_parts=_shared_parts(_text(lines, _PROMPT_PARTS)),
         )
 
     def build_request_headers(
@@ -148,6 +158,14 @@
     return lines.get(name, b"").decode("latin-1").strip()
 
 
+def _shared_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of all parts but the last, which is the request's own."""
+    *shared, _ = text.split(",", PROMPT_PARTS_MAX)
+    found = [_PROMPT_PART.fullmatch(entry) for entry in shared]
+    ids = [match[1].lower() for match in found if match is not None]
+    return tuple(dict.fromkeys(ids)) if len(ids) == len(found) else ()
+
+
 def _number(text: str) -> float | None:
     try:
         value = float(text)
--- a/src/hemlocktrestle/quarantine/__init__.py
+++ b/src/hemlocktrestle/quarantine/__init__.py
@@ -1,6 +1,12 @@
-"""Quarantine of requests that crash the upstreams that run them."""
+"""Quarantine of requests, and of parts of prompts, that crash the upstreams."""
 
 from hemlocktrestle.quarantine._fingerprint import chat_fingerprint
+from hemlocktrestle.quarantine._parts import (
+    PartChanges,
+    PartCrash,
+    PartQuarantine,
+    QuarantinedPart,
+)
 from hemlocktrestle.quarantine._registry import (
     ENTRIES_MAX,
     QUARANTINE_CRASH_COUNT,
@@ -15,7 +21,11 @@
     "QUARANTINE_CRASH_COUNT",
     "QUARANTINE_MS",
     "SUSPICION_MS",
+    "PartChanges",
+    "PartCrash",
+    "PartQuarantine",
     "QuarantineEntry",
     "QuarantineRegistry",
+    "QuarantinedPart",
     "chat_fingerprint",
 ]
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -82,6 +82,13 @@
     spent: float
 
 
+class SoundPart(NamedTuple):
+    """An accused part of prompts that was in an answered request, and how long ago."""
+
+    part: str
+    age_ms: int
+
+
 @message("heartbeat")
 class Heartbeat(NamedTuple):
     """Periodic message on each link: it shows that the sender is alive.
@@ -99,6 +106,8 @@
 
     ``follows_replicas`` tells whether the sender watches the replicas in the store;
     ``vms_digest`` is a digest of the entries of the VMs that it knows.
+    ``sound_parts`` are parts of prompts that crashes are blamed on, but that the
+    sender saw in answered requests.
     """
 
     tree_revision: int
@@ -114,6 +123,7 @@
     area_young: float = 0.0
     follows_replicas: bool = False
     vms_digest: int = 0
+    sound_parts: tuple[SoundPart, ...] = ()
 
 
 @message("ask")
@@ -288,12 +298,22 @@
 
 @message("suspicion")
 class Suspicion(NamedTuple):
-    """An upstream crashed while it ran a request with this body fingerprint."""
+    """An upstream crashed while it ran a request with this body fingerprint.
+
+    ``parts`` are the parts of its prompt that may have caused the crash, in order;
+    there are none if content of the answer had come.  ``is_started`` tells whether
+    its head had come.  ``born_ms`` is the start of the upstream, 0 if unknown, and
+    ``age_ms`` the time since the crash if the message is sent again.
+    """
 
     pool: str
     fingerprint: str
     upstream: str
     request_id: str
+    parts: tuple[str, ...] = ()
+    is_started: bool = False
+    born_ms: int = 0
+    age_ms: int = 0
 
 
 @message("replicaNews")
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -57,6 +57,12 @@
   areaYoung @10 :Float64;
   followsReplicas @11 :Bool;
   vmsDigest @12 :UInt64;
+  soundParts @13 :List(SoundPart);
+}
+
+struct SoundPart {
+  part @0 :Text;
+  ageMs @1 :UInt64;
 }
 
 struct CustomerDemand {
@@ -209,4 +215,8 @@
   fingerprint @1 :Text;
   upstream @2 :Text;
   requestId @3 :Text;
+  parts @4 :List(Text);
+  isStarted @5 :Bool;
+  bornMs @6 :UInt64;
+  ageMs @7 :UInt64;
 }
--- a/tests/cli/test_platform_commands.py
+++ b/tests/cli/test_platform_commands.py
@@ -141,6 +141,7 @@
             "upstream_broken": "not repeated",
             "deadline_running": "Its time ended",
             "caller_gone": "caller left",
+            "quarantined": "crashed replicas",
             "unknown_route": "unknown_route",
         }
         for outcome, text in outcomes.items():
@@ -148,6 +149,14 @@
             self.assertIn(text, cause)
         self.assertIn("end before", explain("r1", [line("request_admitted", 1)]).cause)
 
+    def test_a_refusal_for_a_part_names_the_crashes(self) -> None:
+        """The cause names the part, and the crashes that it was blamed for."""
+        refusal = line("part_refused", 1, part="bad0", crashes={"i-1/7": "q1"})
+        end = line("request_ended", 2, outcome="quarantined")
+        cause = explain("r1", [refusal, end]).cause
+        self.assertIn("bad0", cause)
+        self.assertIn("q1", cause)
+
     def test_an_unknown_id_or_file_raises(self) -> None:
         """An unknown request id, or a missing file, raises an error."""
         for call in (
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -12,6 +12,7 @@
 from hemlocktrestle.edge import _attempt
 from hemlocktrestle.edge._job import Job
 from hemlocktrestle.edge._local_placer import LocalPlacer
+from hemlocktrestle.edge._part_gate import PartGate
 from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement
 from hemlocktrestle.edge._quota_gate import EdgeQuotas
 from hemlocktrestle.edge._server import EdgeServer, ServedRequest
@@ -200,12 +201,14 @@
         self.requests: list[tuple[str, Request]] = []
         self.quarantine = QuarantineRegistry()
         self._nursery: trio.Nursery | None = None
+        self.part_gate = PartGate(self.state)
         placer = _RecordingPlacer(self.state, self.released)
         self.server = EdgeServer(
             self.state,
             placer,
             quotas=EdgeQuotas(self.state),
             quarantine=self.quarantine,
+            part_gate=self.part_gate,
             on_served=self.served.append,
             on_replica_disconnected=self._on_replica_disconnected,
         )
@@ -275,8 +278,13 @@
         except (GoneError, trio.BrokenResourceError, trio.ClosedResourceError):
             return
 
-    def _on_replica_disconnected(self, job: Job, placement: Placement) -> None:
+    def _on_replica_disconnected(
+        self, job: Job, placement: Placement, report: AttemptReport
+    ) -> None:
         self.disconnected.append(placement.replica_id)
+        suspicion = self.part_gate.create_suspicion(job, placement, report)
+        self.part_gate.record_crash(suspicion, source="")
+        self.part_gate.on_probed(suspicion)
         self.quarantine.record_crash(
             job.service.name,
             job.fingerprint,
--- a/tests/edge/test_crash_monitor.py
+++ b/tests/edge/test_crash_monitor.py
@@ -7,11 +7,13 @@
 
 from hemlocktrestle.edge import _crash_monitor
 from hemlocktrestle.edge._crash_monitor import CrashMonitor
+from hemlocktrestle.edge._part_gate import PartGate
 from hemlocktrestle.edge._state import now_ms
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.quarantine import QuarantineRegistry
 from hemlocktrestle.relay import ConnectTimeoutError
 from hemlocktrestle.wire import Message, Suspicion
+from tests.edge.harness import EdgeHarness
 from tests.support import TrioTestCase
 
 
@@ -38,7 +40,8 @@
         """Return a monitor, its quarantine registry and its sent messages."""
         links: Any = _Links()
         registry = QuarantineRegistry()
-        return CrashMonitor(registry, links), registry, links
+        gate = PartGate(EdgeHarness(self, {}).state)
+        return CrashMonitor(registry, links, gate), registry, links
 
     async def probe(
         self, failure: RequestError | None
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -7,6 +7,7 @@
 from testtools import TestCase
 
 from hemlocktrestle.platform import HeaderCodec
+from hemlocktrestle.platform._headers import PROMPT_PARTS_MAX
 
 REQUEST = (
     (b"host", b"callers.example:80"),
@@ -49,6 +50,34 @@
         self.assertEqual(("9c41", "callers.example", "/advice/x"), metadata[:3])
         self.assertEqual((1460, 80, 60), metadata[5:8])
         self.assertEqual(1540, metadata.tokens)
+        self.assertEqual(("5c1e", "91bd"), metadata.prompt_parts)
+
+    def test_parts_that_cannot_be_read_count_as_absent(self) -> None:
+        """Guards against parts of a malformed list that are taken for its first ones.
+
+        The last part is the request's own and never among them.
+        """
+        cases: dict[bytes, tuple[str, ...]] = {
+            b"": (),
+            b"aa:1": (),
+            b"AA:1,bb:2,aa:1,cc:3": ("aa", "bb"),
+            b"aa:1,zz:2,cc:3": (),
+            b"aa:1,,cc:3": (),
+            b"aa,bb:2": (),
+            b",": (),
+            b"\xff:1,aa:2": (),
+        }
+        for value, parts in cases.items():
+            lines = ((b"x-prompt-prefix", value),)
+            metadata = HeaderCodec().parse_request("/", lines)
+            self.assertEqual(parts, metadata.prompt_parts, value.decode("latin-1"))
+
+    def test_the_number_of_parts_is_bounded(self) -> None:
+        """A list of any length is read up to the limit."""
+        value = b",".join(b"%x:1" % number for number in range(1_000))
+        lines = ((b"x-prompt-prefix", value),)
+        parts = HeaderCodec().parse_request("/", lines).prompt_parts
+        self.assertEqual(PROMPT_PARTS_MAX, len(parts))
 
     @given(lines=LINES)
     def test_no_header_values_raise(self, lines: list[tuple[bytes, bytes]]) -> None:
