--- a/src/hemlocktrestle/quarantine/_parts.py
+++ b/src/hemlocktrestle/quarantine/_parts.py
@@ -35,7 +35,7 @@
 """Parts of answered requests that are kept; the least recent are evicted first."""
 
 QUARANTINED_MAX = 256
-"""Quarantined parts that are kept; the oldest are evicted first."""
+"""Parts that are quarantined at once; those with the most crashes come first."""
 
 
 class PartCrash(NamedTuple):
@@ -82,11 +82,6 @@
     quarantined: tuple[QuarantinedPart, ...] = ()
     lifted: tuple[QuarantinedPart, ...] = ()
 
-    @property
-    def is_empty(self) -> bool:
-        """Whether no state has changed."""
-        return not (self.quarantined or self.lifted)
-
 
 class _Suspect(NamedTuple):
     """A part with enough crashes; several of them are ranked by the first fields.
@@ -152,7 +147,7 @@
             now_ms: the time of the process in milliseconds.
 
         Returns:
-            What changes; crashes that a lifted part explained count again.
+            What changes; crashes that a lifted part explained are blamed on others.
         """
         is_changed = False
         for part in parts:
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -179,6 +179,14 @@
         (expired,) = found.pop_expired(ends_ms)
         self.assertEqual((POISON, 0), (expired.part, len(found)))
 
+    def test_a_quarantine_outlasts_the_suspicions(self) -> None:
+        """Guards against a quarantine that a later crash of another cause ends."""
+        found = PartQuarantine()
+        record(found, crash(1, POISON), crash(2, POISON))
+        late_ms = 2.0 * SUSPICION_MS
+        record(found, crash(3, "a", at_ms=late_ms), crash(4, "b", at_ms=late_ms))
+        self.assertTrue(refused(found, POISON, now_ms=late_ms))
+
     def test_numbers_are_bounded(self) -> None:
         """Any number of parts, sound or crashing, takes bounded memory."""
         found = PartQuarantine()
