--- a/src/hemlocktrestle/edge/_attempt_sequence.py
+++ b/src/hemlocktrestle/edge/_attempt_sequence.py
@@ -12,7 +12,7 @@
 from hemlocktrestle.edge._placement import AttemptReport, Placer
 from hemlocktrestle.edge._progress import RequestProgress
 from hemlocktrestle.edge._state import EdgeState, now_ms
-from hemlocktrestle.errors import RequestError
+from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.relay import CallerConnection
 
 log = logging.getLogger(__name__)
@@ -30,7 +30,15 @@
 """Longest pause between two searches, in seconds."""
 
 _LASTING_OBSTACLES = frozenset(
-    {"attempts", "may run once", "sends", "connections", "shutdown"}
+    {
+        "attempts",
+        "may run once",
+        "sends",
+        "connections",
+        "shutdown",
+        "suspected part",
+        ErrorKind.QUARANTINED.value,
+    }
 )
 """Obstacles to one more attempt that do not pass with time."""
 
@@ -45,6 +53,7 @@
         connection: the caller's connection.
         progress: counters of the request over all its attempts.
         on_ended: called when an attempt that was never sent has ended.
+        is_suspected: tells whether a request may have crashed a replica.
     """
 
     def __init__(
@@ -56,6 +65,7 @@
         progress: RequestProgress,
         *,
         on_ended: Callable[[Job, Attempt, AttemptReport], None],
+        is_suspected: Callable[[Job], bool],
     ) -> None:
         self._placer = placer
         self._job = job
@@ -63,6 +73,7 @@
         self._connection = connection
         self._progress = progress
         self._on_ended = on_ended
+        self._is_suspected = is_suspected
         self._excluded: set[str] = set()
         self._budget = state.retry_budget(job.service.name)
         self._reserved_at: int | None = None
@@ -214,6 +225,7 @@
             "shutdown": self._state.ends_retries
             and bool(progress.runs_count)
             and not progress.event_count,
+            "suspected part": self._is_suspected(self._job),
         }
         for reason, applies in obstacles.items():
             if applies:
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -5,6 +5,7 @@
 import trio
 
 from hemlocktrestle.edge._configuration_exchange import ConfigurationExchange
+from hemlocktrestle.edge._part_gate import PartGate
 from hemlocktrestle.edge._registration import VmEntry
 from hemlocktrestle.edge._replica_exchange import ReplicaExchange
 from hemlocktrestle.edge._state import EdgeState, now_ms
@@ -79,6 +80,7 @@
         self.replica_notices.on_learned = self._on_leaving_learned
         self._candidates: dict[str, VmRecord] = {}
         self._network: PeerNetwork | None = None
+        self.part_gate = PartGate(state)
         self.scheduler_task: SchedulerTask | None = None
 
     @property
@@ -232,6 +234,7 @@
             self.replica_exchange.follows_store,
             self._vm_list.digest,
             self.replica_notices.shared(),
+            self.part_gate.sound_parts(),
         )
 
     def on_heartbeat(self, vm: str, message: Message) -> None:
@@ -243,6 +246,7 @@
         self.replica_exchange.on_heartbeat(vm, message)
         self._vm_list.on_heartbeat(vm, message)
         self.replica_notices.on_news(vm, message.leaving)
+        self.part_gate.on_heartbeat(vm, message)
         self.membership.on_heartbeat(
             vm,
             now,
--- a/src/hemlocktrestle/edge/_metrics.py
+++ b/src/hemlocktrestle/edge/_metrics.py
@@ -59,6 +59,8 @@
     configuration_bytes_sent: Callable[[], float]
     replicas_leaving: Callable[[], float]
     replicas_paused: Callable[[], float]
+    parts_quarantined: Callable[[], float]
+    part_refusals: Callable[[], float]
 
 
 class LabelledGauges(NamedTuple):
@@ -88,6 +90,8 @@
     "configuration_bytes_sent": "Bytes of configurations sent to other VMs.",
     "replicas_leaving": "Replicas that said in an answer that they leave.",
     "replicas_paused": "Replicas that asked this VM for a pause that lasts.",
+    "parts_quarantined": "Parts of prompts that are refused for crashing replicas.",
+    "part_refusals": "Requests refused for a part of their prompts, since the start.",
     "pool_oldest_in_hand_ms": "Age of the oldest request counted as in hand.",
     "pool_queued_asks": "Asks that wait in front of a pool kept here.",
     "pool_free_slots": "Requests that a pool kept here may still be given.",
--- a/src/hemlocktrestle/edge/_server.py
+++ b/src/hemlocktrestle/edge/_server.py
@@ -13,8 +13,10 @@
 from hemlocktrestle.edge._attempt_sequence import AttemptSequence
 from hemlocktrestle.edge._job import Job
 from hemlocktrestle.edge._notice_placer import NoticePlacer
+from hemlocktrestle.edge._part_gate import PartGate
 from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement, Placer
 from hemlocktrestle.edge._progress import RequestProgress
+from hemlocktrestle.edge._quarantine_placer import QuarantinePlacer
 from hemlocktrestle.edge._quota_gate import EdgeQuotas, over_quota
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.errors import ANSWERS, ErrorKind, RequestError
@@ -49,6 +51,7 @@
         placer: decides when requests are sent, and to which replicas.
         quotas: counts requests against quotas.
         quarantine: registry of requests that crash replicas.
+        part_gate: refuses requests with parts that crash replicas.
         on_served: called when a request has ended.
         on_replica_disconnected: called when a replica closed the connection without
             an answer.
@@ -62,15 +65,19 @@
         *,
         quotas: EdgeQuotas,
         quarantine: QuarantineRegistry,
+        part_gate: PartGate,
         on_served: Callable[[ServedRequest], None],
-        on_replica_disconnected: Callable[[Job, Placement], None],
+        on_replica_disconnected: Callable[[Job, Placement, AttemptReport], None],
         on_attempt: Callable[[Job, Placement, AttemptReport], None] = _ignore,
     ) -> None:
         self._on_attempt = on_attempt
         self._state = state
-        self._placer = NoticePlacer(state, placer)
+        self._placer = QuarantinePlacer(
+            NoticePlacer(state, placer), check=self._check_quarantine
+        )
         self._quotas = quotas
         self._quarantine = quarantine
+        self._part_gate = part_gate
         self._on_served = on_served
         self._on_replica_disconnected = on_replica_disconnected
         self.running_count = 0
@@ -144,14 +151,23 @@
             fingerprint=_fingerprint(request, metadata.key),
             deadline_at_ms=request.arrived_ms + min(waits_ms, route.timeout_ms),
         )
+        self._check_quarantine(job)
+        self._spend_quota(job)
+        self._state.retry_budget(service.name).record_request(now_ms())
+        return job
+
+    def _check_quarantine(self, job: Job) -> None:
+        """Refuse a request that crashes replicas, by itself or by a part of its prompt.
+
+        Raises:
+            RequestError: of kind ``QUARANTINED``.
+        """
         entry = self._quarantine.find(job.fingerprint, now_ms())
         if entry is not None and entry.is_quarantined:
             raise RequestError(
                 ErrorKind.QUARANTINED, "requests like this one crash replicas"
             )
-        self._spend_quota(job)
-        self._state.retry_budget(service.name).record_request(now_ms())
-        return job
+        self._part_gate.check(job)
 
     def _spend_quota(self, job: Job) -> None:
         """Count a request that needs no permit against its customer's quota.
@@ -179,6 +195,7 @@
             connection,
             progress,
             on_ended=self._record_end,
+            is_suspected=self._part_gate.is_suspected,
         ) as attempts:
             while (attempt := await attempts.next(failure)) is not None:
                 report = AttemptReport(AttemptEnd.ABANDONED, 0.0, 0.0, 0)
@@ -187,10 +204,12 @@
                 finally:
                     if report.end is AttemptEnd.ABANDONED:
                         report = attempt.report_cancelled()
+                    self._part_gate.on_attempt_ended(job, report)
                     self._placer.release(job, attempt.placement, report)
                 self._record_end(job, attempt, report)
                 if report.end is AttemptEnd.RELAYED:
                     return attempt.status
+                await self._part_gate.wait_for_verdict(job, attempt.placement)
                 failure = attempt.failure or failure
                 sealed = attempt.sealed_answer or sealed
         if connection.is_answer_started:
@@ -217,7 +236,7 @@
         )
         self._on_attempt(job, placement, report)
         if report.end is AttemptEnd.BROKEN:
-            self._on_replica_disconnected(job, placement)
+            self._on_replica_disconnected(job, placement, report)
         elif report.end is AttemptEnd.RELAYED:
             self._quarantine.clear_suspicion(job.fingerprint)
 
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -92,6 +92,13 @@
     born_ms: int
 
 
+class SoundPart(NamedTuple):
+    """An accused part of prompts that was in an answered request, and how long ago."""
+
+    part: str
+    age_ms: int
+
+
 @message("heartbeat")
 class Heartbeat(NamedTuple):
     """Periodic message on each link: it shows that the sender is alive.
@@ -110,6 +117,8 @@
     ``follows_replicas`` tells whether the sender watches the replicas in the store;
     ``vms_digest`` is a digest of the entries of the VMs that it knows.
     ``leaving`` are the replicas that leave though their registration does not say so.
+    ``sound_parts`` are parts of prompts that crashes are blamed on, but that the
+    sender saw in answered requests.
     """
 
     tree_revision: int
@@ -126,6 +135,7 @@
     follows_replicas: bool = False
     vms_digest: int = 0
     leaving: tuple[LeavingReplica, ...] = ()
+    sound_parts: tuple[SoundPart, ...] = ()
 
 
 @message("ask")
@@ -300,12 +310,22 @@
 
 @message("suspicion")
 class Suspicion(NamedTuple):
-    """An upstream crashed while it ran a request with this body fingerprint."""
+    """An upstream crashed while it ran a request with this body fingerprint.
+
+    ``parts`` are the parts of its prompt that may have caused the crash, in order;
+    there are none if content of the answer had come.  ``is_started`` tells whether
+    its head had come.  ``born_ms`` is the start of the upstream, 0 if unknown, and
+    ``age_ms`` the time since the crash if the message is sent again.
+    """
 
     pool: str
     fingerprint: str
     upstream: str
     request_id: str
+    parts: tuple[str, ...] = ()
+    is_started: bool = False
+    born_ms: int = 0
+    age_ms: int = 0
 
 
 @message("replicaNews")
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -58,6 +58,7 @@
   followsReplicas @11 :Bool;
   vmsDigest @12 :UInt64;
   leaving @13 :List(LeavingReplica);
+  soundParts @14 :List(SoundPart);
 }
 
 struct LeavingReplica {
@@ -65,6 +66,11 @@
   bornMs @1 :UInt64;
 }
 
+struct SoundPart {
+  part @0 :Text;
+  ageMs @1 :UInt64;
+}
+
 struct CustomerDemand {
   customer @0 :Text;
   askedPerS @1 :Float64;
@@ -215,4 +221,8 @@
   fingerprint @1 :Text;
   upstream @2 :Text;
   requestId @3 :Text;
+  parts @4 :List(Text);
+  isStarted @5 :Bool;
+  bornMs @6 :UInt64;
+  ageMs @7 :UInt64;
 }
