Refuse entries of the platform list that cannot be used

A list nested too deeply raised RecursionError in the zone daemon's task that follows it, and an entry with a port out of range or an odd name was taken. The list is read with the parser of documents/ and the entries have its types; a list that cannot be read counts as an outage.

--- a/src/hemlocktrestle/adapters/_platform_list.py
+++ b/src/hemlocktrestle/adapters/_platform_list.py
@@ -1,6 +1,5 @@
 """The platform's list, in the format of Prometheus's HTTP service discovery."""
 
-import json
 import logging
 from typing import Annotated, Any, Literal, NotRequired
 
@@ -9,6 +8,7 @@
 from typing_extensions import TypedDict
 
 from hemlocktrestle.adapters._pooled import EXCHANGE_FAILURES, PooledClient
+from hemlocktrestle.documents import HostAddress, Name, Text, parse_json
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.membership import (
     Listing,
@@ -22,8 +22,6 @@
 IO_TIMEOUT_S = 2.0
 """Timeout of the connect, and of each read and write of a call, in seconds."""
 
-_ADDRESS_PATTERN = r"^[^\s:]+:\d{1,5}$"
-
 _FAILURES = (*EXCHANGE_FAILURES, ValueError)
 
 
@@ -64,7 +62,12 @@
                 return self._listing
             if response.status != 200:
                 raise ValueError("status is not 200")
-            listing = listing_from_targets(json.loads(response.content))
+            groups = parse_json(
+                response.content,
+                source="platform list",
+                kind=ErrorKind.STORE_UNAVAILABLE,
+            )
+            listing = listing_from_targets(groups)
         except _FAILURES as error:
             raise RequestError(
                 ErrorKind.STORE_UNAVAILABLE, "platform list gave no answer"
@@ -117,19 +120,17 @@
 
 class _Labels(TypedDict):
     role: Literal["vm", "upstream"]
-    name: Annotated[str, Field(min_length=1)]
-    zone: str
-    region: str
-    state: str
+    name: Name
+    zone: Text
+    region: Text
+    state: Text
     kind: NotRequired[UpstreamKind]
-    pools: NotRequired[str]
-    generation: NotRequired[str]
+    pools: NotRequired[Text]
+    generation: NotRequired[Text]
 
 
 class _Group(TypedDict):
-    targets: Annotated[
-        list[Annotated[str, Field(pattern=_ADDRESS_PATTERN)]], Field(min_length=1)
-    ]
+    targets: Annotated[list[HostAddress], Field(min_length=1)]
     labels: _Labels
 
 
--- a/tests/adapters/test_platform_list.py
+++ b/tests/adapters/test_platform_list.py
@@ -3,14 +3,19 @@
 from functools import partial
 from typing import Any
 
+import httpcore
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
 
 from hemlocktrestle.adapters import HttpPlatformList, listing_from_targets
+from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.wire import Hello, decode, encode
+from tests.odd_values import NESTING, ODD_ADDRESSES, ODD_BYTES
 from tests.standins.http import serve
 from tests.standins.platform_list import PlatformListStandIn
+from tests.support import TrioTestCase
 
 GOOD = {
     "targets": ["10.0.0.1:80"],
@@ -53,6 +58,19 @@
         self.assertEqual(["e1"], [record.name for record in listing.upstreams])
         self.assertEqual(("a", "b"), listing.upstreams[0].pools)
 
+    def test_an_odd_address_or_name_leaves_the_others(self) -> None:
+        """Guards against an entry that fails where its address or name is used."""
+        odd = [{**GOOD, "targets": [address]} for address in ODD_ADDRESSES]
+        for label in ("name", "zone", "region", "pools", "generation"):
+            for text in ("\ud800", "x" * 10_000, 10**400):
+                labels = {**GOOD["labels"], label: text}  # type: ignore[dict-item]
+                odd.append({**GOOD, "labels": labels})
+        listing = listing_from_targets([*odd, GOOD])
+        self.assertEqual(["e1"], [record.name for record in listing.upstreams])
+        found = listing.upstreams[0]
+        hello = Hello(1, found.name, found.zone, found.region, "b")
+        self.assertEqual(hello, decode(encode(hello)))
+
     def test_no_valid_entry_is_no_answer(self) -> None:
         """A list without a single valid entry counts as an outage."""
         cases: list[Any] = [{}, None, "text", [None, 7], [{"labels": {}}]]
@@ -68,6 +86,34 @@
             return
 
 
+class _Pool:
+    """Answers every request with the same body."""
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+
+    async def request(self, *args: object, **options: object) -> httpcore.Response:
+        response = httpcore.Response(200, content=self._body)
+        await response.aread()
+        return response
+
+
+class OddListTests(TrioTestCase):
+    """A list that cannot be read counts as an outage of the platform."""
+
+    async def test_odd_bytes_are_an_outage(self) -> None:
+        """Guards against a deep list that ends the process which follows it."""
+        for data in (*ODD_BYTES, b"[{}" + b',{"labels":' * NESTING):
+            platform = HttpPlatformList("10.0.0.1:80")
+            self.patch(platform, "_pool", _Pool(data))
+            try:
+                found = await platform.read()
+            except RequestError as error:
+                self.assertIs(ErrorKind.STORE_UNAVAILABLE, error.kind)
+            else:
+                self.assertEqual((b"[]", ((), ())), (data, tuple(found)))
+
+
 class HttpPlatformListTests(TestCase):
     """The list is fetched over HTTP, and transferred only when it has changed."""
 
