Take an answer of another form for an outage of the key-value service

The client read the fields of an answer outside of its handling of errors, and its parser raised RecursionError on a deep one: TypeError, KeyError, AttributeError or OverflowError ended the task that followed the store.

--- a/src/hemlocktrestle/adapters/_etcd_store.py
+++ b/src/hemlocktrestle/adapters/_etcd_store.py
@@ -2,13 +2,14 @@
 
 import base64
 import json
-from collections.abc import AsyncIterator, Sequence
-from contextlib import AsyncExitStack, asynccontextmanager
+from collections.abc import AsyncIterator, Iterator, Sequence
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 from typing import Any
 
 import httpcore
 
 from hemlocktrestle.adapters._pooled import EXCHANGE_FAILURES, PooledClient
+from hemlocktrestle.documents import parse_json
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.ports import (
     Compare,
@@ -25,7 +26,10 @@
 WATCH_READ_TIMEOUT_S = 15.0
 """Time without received data after which a watch counts as dead, in seconds."""
 
-_FAILURES = (*EXCHANGE_FAILURES, ValueError, KeyError)
+_FAILURES = (*EXCHANGE_FAILURES, ValueError)
+
+_OTHER_FORMS = (ValueError, KeyError, TypeError, AttributeError, OverflowError)
+"""Errors of reading an answer that has another form than the API states."""
 
 
 def _encode(text: str | bytes) -> str:
@@ -113,23 +117,27 @@
             ],
         }
         answer = await self._call("/v3/kv/txn", body)
-        is_applied = bool(answer.get("succeeded", False))
-        found: list[KeyValue] = []
-        if not is_applied:
-            for response in answer.get("responses", []):
-                kvs = response.get("response_range", {}).get("kvs", [])
-                found += [_key_value(fields) for fields in kvs]
-        return TxnResult(is_applied, int(answer["header"]["revision"]), tuple(found))
+        with _reading_answer():
+            is_applied = bool(answer.get("succeeded", False))
+            found: list[KeyValue] = []
+            if not is_applied:
+                for response in answer.get("responses", []):
+                    kvs = response.get("response_range", {}).get("kvs", [])
+                    found += [_key_value(fields) for fields in kvs]
+            revision = int(answer["header"]["revision"])
+            return TxnResult(is_applied, revision, tuple(found))
 
     async def grant_lease(self, ttl_s: int) -> int:
         """Create a lease; see the port."""
         answer = await self._call("/v3/lease/grant", {"TTL": str(ttl_s)})
-        return int(answer["ID"])
+        with _reading_answer():
+            return int(answer["ID"])
 
     async def renew_lease(self, lease_id: int) -> bool:
         """Renew a lease; see the port."""
         answer = await self._call("/v3/lease/keepalive", {"ID": str(lease_id)})
-        return int(answer.get("result", {}).get("TTL", 0)) > 0
+        with _reading_answer():
+            return int(answer.get("result", {}).get("TTL", 0)) > 0
 
     @asynccontextmanager
     async def watch(
@@ -167,10 +175,11 @@
 
     async def _range(self, body: dict[str, Any]) -> Snapshot:
         answer = await self._call("/v3/kv/range", body)
-        return Snapshot(
-            int(answer["header"]["revision"]),
-            tuple(_key_value(fields) for fields in answer.get("kvs", [])),
-        )
+        with _reading_answer():
+            return Snapshot(
+                int(answer["header"]["revision"]),
+                tuple(_key_value(fields) for fields in answer.get("kvs", [])),
+            )
 
     async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
         timeouts = dict.fromkeys(("connect", "pool", "write", "read"), IO_TIMEOUT_S)
@@ -184,7 +193,7 @@
             )
             if response.status != 200:
                 raise ValueError("status is not 200")
-            answer = json.loads(response.content)
+            answer = _parse(response.content)
             if not isinstance(answer, dict):
                 raise ValueError("answer is no object")
         except _FAILURES as error:
@@ -200,7 +209,9 @@
             while (end := buffer.find(b"\n")) >= 0:
                 line, buffer = buffer[:end], buffer[end + 1 :]
                 if line.strip():
-                    yield _batch(json.loads(line))
+                    with _reading_answer():
+                        batch = _batch(_parse(line))
+                    yield batch
     except _FAILURES as error:
         raise _unavailable(error) from error
     raise RequestError(ErrorKind.STORE_UNAVAILABLE, "watch ended")
@@ -216,6 +227,21 @@
     )
 
 
+def _parse(data: bytes) -> Any:
+    return parse_json(
+        data, source="answer of the store", kind=ErrorKind.STORE_UNAVAILABLE
+    )
+
+
+@contextmanager
+def _reading_answer() -> Iterator[None]:
+    """Turn an answer of another form into an error of the store."""
+    try:
+        yield
+    except _OTHER_FORMS as error:
+        raise _unavailable(error) from error
+
+
 def _unavailable(error: Exception) -> RequestError:
     reason = type(error).__name__
     return RequestError(ErrorKind.STORE_UNAVAILABLE, f"store gave no answer: {reason}")
