Refuse settings files that cannot be used

A file with a port out of range or an infinite limit of memory was accepted and failed where it was used, and one nested too deeply, or with a number of too many digits, ended the start with a trace instead of the error that names the file. The fields have the types of documents/.

--- a/src/hemlocktrestle/platform/_settings.py
+++ b/src/hemlocktrestle/platform/_settings.py
@@ -6,9 +6,19 @@
 from pathlib import Path
 from typing import Annotated, Any, NamedTuple, NotRequired
 
-from pydantic import ConfigDict, Field, TypeAdapter, ValidationError, with_config
+from pydantic import ConfigDict, Field, TypeAdapter, with_config
 from typing_extensions import TypedDict
 
+from hemlocktrestle.documents import (
+    COUNT_MAX,
+    PORT_MAX,
+    Amount,
+    HostAddress,
+    ListenAddress,
+    Name,
+    PositiveAmount,
+    check,
+)
 from hemlocktrestle.errors import ErrorKind, RequestError
 
 SETTINGS_VARIABLE = "HEMLOCKTRESTLE_SETTINGS"
@@ -25,52 +35,51 @@
 
 # The platform adds fields over time, so unknown ones are ignored.
 _IGNORE_EXTRA = ConfigDict(extra="ignore")
-_Address = Annotated[str, Field(pattern=r"^[^\s:]+:\d{1,5}$")]
-_Positive = Annotated[float, Field(gt=0)]
-_Amount = Annotated[float, Field(ge=0)]
+_Port = Annotated[int, Field(ge=0, le=PORT_MAX)]
+_Seconds = Annotated[float, Field(gt=0, le=1e9)]
 
 
 @with_config(_IGNORE_EXTRA)
 class _Listen(TypedDict):
-    front: _Address
-    readyAddr: _Address
+    front: ListenAddress
+    readyAddr: ListenAddress
 
 
 @with_config(_IGNORE_EXTRA)
 class _Limits(TypedDict):
-    maxFds: Annotated[int, Field(gt=200)]
-    memoryMb: Annotated[float, Field(gt=0)]
+    maxFds: Annotated[int, Field(gt=200, le=COUNT_MAX)]
+    memoryMb: PositiveAmount
     # Share of one core, and how many times as fast that core is: the settings give
     # the processor time of a VM as the product of the two.
-    cpuShare: NotRequired[_Amount]
-    cores: NotRequired[_Amount]
-    linkMbps: NotRequired[_Amount]
+    cpuShare: NotRequired[Amount]
+    cores: NotRequired[Amount]
+    linkMbps: NotRequired[Amount]
 
 
 @with_config(_IGNORE_EXTRA)
 class _Bounds(TypedDict):
-    graceS: _Positive
-    budgetRatio: _Amount
-    budgetWindowS: _Positive
-    budgetSlack: _Amount
-    quotaWindowS: NotRequired[_Positive]
-    quotaOver: NotRequired[_Amount]
-    quotaSlack: NotRequired[_Amount]
+    graceS: _Seconds
+    budgetRatio: Amount
+    budgetWindowS: _Seconds
+    budgetSlack: Amount
+    quotaWindowS: NotRequired[_Seconds]
+    quotaOver: NotRequired[Amount]
+    quotaSlack: NotRequired[Amount]
 
 
 @with_config(_IGNORE_EXTRA)
 class _Store(TypedDict):
-    address: _Address
+    address: HostAddress
 
 
 @with_config(_IGNORE_EXTRA)
 class _Settings(TypedDict):
-    nodeName: Annotated[str, Field(min_length=1)]
-    ipAddr: Annotated[str, Field(min_length=1)]
-    zone: Annotated[str, Field(min_length=1)]
-    region: Annotated[str, Field(min_length=1)]
-    internalPorts: Annotated[list[int], Field(min_length=2, max_length=2)]
-    zones: dict[str, str]
+    nodeName: Name
+    ipAddr: Name
+    zone: Name
+    region: Name
+    internalPorts: Annotated[list[_Port], Field(min_length=2, max_length=2)]
+    zones: dict[Name, Name]
     listen: _Listen
     limits: _Limits
     contractBounds: _Bounds
@@ -170,7 +179,8 @@
 def _parse_toml(path: Path) -> dict[str, Any]:
     try:
         return tomllib.loads(path.read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
+        # ValueError also covers invalid UTF-8 and numbers with too many digits.
         raise RequestError(ErrorKind.SETTINGS_INVALID, f"{path}: {error}") from error
 
 
@@ -187,15 +197,7 @@
     Raises:
         RequestError: of kind ``SETTINGS_INVALID``; the message names the field.
     """
-    try:
-        raw = _ADAPTER.validate_python(document)
-    except ValidationError as error:
-        first = error.errors()[0]
-        field = ".".join(str(part) for part in first["loc"])
-        reason = first["msg"]
-        raise RequestError(
-            ErrorKind.SETTINGS_INVALID, f"{source}: {field}: {reason}"
-        ) from error
+    raw = check(_ADAPTER, document, source=source)
     bounds = raw["contractBounds"]
     return EdgeSettings(
         vm=raw["nodeName"],
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -4,10 +4,12 @@
 from tempfile import TemporaryDirectory
 from typing import Any
 
+from hypothesis import given
 from testtools import TestCase
 
-from hemlocktrestle.errors import RequestError
+from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.platform import decode_settings, read_settings, settings_path
+from tests.odd_values import JSON_VALUES, NESTING, ODD_ADDRESSES, paths
 from tests.platform.documents import SETTINGS, changed
 
 
@@ -55,7 +57,9 @@
         """A missing, malformed or incomplete file gives an error with its path."""
         with TemporaryDirectory() as folder:
             path = Path(folder) / "settings.toml"
-            for text in (None, "= 1", "nodeName = 3"):
+            deep = "a = " + "[" * NESTING
+            large = "a = " + "9" * 5_000
+            for text in (None, "= 1", "nodeName = 3", deep, large):
                 if text is not None:
                     path.write_text(text, encoding="utf-8")
                 try:
@@ -65,6 +69,27 @@
                 else:
                     self.fail(f"accepted: {text}")
 
+    def test_odd_addresses_and_numbers_are_refused(self) -> None:
+        """Guards against a file that is accepted and fails where it is used."""
+        for address in ODD_ADDRESSES:
+            for path in ("listen.front", "platformSettings.address"):
+                if (path, address) != ("listen.front", "10.0.0.1:0"):
+                    said = error_message(changed(SETTINGS, path, address))
+                    self.assertIn(path, said, repr(address))
+        for path in ("limits.memoryMb", "limits.maxFds", "contractBounds.graceS"):
+            for number in (float("inf"), float("nan"), 10**400, 1e308, -1):
+                said = error_message(changed(SETTINGS, path, number))
+                self.assertIn(path, said, repr(number)[:20])
+
+    @given(value=JSON_VALUES)
+    def test_any_value_of_any_field_is_converted_or_refused(self, value: Any) -> None:
+        """Any value gives settings, or the one error."""
+        for path in paths(SETTINGS):
+            try:
+                decode_settings(changed(SETTINGS, path, value), source="test")
+            except RequestError as error:
+                self.assertIs(ErrorKind.SETTINGS_INVALID, error.kind)
+
     def test_the_environment_sets_the_path(self) -> None:
         """The variable sets the path; without it there is a default."""
         named = settings_path({"HEMLOCKTRESTLE_SETTINGS": "/x/y.toml"})
