Add a failing test of an engine that pauses and cannot resume

What callers see on the product's own daemon: a stream whose engine is silent for over 5 s and then goes on is cut if the engine refuses to resume it.

Cause: ResumableStream ends its read by a time limit before it asks for the rest on another connection. It is the same class of fault as that of the edge: giving up a working resource on a time-out before its replacement is secured. Pauses of a second or so are not affected, and the edge does not use this module. Elsewhere in the daemon nothing is given up on a time-out shorter than 30 s.

Why not mended here: the pending read and the new call live in one task; a read that survives the search needs a task for each connection.

The engine stand-in gets the faults pause_after and pause_s.

--- a/tests/daemon/test_promise_3_answers.py
+++ b/tests/daemon/test_promise_3_answers.py
@@ -208,6 +208,20 @@
         """After silence the stream is resumed over a new connection."""
         await self._check_resumed(silent_after=3)
 
+    async def test_a_pause_of_an_engine_that_cannot_resume(self) -> None:
+        """Guards against a stream that is cut though its engine would go on.
+
+        The connection is given up before the engine has agreed to resume.
+        """
+        async with open_scene(engine_count=1) as scene:
+            faults: dict[str, object] = {"pause_after": 3, "pause_s": 7.0}
+            scene.engines["e1"].faults.update(resume=False, **faults)
+            body = chat_body("pause", stream=True, max_tokens=8)
+            caller = scene.connect()
+            reply = await caller.call("POST", CHAT, body, authorization=bearer())
+        self.assertTrue(reply.is_ended)
+        self.assertEqual(answer_words(body, 8), words_in(reply.body))
+
     async def test_after_a_clean_but_early_end(self) -> None:
         """After an end without the last event the stream is resumed."""
         await self._check_resumed(end_after=3)
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -30,7 +30,8 @@
     """A model engine that serves up to ``slots`` requests at a time.
 
     Faults: ``is_leaving`` refuses new work; ``slowdown`` multiplies all times;
-    ``silent_after`` stalls after that many tokens; ``break_after`` closes the
+    ``silent_after`` stalls after that many tokens, ``pause_after`` does so for
+    ``pause_s`` seconds and then goes on; ``break_after`` closes the
     connection after that many; ``end_after`` ends the answer cleanly after that
     many, but without the event that ends a stream; these three affect resumed
     streams only with ``also_resumed``; without ``resume`` no stream can be resumed,
@@ -51,6 +52,8 @@
             "is_leaving": False,
             "slowdown": 1.0,
             "silent_after": None,
+            "pause_after": None,
+            "pause_s": 0.0,
             "break_after": None,
             "end_after": None,
             "resume": True,
@@ -170,6 +173,8 @@
             if is_faulty and index == self.faults["silent_after"]:
                 await connection.wait_closed()
                 return
+            if is_faulty and index == self.faults["pause_after"]:
+                await trio.sleep(self.faults["pause_s"])
             if is_faulty and index == self.faults["break_after"]:
                 return
             if is_faulty and index == self.faults["end_after"]:
