Bound how long and how often an owed answer is asked for again

Cause: the fix of silent replicas deferred without limits, dropped the limits of sends and connects for an owed answer, began its pauses anew each time, and never forgot the last exclusion.

Change: an answer that has begun is deferred for 2 s at most, one that has not for one objective, and not at all if a replica's answer is there; the limits of sends and connects are doubled for an owed answer, with growing pauses after the first three; exclusions are relaxed when no replica is left, and an unused replica is none; a refund names its retry.

--- a/src/hemlocktrestle/edge/_attempt_sequence.py
+++ b/src/hemlocktrestle/edge/_attempt_sequence.py
@@ -3,13 +3,13 @@
 import logging
 from collections.abc import Callable
 from contextlib import ExitStack
-from typing import Self
+from typing import NamedTuple, Self
 
 import trio
 
 from hemlocktrestle.edge._attempt import Attempt
 from hemlocktrestle.edge._job import Job
-from hemlocktrestle.edge._placement import AttemptReport, Placer
+from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placer
 from hemlocktrestle.edge._progress import RequestProgress
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.errors import ErrorKind, RequestError
@@ -23,6 +23,15 @@
 CONNECTS_MAX = 4
 """Most replicas that a connection is attempted to for one request."""
 
+OWED_FACTOR = 2
+"""Factor on both limits for an answer that the caller is owed."""
+
+DEFERRAL_S_MAX = 2.0
+"""Longest wait to send a request again once no attempt is left, in seconds.
+
+Callers give up a stream after two seconds without an event.
+"""
+
 SEARCH_PAUSE_S = 0.1
 """Pause after a search without a result, in seconds; it doubles with each one."""
 
@@ -43,6 +52,18 @@
 """Obstacles to one more attempt that do not pass with time."""
 
 
+class _Reservation(NamedTuple):
+    """A retry that was spent before it is sent.
+
+    Args:
+        send_count: how often the request had been sent.
+        spent_ms: when the retry was spent.
+    """
+
+    send_count: int
+    spent_ms: float
+
+
 class AttemptSequence:
     """Prepares the attempts of one request, one after the other.
 
@@ -76,8 +97,9 @@
         self._is_suspected = is_suspected
         self._excluded: set[str] = set()
         self._budget = state.retry_budget(job.service.name)
-        self._reserved_at: int | None = None
+        self._reservation: _Reservation | None = None
         self._successor: Attempt | None = None
+        self._pauses = _Pauses()
 
     async def __aenter__(self) -> Self:
         return self
@@ -86,14 +108,18 @@
         self._refund_retry()
         await self.withdraw()
 
-    async def next(self, failure: RequestError) -> Attempt | None:
+    async def next(
+        self, failure: RequestError, *, has_answer: bool = False
+    ) -> Attempt | None:
         """Return the next attempt, or ``None`` if the request may not be sent again.
 
         An answer that has begun, or whose replica was left for another one, is not
-        given up for an obstacle that may pass.
+        given up at once for an obstacle that may pass.
 
         Args:
             failure: why the previous attempt failed, for the log.
+            has_answer: whether there is a replica's answer to send if no attempt
+                follows.
 
         Raises:
             RequestError: if there is no placement and nothing was sent.
@@ -101,7 +127,9 @@
         if self._successor is not None:
             attempt, self._successor = self._successor, None
             return attempt
-        pauses = _Pauses()
+        if self._progress.connect_count >= SENDS_MAX and self._is_owed:
+            await self._pauses.wait()
+        until_s = trio.current_time() + self._deferral_s(has_answer=has_answer)
         while True:
             obstacle = self._reserve_retry()
             if not obstacle:
@@ -113,12 +141,13 @@
                     if not self._progress.may_have_sent:
                         raise
                     obstacle = error.kind.value
+                    self._relax_exclusions()
             self._refund_retry()
-            if not self._is_owed or obstacle in _LASTING_OBSTACLES:
+            if obstacle in _LASTING_OBSTACLES or trio.current_time() >= until_s:
                 self._log_decision("request_not_repeated", failure, obstacle)
                 return None
             self._log_decision("request_deferred", failure, obstacle)
-            await pauses.wait()
+            await self._pauses.wait()
 
     async def search(self) -> None:
         """Return when the next attempt has a connection to its replica.
@@ -126,7 +155,6 @@
         Until then the current attempt is not affected, and a cancellation withdraws
         what was reserved.
         """
-        pauses = _Pauses()
         while obstacle := await self._prepare_successor():
             log.info(
                 "no_successor",
@@ -138,7 +166,7 @@
             )
             if obstacle in _LASTING_OBSTACLES:
                 await trio.sleep_forever()
-            await pauses.wait()
+            await self._pauses.wait()
 
     async def withdraw(self) -> None:
         """Release the attempt that :meth:`search` has prepared, if there is one."""
@@ -158,6 +186,8 @@
             try:
                 attempt = await self._place()
             except RequestError as error:
+                # The other replicas may have room by the next search.
+                self._excluded.intersection_update(self._progress.replicas[-1:])
                 return error.kind.value
             undo.callback(self._end_unsent, attempt)
             if not await attempt.connect():
@@ -169,15 +199,10 @@
     async def _place(self) -> Attempt:
         progress = self._progress
         job = self._job._replace(is_begun=bool(progress.event_count))
-        try:
-            with self._state.shutdown.limit_wait(is_begun=job.is_begun):
-                placement = await self._placer.obtain(
-                    job, excluded=frozenset(self._excluded)
-                )
-        except RequestError:
-            # The other replicas may have room by the next search.
-            self._excluded.intersection_update(progress.replicas[-1:])
-            raise
+        with self._state.shutdown.limit_wait(is_begun=job.is_begun):
+            placement = await self._placer.obtain(
+                job, excluded=frozenset(self._excluded)
+            )
         self._excluded.add(placement.replica_id)
         log.info(
             "request_permitted",
@@ -203,9 +228,24 @@
 
     def _end_unsent(self, attempt: Attempt) -> None:
         report = attempt.report(attempt.unsent_end)
+        if report.end is AttemptEnd.UNUSED:
+            self._excluded.discard(attempt.placement.replica_id)
         self._placer.release(self._job, attempt.placement, report)
         self._on_ended(self._job, attempt, report)
 
+    def _relax_exclusions(self) -> None:
+        """Allow the replicas that failed before, and then the last one too."""
+        kept = self._excluded & set(self._progress.replicas[-1:])
+        self._excluded = kept if kept != self._excluded else set()
+
+    def _deferral_s(self, *, has_answer: bool) -> float:
+        """Return how long an obstacle may last before the request is given up."""
+        if self._connection.is_answer_started:
+            return DEFERRAL_S_MAX
+        if not self._is_owed or has_answer:
+            return 0.0
+        return min(DEFERRAL_S_MAX, self._job.route.objective_ms / 1000)
+
     @property
     def _is_owed(self) -> bool:
         """Whether the caller has a part of the answer, or would have got one."""
@@ -217,11 +257,12 @@
         A retry counts against the budget from here on, unless it is refunded.
         """
         route, progress = self._job.route, self._progress
+        factor = OWED_FACTOR if self._is_owed else 1
         obstacles = {
             "attempts": progress.runs_count >= route.attempts,
             "may run once": bool(progress.runs_count) and not route.may_retry,
-            "sends": progress.send_count >= SENDS_MAX and not self._is_owed,
-            "connections": progress.connect_count >= CONNECTS_MAX and not self._is_owed,
+            "sends": progress.send_count >= SENDS_MAX * factor,
+            "connections": progress.connect_count >= CONNECTS_MAX * factor,
             "shutdown": self._state.ends_retries
             and bool(progress.runs_count)
             and not progress.event_count,
@@ -230,18 +271,22 @@
         for reason, applies in obstacles.items():
             if applies:
                 return reason
-        if not progress.send_count or self._reserved_at == progress.send_count:
+        reserved = self._reservation
+        if not progress.send_count or (
+            reserved is not None and reserved.send_count == progress.send_count
+        ):
             return ""
-        if not self._budget.try_spend(self._state.fleet().vm_count, now_ms()):
+        now = now_ms()
+        if not self._budget.try_spend(self._state.fleet().vm_count, now):
             return "budget"
-        self._reserved_at = progress.send_count
+        self._reservation = _Reservation(progress.send_count, now)
         return ""
 
     def _refund_retry(self) -> None:
         """Refund a retry that was not sent."""
-        if self._reserved_at == self._progress.send_count:
-            self._budget.refund()
-        self._reserved_at = None
+        reserved, self._reservation = self._reservation, None
+        if reserved is not None and reserved.send_count == self._progress.send_count:
+            self._budget.refund(reserved.spent_ms)
 
     def _log_decision(
         self, event: str, failure: RequestError, obstacle: str = ""
--- a/src/hemlocktrestle/edge/_server.py
+++ b/src/hemlocktrestle/edge/_server.py
@@ -197,7 +197,9 @@
             on_ended=self._record_end,
             is_suspected=self._part_gate.is_suspected,
         ) as attempts:
-            while (attempt := await attempts.next(failure)) is not None:
+            while attempt := await attempts.next(
+                failure, has_answer=sealed is not None
+            ):
                 report = AttemptReport(AttemptEnd.ABANDONED, 0.0, 0.0, 0)
                 try:
                     report = await attempt.run()
--- a/src/hemlocktrestle/gateway/_retry_budget.py
+++ b/src/hemlocktrestle/gateway/_retry_budget.py
@@ -39,10 +39,14 @@
         self._retries.append(now_ms)
         return True
 
-    def refund(self) -> None:
-        """Return a retry that was not sent."""
-        if self._retries:
-            self._retries.pop()
+    def refund(self, spent_ms: float) -> None:
+        """Return a retry that was not sent, unless its window has ended.
+
+        Args:
+            spent_ms: when it was spent.
+        """
+        if spent_ms in self._retries:
+            self._retries.remove(spent_ms)
 
     def remaining(self, vm_count: int, now_ms: float) -> float:
         """Return how many retries this VM may still send in the current window."""
--- a/tests/edge/test_silent_replica.py
+++ b/tests/edge/test_silent_replica.py
@@ -9,6 +9,11 @@
 import trio
 
 from hemlocktrestle.edge import _attempt
+from hemlocktrestle.edge._attempt_sequence import (
+    CONNECTS_MAX,
+    OWED_FACTOR,
+    SENDS_MAX,
+)
 from hemlocktrestle.edge._placement import UNSENT_ENDS, AttemptEnd
 from hemlocktrestle.edge._state import now_ms
 from hemlocktrestle.gateway import RetryBudget
@@ -32,6 +37,8 @@
     "content-type": "text/event-stream",
 }
 
+JOBS = next(route for route in configuration().routes if route.name == "jobs")
+
 REFUSES = answer_status(503, is_unrun=True)
 """A replica that is full."""
 
@@ -217,3 +224,133 @@
         await trio.sleep(3)
         self.assertEqual(opened, len(harness.released))
         self.assertEqual(("r1", AttemptEnd.ABANDONED), harness.released[-1])
+
+    async def test_a_replica_of_a_cancelled_search_stays_usable(self) -> None:
+        """Guards against 502 after a search excluded the only other replica.
+
+        The silent replica breaks off while its successor is being connected.
+        """
+
+        async def break_off(connection: Connection, request: Request) -> None:
+            await trio.sleep(0.3)
+            await connection.stream.aclose()
+
+        harness = self.harness(break_off, answer_ok)
+        module: Any = _attempt
+        open_at_once = module.open_connection
+
+        async def open_slowly(address: str) -> Any:
+            if address == "r2" and not harness.released:
+                await trio.sleep(0.4)
+            return await open_at_once(address)
+
+        self.patch(_attempt, "open_connection", open_slowly)
+        reply = await harness.send()
+        self.assertEqual(
+            (200, ["r1", "r2"]), (reply.status, harness.reached_replicas())
+        )
+
+
+class OwedAnswerTests(_SilentReplicaCase):
+    """How long and how often an answer is asked for once no attempt is left."""
+
+    found = configuration(JOBS._replace(attempts=3))
+
+    async def test_a_replicas_error_is_sent_at_once(self) -> None:
+        """Guards against 504 in place of a replica's own answer."""
+        harness = self.harness(never_answer)
+
+        async def fail(connection: Connection, request: Request) -> None:
+            self.spend_retries(harness)
+            await answer_status(500)(connection, request)
+
+        harness.scripts["r2"] = fail
+        reply = await harness.send()
+        self.assertEqual((500, b"no"), (reply.status, reply.body))
+        self.assertLess(reply.first_ms, 500)
+
+    async def test_a_request_that_is_refused_again_is_given_up(self) -> None:
+        """Guards against a request that is held until its deadline."""
+        harness = self.harness(never_answer)
+
+        async def refuse(connection: Connection, request: Request) -> None:
+            self.spend_retries(harness)
+            await REFUSES(connection, request)
+
+        harness.scripts["r2"] = refuse
+        reply = await harness.send()
+        self.assertEqual(502, reply.status)
+        self.assertLess(reply.first_ms, 2_000)
+
+
+class OwedStreamTests(_SilentReplicaCase):
+    """A stream that broke is resumed within bounds."""
+
+    service = "assistant"
+    found = configuration(STREAM)
+
+    async def break_once(self, connection: Connection, request: Request) -> None:
+        """Break off after one event, and stream the rest when asked again."""
+        if "last-event-id" in request.headers:
+            await stream_of(range(1, 9))(connection, request)
+            return
+        await connection.send_head(200, EVENT_LINES)
+        await connection.send_chunk(event(1))
+        await connection.stream.aclose()
+
+    async def send(self, harness: EdgeHarness) -> Reply:
+        """Send the request."""
+        return await harness.send("/advice/1", method="POST", body=b"q")
+
+    async def test_a_lone_replica_may_resume_its_own_stream(self) -> None:
+        """Guards against a stream that is held, since its replica stays excluded."""
+        harness = self.lone_harness(self.break_once)
+        reply = await self.send(harness)
+        self.assertEqual((WHOLE, True), (reply.body, reply.is_whole))
+        self.assertEqual(["r1", "r1"], harness.reached_replicas())
+
+    async def test_refusals_bound_the_sends(self) -> None:
+        """Guards against one request that spends all retries of its VM."""
+        harness = self.harness(self.break_once, REFUSES)
+        harness.scripts["r1"] = self.break_then_refuse
+        started_ms = now_ms()
+        reply = await self.send(harness)
+        self.assertEqual((200, False), (reply.status, reply.is_whole))
+        self.assertTrue(len(harness.requests) <= SENDS_MAX * OWED_FACTOR)
+        self.assertLess(now_ms() - started_ms, 6_000)
+
+    async def break_then_refuse(self, connection: Connection, request: Request) -> None:
+        """Break off after one event, and refuse to resume."""
+        if "last-event-id" in request.headers:
+            await REFUSES(connection, request)
+        else:
+            await self.break_once(connection, request)
+
+    async def test_unreachable_replicas_bound_the_connects(self) -> None:
+        """Guards against hundreds of connects for one request."""
+        names = [f"r{number}" for number in range(1, 6)]
+        records = tuple(replica(name, service=self.service) for name in names)
+        scripts = {"r1": self.break_then_refuse}
+        harness = EdgeHarness(self, scripts, found=self.found, records=records)
+        reply = await self.send(harness)
+        self.assertFalse(reply.is_whole)
+        connect_count = harness.served[0].progress.connect_count
+        self.assertTrue(connect_count <= CONNECTS_MAX * OWED_FACTOR, connect_count)
+
+    async def test_a_stream_that_goes_on_ends_the_search(self) -> None:
+        """Guards against a search that goes on beside a stream that speaks again."""
+        harness = self.harness(paused_stream(1.5))
+        harness.scripts["r2"] = never_answer
+        module: Any = _attempt
+        open_at_once = module.open_connection
+
+        async def open_slowly(address: str) -> Any:
+            if address == "r2":
+                await trio.sleep(0.45)
+            return await open_at_once(address)
+
+        self.patch(_attempt, "open_connection", open_slowly)
+        reply = await self.send(harness)
+        self.assertEqual((WHOLE, True), (reply.body, reply.is_whole))
+        self.assertEqual(["r1"], harness.reached_replicas())
+        self.assertEqual(("r2", AttemptEnd.UNUSED), harness.released[0])
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -28,3 +28,14 @@
         """The slack is divided equally among the VMs."""
         budget = RetryBudget(ratio=0.2, slack=60, window_ms=10_000)
         self.assertFalse(budget.try_spend(100, 0))
+
+    def test_a_refund_returns_its_own_retry(self) -> None:
+        """Guards against a refund of one that was sent, after its window has ended."""
+        budget = RetryBudget(ratio=0.2, slack=60, window_ms=10_000)
+        budget.try_spend(6, 0)
+        budget.try_spend(6, 9_000)
+        before = budget.remaining(6, 10_001)
+        budget.refund(0)
+        self.assertEqual(before, budget.remaining(6, 10_001))
+        budget.refund(9_000)
+        self.assertEqual(before + 1, budget.remaining(6, 10_001))
