Refuse a stored claim that is nested too deeply

RecursionError passed the handling of a claim that cannot be read. The record is read with the parser of documents/.

Before: the new test failed (RecursionError). After: tests/claims, 31 passed.

--- a/src/hemlocktrestle/claims/_record.py
+++ b/src/hemlocktrestle/claims/_record.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from hemlocktrestle.documents import parse_json
 from hemlocktrestle.errors import ErrorKind, RequestError
 
 CLAIM_PREFIX = "/hemlocktrestle/claims/"
@@ -103,12 +104,12 @@
         RequestError: of kind ``KEY_UNVOUCHED`` if the value is not readable.
     """
     try:
-        fields = json.loads(data)
+        fields = parse_json(data, source="claim", kind=ErrorKind.KEY_UNVOUCHED)
         fields["state"] = ClaimState(fields["state"])
         if fields["answer"] is not None:
             fields["answer"] = _answer_from_fields(fields["answer"])
         return Claim(**fields)
-    except (ValueError, TypeError, KeyError) as error:
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
         raise RequestError(
             ErrorKind.KEY_UNVOUCHED, "stored claim is not readable"
         ) from error
