Encode a request before its connection is read

What callers saw: a whole request, taken and passed on, was closed on with neither an answer nor a refusal.

Cause: a request was put into bytes by the task that sends it, beside the one that reads. If the replica had closed the new connection already and the reader ran first, h11 refused the request (LocalProtocolError, role=CLIENT, MUST_CLOSE). That error is no RequestError: it passed the attempt and was taken for an answer that cannot be sent, whose connection is closed. Class of fault: an error of one exchange that is mistaken for another's, since both use the same library.

Change: the request is encoded before anything is read, and one that is not valid is an error of kind INTERNAL; an answer that cannot be sent is replaced by 500 unless a part of it was sent.

Measured: two tests of tests/relay/test_client.py and one of test_server.py failed before and pass.

--- a/src/hemlocktrestle/edge/_attempt.py
+++ b/src/hemlocktrestle/edge/_attempt.py
@@ -12,7 +12,7 @@
 from hemlocktrestle.edge._progress import RequestProgress
 from hemlocktrestle.edge._silence import SilenceMonitor, SuccessorSearch
 from hemlocktrestle.edge._state import EdgeState, now_ms
-from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.errors import ErrorKind, RequestError, first_leaf
 from hemlocktrestle.gateway import (
     AnswerClass,
     EventSplitter,
@@ -201,7 +201,7 @@
                     ErrorKind.UPSTREAM_SILENT, "replica fell silent"
                 )
         except* RequestError as errors:
-            self.failure = _first_leaf(errors)
+            self.failure = first_leaf(errors)
         if end is AttemptEnd.NOT_RUN:
             progress.runs_count -= 1
             progress.may_have_sent = had_sent_before
@@ -369,11 +369,3 @@
     return any(
         name in {b"content-length", b"transfer-encoding"} for name, _ in answer.headers
     )
-
-
-def _first_leaf(errors: BaseExceptionGroup[RequestError]) -> RequestError:
-    error: BaseException = errors
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    assert isinstance(error, RequestError)
-    return error
--- a/src/hemlocktrestle/errors/__init__.py
+++ b/src/hemlocktrestle/errors/__init__.py
@@ -1,5 +1,6 @@
 """The closed list of error kinds, and the answer that each of them leads to."""
 
+from hemlocktrestle.errors._groups import first_leaf
 from hemlocktrestle.errors._kinds import (
     ANSWERS,
     Answer,
@@ -17,5 +18,6 @@
     "ErrorKind",
     "Outcome",
     "RequestError",
+    "first_leaf",
     "outcome_of",
 ]
--- a/src/hemlocktrestle/relay/_client.py
+++ b/src/hemlocktrestle/relay/_client.py
@@ -117,17 +117,33 @@
                 ErrorKind.UPSTREAM_BROKEN, f"replica sent no valid answer: {error}"
             ) from error
 
-    async def send(self, request: ReplicaRequest) -> None:
-        """Send a request; a broken connection is reported by the reading side."""
-        head = self.machine.send(
-            h11.Request(
-                method=request.method, target=request.target, headers=request.headers
+    def encode(self, request: ReplicaRequest) -> bytes:
+        """Return the bytes of a request, before anything is received.
+
+        Raises:
+            RequestError: of kind ``INTERNAL`` if the request is not valid HTTP.
+        """
+        send = self.machine.send
+        try:
+            data = send(
+                h11.Request(
+                    method=request.method,
+                    target=request.target,
+                    headers=request.headers,
+                )
             )
-        )
-        body = self.machine.send(h11.Data(data=request.body)) if request.body else b""
-        end = self.machine.send(h11.EndOfMessage())
+            body = send(h11.Data(data=request.body)) if request.body else b""
+            end = send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            raise RequestError(
+                ErrorKind.INTERNAL, f"request cannot be sent: {error}"
+            ) from error
+        return (data or b"") + (body or b"") + (end or b"")
+
+    async def send(self, data: bytes) -> None:
+        """Send a request; a broken connection is reported by the reading side."""
         try:
-            await self.stream.send_all((head or b"") + (body or b"") + (end or b""))
+            await self.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The replica may have answered early, before it closed the connection:
             # the reader returns that answer or raises.
@@ -188,10 +204,11 @@
     async with AsyncExitStack() as stack:
         stack.push_async_callback(trio.aclose_forcefully, stream)
         connection = _Exchange(stream)
+        data = connection.encode(request)
         nursery = await stack.enter_async_context(trio.open_nursery())
         stack.callback(nursery.cancel_scope.cancel)
         # The replica may answer before it has read the whole request.
-        nursery.start_soon(connection.send, request)
+        nursery.start_soon(connection.send, data)
         head = await connection.next_event()
         if not isinstance(head, h11.Response):
             raise RequestError(ErrorKind.UPSTREAM_BROKEN, "replica sent no answer")
--- a/src/hemlocktrestle/relay/_server.py
+++ b/src/hemlocktrestle/relay/_server.py
@@ -8,7 +8,7 @@
 import h11
 import trio
 
-from hemlocktrestle.errors import ANSWERS, ErrorKind, RequestError
+from hemlocktrestle.errors import ANSWERS, ErrorKind, RequestError, first_leaf
 from hemlocktrestle.gateway import CallerLimits, Headers
 from hemlocktrestle.relay._body_budget import BodyMemoryBudget
 
@@ -142,9 +142,10 @@
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             log.debug("caller_connection_broke")
         except* h11.LocalProtocolError as errors:
-            # The answer is not valid HTTP: the connection is closed without it.
-            reason = str(errors.exceptions[0])
+            # The answer is not valid HTTP, so the caller gets another one.
+            reason = str(first_leaf(errors))
             log.warning("answer_not_sendable", extra={"reason": reason})
+            await self._answer_internal_error()
         except* Exception as errors:
             # An error in one request must not end the process and all the others.
             log.error("request_failed", exc_info=errors)
--- a/tests/relay/test_client.py
+++ b/tests/relay/test_client.py
@@ -2,10 +2,17 @@
 
 import socket
 
+import trio
+import trio.testing
 from testtools import ExpectedException
 
 from hemlocktrestle.errors import ErrorKind, RequestError
-from hemlocktrestle.relay import ConnectTimeoutError, open_connection
+from hemlocktrestle.relay import (
+    ConnectTimeoutError,
+    ReplicaRequest,
+    exchange,
+    open_connection,
+)
 from tests.odd_values import ODD_ADDRESSES
 from tests.support import TrioTestCase
 
@@ -46,3 +53,45 @@
                 self.assertIs(ErrorKind.UPSTREAM_UNREACHABLE, error.kind)
             else:
                 self.fail(f"the connection was opened: {address!r}")
+
+
+class ExchangeTests(TrioTestCase):
+    """A request and its answer on a new connection."""
+
+    async def test_a_connection_that_is_closed_at_once_is_broken(self) -> None:
+        """Guards against an error that is no ``RequestError``: no answer to a caller.
+
+        The order of tasks is random, so the end of the connection may be read before
+        the request is sent.
+        """
+        request = ReplicaRequest(b"GET", b"/", [(b"host", b"h")], b"")
+        for _ in range(50):
+            ours, theirs = trio.socket.socketpair()
+            theirs.close()
+            found: list[ErrorKind] = []
+            try:
+                async with exchange(trio.SocketStream(ours), request):
+                    self.fail("there was an answer")
+            except* RequestError as errors:
+                found += [one.kind for one in _leaves(errors)]
+            self.assertEqual([ErrorKind.UPSTREAM_BROKEN], found)
+
+    async def test_a_request_that_is_not_valid_is_an_internal_error(self) -> None:
+        """Guards against an error that is no ``RequestError``, as above."""
+        request = ReplicaRequest(b"GET", b"/", [(b"host", b"a\nb")], b"")
+        ours, _ = trio.testing.memory_stream_pair()
+        found: list[ErrorKind] = []
+        try:
+            async with exchange(ours, request):
+                self.fail("there was an answer")
+        except* RequestError as errors:
+            found += [one.kind for one in _leaves(errors)]
+        self.assertEqual([ErrorKind.INTERNAL], found)
+
+
+def _leaves(errors: BaseExceptionGroup[RequestError]) -> list[RequestError]:
+    return [
+        leaf
+        for one in errors.exceptions
+        for leaf in (_leaves(one) if isinstance(one, BaseExceptionGroup) else [one])
+    ]
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -138,6 +138,16 @@
         received = await self.exchange(GET)
         self.assertTrue(received.endswith(b"part\r\n"), received)
 
+    async def test_an_answer_that_is_not_valid_is_replaced(self) -> None:
+        """Guards against a connection that closes on a request without an answer."""
+
+        async def handle(request: CallerRequest, connection: CallerConnection) -> None:
+            await connection.send_answer(200, [(b"odd", b"a\nb")], b"")
+
+        self.patch(self, "handle", handle)
+        received = await self.exchange(GET)
+        self.assertTrue(received.startswith(b"HTTP/1.1 500"), received)
+
     async def test_a_request_behind_an_unannounced_close_is_answered(self) -> None:
         """Guards against closing on a request that came behind a running answer.
 
--- a/tests/soak/test_edge.py
+++ b/tests/soak/test_edge.py
@@ -33,6 +33,8 @@
     ),
     905: Regression("a deeply nested entry of a replica ended each process"),
     906: Regression("an entry with a port out of range ended a process"),
+    1008: Regression("a replica's connection that closed at once left no answer"),
+    1037: Regression("a replica's connection that closed at once left no answer"),
 }
 
 
