--- a/review/rig/replica.py
+++ b/review/rig/replica.py
@@ -7,7 +7,13 @@
 
 import trio
 
-from tests.standins.http import Connection, GoneError, Request, serve_connection
+from tests.standins.http import (
+    Connection,
+    GoneError,
+    Handler,
+    Request,
+    serve_connection,
+)
 
 
 class Replica:
@@ -24,6 +30,7 @@
         down_s: time after a crash in which it is down.
         keeps_id: whether it starts again under the id that it had.
         slots: requests that it serves at once.
+        answers_with: answers in its own way, ``None`` for a sound answer.
     """
 
     def __init__(
@@ -39,6 +46,7 @@
         down_s: float = 3.0,
         keeps_id: bool = True,
         slots: int = 6,
+        answers_with: Handler | None = None,
     ) -> None:
         self.replica_id = replica_id
         self.service = service
@@ -54,6 +62,7 @@
         self._down_s = down_s
         self._keeps_id = keeps_id
         self._slots = slots
+        self._answers_with = answers_with
         self._first_id = replica_id
         self._start_count = 0
         self._port = 0
@@ -127,6 +136,8 @@
             self._scope.cancel()
             await trio.sleep(0)
             raise GoneError
+        if self._answers_with is not None:
+            await self._answers_with(connection, request)
         usage = request.headers.get("x-token-usage", "0,0").split(",")
         self.token_runs.append((trio.current_time(), sum(map(int, usage))))
         await trio.sleep(self._work_ms / 1000)
--- a/review/rig/scene.py
+++ b/review/rig/scene.py
@@ -3,6 +3,7 @@
 import json
 import os
 import sys
+import traceback
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from functools import partial
@@ -206,6 +207,7 @@
     try:
         code = trio.run(run)
     except Exception as error:
-        print(f"the case could not run: {error!r}", file=sys.stderr)
+        print("the case could not run:", file=sys.stderr)
+        traceback.print_exception(error)
         code = EXIT_NOT_RUN
     sys.exit(code)
