Refuse parts that were only seen together only together

Cause: parts with the same crashes were ranked by their place in the prompt, and the last one was quarantined. Nothing with it was sent any more, so no answer could acquit it.

Change: a quarantine has alternatives, sets of parts that explain the crashes. A prompt is refused if all of them expect a crash, and is let through as a trial if only some do: one at a time over all VMs, by the new message PartTrial. The first events of an answer acquit at all VMs at once. A quarantine is tried again 20 minutes after its last crash, or after 10 s if a single crash speaks for it. Related: a part that several guilty prompts share, and a second guilty part behind the first one.

--- a/src/hemlocktrestle/edge/_crash_monitor.py
+++ b/src/hemlocktrestle/edge/_crash_monitor.py
@@ -13,7 +13,7 @@
 from hemlocktrestle.peers import PeerNetwork
 from hemlocktrestle.quarantine import QuarantineRegistry
 from hemlocktrestle.relay import ConnectTimeoutError, open_connection
-from hemlocktrestle.wire import Message, Suspicion
+from hemlocktrestle.wire import Message, PartTrial, Suspicion
 
 log = logging.getLogger(__name__)
 
@@ -51,6 +51,7 @@
         self._part_gate = part_gate
         self._quarantine = quarantine
         self._network = network
+        part_gate.trials.broadcast = self._broadcast
         self._probe_sender, self._probe_receiver = trio.open_memory_channel[
             _PendingProbe
         ](PENDING_PROBES_MAX)
@@ -67,9 +68,11 @@
             self._part_gate.on_probed(suspicion)
 
     def on_message(self, vm: str, message: Message) -> None:
-        """Record a suspicion of another VM, and forward it if it is new."""
+        """Record a suspicion or a trial of another VM, and forward it if it is new."""
         if isinstance(message, Suspicion):
             self._record_suspicion(message, source=vm)
+        elif isinstance(message, PartTrial):
+            self._part_gate.trials.on_message(vm, message)
 
     def on_link_opened(self, vm: str) -> None:
         """Send the crashes that another VM may not know: it may have restarted."""
@@ -109,6 +112,9 @@
         # The replica still accepts connections, so it did not crash.
         await trio.aclose_forcefully(stream)
 
+    def _broadcast(self, message: Message, skip: str) -> None:
+        self._network.broadcast(message, skip=skip)
+
     def _record_suspicion(self, suspicion: Suspicion, *, source: str) -> None:
         self._part_gate.record_crash(suspicion, source=source)
         known = self._quarantine.find(suspicion.fingerprint, now_ms())
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -45,6 +45,7 @@
     ConfigurationNews,
     Heartbeat,
     Hello,
+    PartTrial,
     Permit,
     Pulse,
     Queued,
@@ -344,7 +345,8 @@
         network.register_handler(ReplicaFetch, replicas.on_fetch)
         network.register_handler(ConfigurationNews, self._peers.exchange.on_news)
         network.register_handler(TreeFetch, self._peers.exchange.on_fetch)
-        network.register_handler(Suspicion, self._crash_monitor.on_message)
+        for crash_type in (Suspicion, PartTrial):
+            network.register_handler(crash_type, self._crash_monitor.on_message)
         self.state.on_configuration = self._peers.on_configuration_changed
         network.on_opened(self._crash_monitor.on_link_opened)
         network.on_dialled_closed(self._permit_client.on_link_closed)
--- a/src/hemlocktrestle/edge/_part_gate.py
+++ b/src/hemlocktrestle/edge/_part_gate.py
@@ -5,6 +5,7 @@
 import trio
 
 from hemlocktrestle.edge._job import Job
+from hemlocktrestle.edge._part_trials import PartTrials
 from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.errors import ErrorKind, RequestError
@@ -39,6 +40,7 @@
         self._state = state
         self._parts = PartQuarantine()
         self._pending: dict[tuple[str, str], trio.Event] = {}
+        self.trials = PartTrials(self._parts)
         self.refused_count = 0
 
     @property
@@ -47,13 +49,14 @@
         return len(self._parts)
 
     def check(self, job: Job) -> None:
-        """Refuse a request that has a quarantined part.
+        """Refuse a request that has a quarantined part, unless it is time to try it.
 
         Raises:
             RequestError: of kind ``QUARANTINED``.
         """
-        entry = self._parts.quarantined(job.metadata.prompt_parts, now_ms())
-        if entry is None:
+        now = now_ms()
+        entry = self._parts.quarantined(job.metadata.prompt_parts, now)
+        if entry is None or now >= entry.retrial_ms:
             return
         self.refused_count += 1
         log.info(
@@ -80,11 +83,15 @@
         has_answer = report.end is AttemptEnd.RELAYED or bool(report.first_ms)
         if not report.event_count and not (has_answer and report.status < 300):
             return
+        self.acquit(job)
+
+    def acquit(self, job: Job) -> None:
+        """Clear the parts of a request that a replica answers."""
         now = now_ms()
-        changes = self._parts.record_sound(
-            job.metadata.prompt_parts, at_ms=now, now_ms=now
-        )
-        _log_changes(changes, cause=job.metadata.request_id)
+        metadata = job.metadata
+        changes = self._parts.record_sound(metadata.prompt_parts, at_ms=now, now_ms=now)
+        _log_changes(changes, cause=metadata.request_id)
+        self.trials.acquit(metadata.request_id, metadata.prompt_parts)
 
     def create_suspicion(
         self, job: Job, placement: Placement, report: AttemptReport
@@ -122,6 +129,7 @@
         event = self._pending.pop((suspicion.request_id, suspicion.upstream), None)
         if event is not None:
             event.set()
+        self.trials.end_attempt(suspicion.request_id)
 
     async def wait_for_verdict(self, job: Job, placement: Placement) -> None:
         """Wait until it is known whether a request may have crashed its replica."""
@@ -205,7 +213,12 @@
     for entry in changes.quarantined:
         log.warning(
             "part_quarantined",
-            extra={"part": entry.part, "crashes": _crash_ids(entry), "cause": cause},
+            extra={
+                "part": entry.part,
+                "alternatives": [sorted(parts) for parts in entry.alternatives],
+                "crashes": _crash_ids(entry),
+                "cause": cause,
+            },
         )
     for entry in changes.lifted:
         log.warning(
--- a/src/hemlocktrestle/edge/_server.py
+++ b/src/hemlocktrestle/edge/_server.py
@@ -73,7 +73,9 @@
         self._on_attempt = on_attempt
         self._state = state
         self._placer = QuarantinePlacer(
-            NoticePlacer(state, placer), check=self._check_quarantine
+            NoticePlacer(state, placer),
+            check=self._check_quarantine,
+            part_gate=part_gate,
         )
         self._quotas = quotas
         self._quarantine = quarantine
--- a/src/hemlocktrestle/quarantine/_parts.py
+++ b/src/hemlocktrestle/quarantine/_parts.py
@@ -3,9 +3,13 @@
 Requests with such a part need not be alike, so crashes are counted by part.  Each VM
 records the same facts: a crash with the requests that it may be blamed on, and the
 parts of requests that were answered.  What they lead to is derived here.
+
+Parts that were only seen together cannot be told apart by counting.  Each set of
+parts that explains the same crashes is an alternative then: a request that all of
+them explain is refused, and one that only some explain may be tried.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from hemlocktrestle.quarantine._registry import QUARANTINE_MS, SUSPICION_MS
@@ -22,8 +26,14 @@
 SOUND_QUARANTINE_WEIGHT = 8
 """Weight for a part that was in an answered request; only later crashes count."""
 
-TIED_QUARANTINE_WEIGHT = 6
-"""Weight from which one of several equally suspect parts is quarantined."""
+CERTAIN_CRASH_COUNT = 5
+"""Crashes after which one part in all of them is the cause, not another in each."""
+
+RETRIAL_MS = 1_200_000
+"""Time after the last crash of a quarantined part until it is tried again, in ms."""
+
+SINGLE_CRASH_RETRIAL_MS = 10_000
+"""The same for a part that only one crash cannot be explained without, in ms."""
 
 ACCUSED_MS = 60_000
 """Time after a crash for which other VMs are told that a part is sound, in ms."""
@@ -64,18 +74,46 @@
 
 
 class QuarantinedPart(NamedTuple):
-    """A part that is quarantined until ``expires_ms``, and the crashes behind it."""
+    """A part that is quarantined, the crashes behind it, and what else explains them.
+
+    Args:
+        part: the part that explains the crashes best.
+        crashes: the crashes.
+        expires_ms: when the quarantine ends.
+        alternatives: sets of parts; one of them is the cause.  The first one is the
+            part alone, and the only one if no other part explains the crashes.
+        is_certain: whether the crashes cannot have a different cause each, too.
+    """
 
     part: str
     crashes: tuple[PartCrash, ...]
     expires_ms: float
+    alternatives: tuple[frozenset[str], ...]
+    is_certain: bool
+
+    @property
+    def suspects(self) -> frozenset[str]:
+        """All parts that may be the cause."""
+        return frozenset().union(*self.alternatives)
+
+    @property
+    def retrial_ms(self) -> float:
+        """Time from which the part may be tried again."""
+        is_single = len({crash.upstream for crash in self.crashes}) == 1
+        delay_ms = SINGLE_CRASH_RETRIAL_MS if is_single else RETRIAL_MS
+        return max(crash.at_ms for crash in self.crashes) + delay_ms
+
+    def explains(self, parts: Iterable[str]) -> bool:
+        """Tell whether each alternative expects a request to crash its upstream."""
+        found = frozenset(parts)
+        return all(found & alternative for alternative in self.alternatives)
 
 
 class PartChanges(NamedTuple):
     """Parts whose state a fact has changed.
 
     Args:
-        quarantined: parts that are quarantined from now on.
+        quarantined: parts that are quarantined from now on, or with other alternatives.
         lifted: parts whose quarantine ends, because other facts explain the crashes.
     """
 
@@ -96,10 +134,7 @@
     position: int
     part: str
     crashes: tuple[PartCrash, ...]
-
-    def is_tied(self, other: "_Suspect") -> bool:
-        """Tell whether another part that weighs the same was in other requests."""
-        return other[:2] == self[:2] and not set(self.crashes) <= set(other.crashes)
+    upstreams: frozenset[str]
 
 
 class PartQuarantine:
@@ -110,6 +145,7 @@
         self._sound_ms: dict[str, float] = {}
         self._accused_until_ms: dict[str, float] = {}
         self._quarantined: dict[str, QuarantinedPart] = {}
+        self._suspected: dict[str, list[QuarantinedPart]] = {}
 
     def __len__(self) -> int:
         """Return the number of quarantined parts, including expired ones."""
@@ -155,30 +191,54 @@
                 continue
             self._sound_ms.pop(part, None)
             self._sound_ms[part] = at_ms
-            is_changed = is_changed or part in self._quarantined
+            is_changed = is_changed or part in self._suspected
         while len(self._sound_ms) > SOUND_PARTS_MAX:
             del self._sound_ms[next(iter(self._sound_ms))]
         return self._derive(now_ms) if is_changed else PartChanges()
 
     def quarantined(
-        self, parts: Iterable[str], now_ms: float
+        self, parts: Sequence[str], now_ms: float
     ) -> QuarantinedPart | None:
-        """Return the first quarantined part among some, unless it has expired."""
-        if not self._quarantined:
-            return None
-        for part in parts:
-            entry = self._quarantined.get(part)
-            if entry is not None and entry.expires_ms > now_ms:
+        """Return the first quarantine that expects a request to crash its upstream."""
+        for entry in self._entries_about(parts, now_ms):
+            if entry.explains(parts) and not self._is_decisive(entry, parts):
                 return entry
         return None
 
+    def doubtful(self, parts: Sequence[str], now_ms: float) -> QuarantinedPart | None:
+        """Return the first quarantine that a request with these parts would test.
+
+        Some of its alternatives expect a crash and others do not, or its last crash
+        is long past.  There is none if another quarantine expects a crash.
+        """
+        entries = self._entries_about(parts, now_ms)
+        is_refused = any(
+            entry.explains(parts)
+            and not self._is_decisive(entry, parts)
+            and now_ms < entry.retrial_ms
+            for entry in entries
+        )
+        return entries[0] if entries and not is_refused else None
+
+    def _is_decisive(self, entry: QuarantinedPart, parts: Iterable[str]) -> bool:
+        """Tell whether a request would show that a part is, or is not, the cause.
+
+        Each crash may have had a cause of its own so far, and the request has only
+        sound parts beside this one.
+        """
+        return not entry.is_certain and all(
+            part == entry.part or part in self._sound_ms for part in parts
+        )
+
     def pop_expired(self, now_ms: float) -> tuple[QuarantinedPart, ...]:
         """Remove and return the quarantined parts that have expired."""
         expired = [
             entry for entry in self._quarantined.values() if entry.expires_ms <= now_ms
         ]
-        for entry in expired:
-            del self._quarantined[entry.part]
+        if expired:
+            for entry in expired:
+                del self._quarantined[entry.part]
+            self._index()
         return tuple(expired)
 
     def is_suspected(self, fingerprint: str) -> bool:
@@ -222,12 +282,31 @@
             parts = tuple(
                 part
                 for part in crash.parts
-                if part in self._quarantined or part not in self._sound_ms
+                if part in self._suspected or part not in self._sound_ms
             )
             if parts:
                 told.append(crash._replace(parts=parts))
         return tuple(told)
 
+    def _entries_about(
+        self, parts: Iterable[str], now_ms: float
+    ) -> list[QuarantinedPart]:
+        """Return the quarantines in force that suspect some of the parts."""
+        if not self._suspected:
+            return []
+        return [
+            entry
+            for part in parts
+            for entry in self._suspected.get(part, ())
+            if entry.expires_ms > now_ms
+        ]
+
+    def _index(self) -> None:
+        self._suspected = {}
+        for entry in self._quarantined.values():
+            for part in entry.suspects:
+                self._suspected.setdefault(part, []).append(entry)
+
     def _known_crashes(self, now_ms: float) -> tuple[PartCrash, ...]:
         """Return the crashes that still count, first those behind a quarantine."""
         found = {
@@ -244,56 +323,71 @@
         return tuple(found.values())
 
     def _derive(self, now_ms: float) -> PartChanges:
-        """Quarantine the parts that explain the crashes, one by one.
+        """Quarantine the parts that explain the crashes, the likeliest first.
 
         All known crashes are looked at anew, so that the VMs come to the same result
         in whatever order they learn of them.
         """
         before = self._quarantined
-        unexplained = self._known_crashes(now_ms)
+        blamed = self._blamed(self._known_crashes(now_ms))
+        parts_at: dict[str, set[str]] = {}
+        for part, found in blamed.items():
+            for crash in found:
+                parts_at.setdefault(crash.upstream, set()).add(part)
+        suspects = {
+            part: self._suspect(part, found)
+            for part, found in blamed.items()
+            if _is_convicting(found, self._limit_of(part))
+        }
         self._quarantined = {}
-        while (
-            len(self._quarantined) < QUARANTINED_MAX
-            and (suspect := self._next_suspect(unexplained)) is not None
-        ):
-            part, crashes = suspect.part, suspect.crashes
-            known = before.get(part)
-            expires_ms = known.expires_ms if known else now_ms + QUARANTINE_MS
-            self._quarantined[part] = QuarantinedPart(part, crashes, expires_ms)
-            upstreams = {crash.upstream for crash in crashes}
-            unexplained = tuple(
-                crash for crash in unexplained if crash.upstream not in upstreams
+        while suspects and len(self._quarantined) < QUARANTINED_MAX:
+            first = max(suspects.values())
+            parts = frozenset().union(*(parts_at[name] for name in first.upstreams))
+            self._quarantined[first.part] = _quarantine_of(
+                first,
+                {
+                    part: first.upstreams & {crash.upstream for crash in blamed[part]}
+                    for part in parts - {first.part}
+                    if first.is_never_sound == (part not in self._sound_ms)
+                },
             )
+            for part in parts & suspects.keys():
+                # One more crash suffices for a part that may have caused others.
+                unexplained = [
+                    crash
+                    for crash in suspects[part].crashes
+                    if crash.upstream not in first.upstreams
+                ]
+                if unexplained:
+                    suspects[part] = self._suspect(part, unexplained)
+                else:
+                    del suspects[part]
+        self._index()
+        return self._changes_since(before)
+
+    def _suspect(self, part: str, crashes: Sequence[PartCrash]) -> _Suspect:
+        return _Suspect(
+            part not in self._sound_ms,
+            _weight_of(crashes),
+            -len(crashes),
+            max(crash.parts.index(part) for crash in crashes),
+            part,
+            tuple(crashes),
+            frozenset(crash.upstream for crash in crashes),
+        )
+
+    def _changes_since(self, before: dict[str, QuarantinedPart]) -> PartChanges:
         return PartChanges(
             tuple(
-                self._quarantined[part] for part in self._quarantined.keys() - before
+                entry
+                for part, entry in self._quarantined.items()
+                if part not in before or before[part].alternatives != entry.alternatives
+            ),
+            tuple(
+                entry for part, entry in before.items() if part not in self._suspected
             ),
-            tuple(before[part] for part in before.keys() - self._quarantined),
         )
 
-    def _next_suspect(self, crashes: Iterable[PartCrash]) -> _Suspect | None:
-        """Return the part that is to be quarantined next.
-
-        If parts of different requests are equally suspect, one more crash decides.
-        """
-        suspects = [
-            _Suspect(
-                part not in self._sound_ms,
-                _weight_of(found),
-                -len(found),
-                max(crash.parts.index(part) for crash in found),
-                part,
-                tuple(found),
-            )
-            for part, found in self._blamed(crashes).items()
-            if _is_convicting(found, self._limit_of(part))
-        ]
-        if not suspects:
-            return None
-        first = max(suspects)
-        is_tied = any(first.is_tied(other) for other in suspects)
-        return None if is_tied and first.weight < TIED_QUARANTINE_WEIGHT else first
-
     def _limit_of(self, part: str) -> int:
         return SOUND_QUARANTINE_WEIGHT if part in self._sound_ms else QUARANTINE_WEIGHT
 
@@ -312,6 +406,40 @@
                 del self._crashes[key]
 
 
+def _quarantine_of(
+    first: _Suspect, companions: Mapping[str, frozenset[str]]
+) -> QuarantinedPart:
+    """Return the quarantine of a part, with what else may explain its crashes.
+
+    Another part may explain all of them, or several together.
+
+    Args:
+        first: the likeliest cause.
+        companions: other parts that may have caused some of its crashes, and which.
+    """
+    alternatives = [frozenset({first.part})]
+    joint: set[str] = set()
+    explained: set[str] = set()
+    for part, upstreams in sorted(companions.items()):
+        if upstreams == first.upstreams:
+            alternatives.append(frozenset({part}))
+        elif len(upstreams) > 1:
+            joint.add(part)
+            explained |= upstreams
+    if joint:
+        joint |= set() if explained == first.upstreams else {first.part}
+        alternatives.append(frozenset(joint))
+    at_ms = max(crash.at_ms for crash in first.crashes)
+    return QuarantinedPart(
+        first.part,
+        first.crashes,
+        at_ms + QUARANTINE_MS,
+        tuple(alternatives),
+        is_certain=len(first.upstreams) >= CERTAIN_CRASH_COUNT
+        or frozenset().union(*companions.values()) != first.upstreams,
+    )
+
+
 def _weight_of(crashes: Iterable[PartCrash]) -> int:
     """Return the weight of crashes; several requests at one crash count once."""
     weights: dict[str, int] = {}
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -328,6 +328,20 @@
     age_ms: int = 0
 
 
+@message("partTrial")
+class PartTrial(NamedTuple):
+    """A request that tests suspected parts of prompts is sent, or has ended.
+
+    ``suspects`` are the parts that no other request may test meanwhile.
+    ``sound_parts`` are those that its answer acquits at the end.
+    """
+
+    request_id: str
+    suspects: tuple[str, ...]
+    is_running: bool
+    sound_parts: tuple[str, ...] = ()
+
+
 @message("replicaNews")
 class ReplicaNews(NamedTuple):
     """State of one replica at a store revision; the later revision wins."""
@@ -395,4 +409,5 @@
     | ReplicaBatch
     | ReplicaFetch
     | ConfigurationNews
+    | PartTrial
 )
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -25,6 +25,7 @@
     configurationNews @17 :ConfigurationNews;
     replicaBatch @18 :ReplicaBatch;
     replicaFetch @19 :ReplicaFetch;
+    partTrial @20 :PartTrial;
   }
 }
 
@@ -216,6 +217,13 @@
   outcome @3 :Text;
 }
 
+struct PartTrial {
+  requestId @0 :Text;
+  suspects @1 :List(Text);
+  isRunning @2 :Bool;
+  soundParts @3 :List(Text);
+}
+
 struct Suspicion {
   pool @0 :Text;
   fingerprint @1 :Text;
--- a/tests/edge/test_prompt_parts.py
+++ b/tests/edge/test_prompt_parts.py
@@ -157,7 +157,7 @@
     )
 
 
-class _Mesh:
+class Mesh:
     """VMs with a crash monitor each, whose messages reach all others at once."""
 
     def __init__(self, case: TrioTestCase, *names: str) -> None:
@@ -202,7 +202,7 @@
 
 
 class _Links:
-    def __init__(self, mesh: _Mesh, name: str) -> None:
+    def __init__(self, mesh: Mesh, name: str) -> None:
         self._mesh = mesh
         self._name = name
 
@@ -221,7 +221,7 @@
 
     async def test_crashes_at_different_vms_add_up(self) -> None:
         """Guards against crashes that each VM has to see by itself."""
-        mesh = _Mesh(self, "v1", "v2", "v3")
+        mesh = Mesh(self, "v1", "v2", "v3")
         for number, name in enumerate(("v1", "v2")):
             mesh.monitors[name]._record_suspicion(suspicion(number), source="")
         self.assertEqual({"v1": 1, "v2": 1, "v3": 1}, mesh.quarantined())
@@ -229,7 +229,7 @@
 
     async def test_a_vm_that_restarts_learns_from_the_others(self) -> None:
         """Guards against crashes that begin anew with each restart of a VM."""
-        mesh = _Mesh(self, "v1", "v2")
+        mesh = Mesh(self, "v1", "v2")
         for number in (1, 2):
             mesh.monitors["v1"]._record_suspicion(suspicion(number), source="")
         await trio.sleep(5)
@@ -240,7 +240,7 @@
 
     async def test_a_vm_that_saw_a_part_answered_acquits_it_everywhere(self) -> None:
         """Guards against a sound part that is refused where nobody could answer it."""
-        mesh = _Mesh(self, "v1", "v2", "v3")
+        mesh = Mesh(self, "v1", "v2", "v3")
         for number in (1, 2):
             blamed = suspicion(number, "cafe")
             mesh.monitors["v1"]._record_suspicion(blamed, source="")
@@ -252,7 +252,7 @@
 
     async def test_a_vm_that_restarts_blames_no_sound_part(self) -> None:
         """Guards against a shared part refused by the only VM that saw no answer."""
-        mesh = _Mesh(self, "v1", "v2")
+        mesh = Mesh(self, "v1", "v2")
         for number in (1, 2):
             now = now_ms()
             mesh.gates["v1"]._parts.record_sound(["cafe"], at_ms=now, now_ms=now)
@@ -272,7 +272,7 @@
             raise failure
 
         self.patch(_crash_monitor, "open_connection", open_connection)
-        mesh = _Mesh(self, "v1", "v2")
+        mesh = Mesh(self, "v1", "v2")
         harness = EdgeHarness(self, {"r1": answer_ok})
         await harness.send("/jobs/1")
         job = harness.served[0].job
