Count crashes by incarnation, and answers at all VMs

Cause: the registry counted the ids of upstreams, and the monitor dropped a suspicion whose id it knew.

Change: crashes have names, told apart by the time in which their requests ran (quarantine/_crash_log.py), for whole requests and for parts of prompts; two VMs that see one crash count it once, also if one of them does not know the new registration.

The zone daemon still counts by name.

--- a/src/hemlocktrestle/edge/_crash_monitor.py
+++ b/src/hemlocktrestle/edge/_crash_monitor.py
@@ -11,7 +11,7 @@
 from hemlocktrestle.edge._state import now_ms
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.peers import PeerNetwork
-from hemlocktrestle.quarantine import QuarantineRegistry
+from hemlocktrestle.quarantine import CrashLog, CrashReport, QuarantineRegistry
 from hemlocktrestle.relay import ConnectTimeoutError, open_connection
 from hemlocktrestle.wire import Message, PartTrial, Suspicion
 
@@ -24,6 +24,10 @@
 """Replicas that may wait for a probe; more of them fail only in an outage."""
 
 
+SEEN_SUSPICIONS_MAX = 4_096
+"""Suspicions that are remembered, so that each is passed on and counted once."""
+
+
 class _PendingProbe(NamedTuple):
     suspicion: Suspicion
     address: str
@@ -52,6 +56,8 @@
         self._quarantine = quarantine
         self._network = network
         part_gate.trials.broadcast = self._broadcast
+        self._crash_log = CrashLog()
+        self._seen: dict[tuple[str, str], None] = {}
         self._probe_sender, self._probe_receiver = trio.open_memory_channel[
             _PendingProbe
         ](PENDING_PROBES_MAX)
@@ -116,14 +122,44 @@
         self._network.broadcast(message, skip=skip)
 
     def _record_suspicion(self, suspicion: Suspicion, *, source: str) -> None:
-        self._part_gate.record_crash(suspicion, source=source)
-        known = self._quarantine.find(suspicion.fingerprint, now_ms())
-        if known is not None and suspicion.upstream in known.upstreams:
+        at_ms = now_ms() - suspicion.age_ms
+        report = CrashReport(suspicion.upstream, at_ms - suspicion.ran_ms, at_ms)
+        crash = self._crash_log.identify(report)
+        self._part_gate.record_crash(suspicion, crash=crash, source=source)
+        if not self._is_new(crash, suspicion.fingerprint):
             return
+        if self._quarantine.answered_ms(suspicion.fingerprint) >= report.began_ms:
+            log.info(
+                "request_not_suspected",
+                extra={
+                    "request": suspicion.request_id,
+                    "replica": suspicion.upstream,
+                    "crash": crash,
+                    "source": source,
+                    "reason": "answered since it was sent",
+                },
+            )
+        else:
+            self._suspect(suspicion, crash, source=source)
+        if not suspicion.age_ms:
+            # One that is sent again comes from each of the VMs that know it.
+            self._network.broadcast(suspicion, skip=source)
+
+    def _is_new(self, crash: str, fingerprint: str) -> bool:
+        """Tell whether a request is not known yet to have run at a crash."""
+        key = (crash, fingerprint)
+        if key in self._seen:
+            return False
+        self._seen[key] = None
+        if len(self._seen) > SEEN_SUSPICIONS_MAX:
+            del self._seen[next(iter(self._seen))]
+        return True
+
+    def _suspect(self, suspicion: Suspicion, crash: str, *, source: str) -> None:
         entry = self._quarantine.record_crash(
             suspicion.pool,
             suspicion.fingerprint,
-            upstream=suspicion.upstream,
+            upstream=crash,
             request_id=suspicion.request_id,
             now_ms=now_ms(),
         )
@@ -132,11 +168,9 @@
             extra={
                 "request": suspicion.request_id,
                 "replica": suspicion.upstream,
+                "crash": crash,
                 "source": source,
                 "crash_count": len(entry.upstreams),
                 "is_quarantined": entry.is_quarantined,
             },
         )
-        if not suspicion.age_ms:
-            # One that is sent again comes from each of the VMs that know it.
-            self._network.broadcast(suspicion, skip=source)
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -37,7 +37,6 @@
 from hemlocktrestle.gateway import FleetSnapshot
 from hemlocktrestle.peers import PeerNetwork, PermitClient, SchedulerTask
 from hemlocktrestle.platform import EdgeSettings, PlatformStore, read_settings
-from hemlocktrestle.quarantine import QuarantineRegistry
 from hemlocktrestle.timers import sleep_until_multiple
 from hemlocktrestle.wire import (
     PROTOCOL_VERSION,
@@ -102,7 +101,6 @@
         self._store = PlatformStore(settings.store_address)
         self._health = StoreHealth(self.state)
         self._stall_monitor = StallMonitor()
-        self._quarantine = QuarantineRegistry()
         jitter = random.Random(self._boot_id)
         entry = VmEntry(
             settings.vm,
@@ -138,7 +136,7 @@
         )
         self._peers.scheduler_task = self._scheduler_task
         self._crash_monitor = CrashMonitor(
-            self._quarantine, self._network, self._peers.part_gate
+            self._peers.quarantine, self._network, self._peers.part_gate
         )
         self._permit_client = PermitClient(
             membership,
@@ -157,7 +155,7 @@
             self.state,
             self._placer,
             quotas=quotas,
-            quarantine=self._quarantine,
+            quarantine=self._peers.quarantine,
             part_gate=self._peers.part_gate,
             on_served=self._on_request_ended,
             on_replica_disconnected=self._crash_monitor.on_replica_disconnected,
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -27,6 +27,7 @@
     region_of,
 )
 from hemlocktrestle.peers import PeerNetwork, SchedulerTask
+from hemlocktrestle.quarantine import QuarantineRegistry
 from hemlocktrestle.relay import open_connection
 from hemlocktrestle.timers import sleep_until_multiple
 from hemlocktrestle.wire import (
@@ -34,6 +35,7 @@
     Heartbeat,
     Message,
     PoolSummary,
+    SoundRequest,
 )
 
 log = logging.getLogger(__name__)
@@ -47,6 +49,9 @@
 AGE_MS_MAX = 3_600_000.0
 """Largest age that a heartbeat states, in milliseconds."""
 
+SOUND_REQUESTS_MAX = 16
+"""Most sound requests that one heartbeat states."""
+
 PROBE_CHECK_S = 0.25
 """Time between checks for replicas that are due for a probe, in seconds."""
 
@@ -81,6 +86,7 @@
         self._candidates: dict[str, VmRecord] = {}
         self._network: PeerNetwork | None = None
         self.part_gate = PartGate(state)
+        self.quarantine = QuarantineRegistry()
         self.scheduler_task: SchedulerTask | None = None
 
     @property
@@ -237,6 +243,7 @@
             self._vm_list.digest,
             self.replica_notices.shared(),
             self.part_gate.sound_parts(),
+            self._sound_requests(now),
         )
 
     def on_heartbeat(self, vm: str, message: Message) -> None:
@@ -249,6 +256,8 @@
         self._vm_list.on_heartbeat(vm, message)
         self.replica_notices.on_news(vm, message.leaving)
         self.part_gate.on_heartbeat(vm, message)
+        for fingerprint, age_ms in message.sound_requests:
+            self.quarantine.record_answer(fingerprint, now - age_ms)
         self.membership.on_heartbeat(
             vm,
             now,
@@ -272,6 +281,17 @@
                 startup_share=message.area_young,
             )
 
+    def _sound_requests(self, now: float) -> tuple[SoundRequest, ...]:
+        """Return the latest requests that other VMs may suspect but were answered."""
+        newest = sorted(
+            (now - at_ms, fingerprint)
+            for fingerprint, at_ms in self.quarantine.answered_accused(now).items()
+        )
+        return tuple(
+            SoundRequest(fingerprint, int(age_ms))
+            for age_ms, fingerprint in newest[:SOUND_REQUESTS_MAX]
+        )
+
     def _startup_share(self, now: float) -> float:
         window_ms = self._state.settings.bounds.quota_window_ms
         return self._state.quotas.startup_share(window_ms, now)
--- a/src/hemlocktrestle/edge/_part_gate.py
+++ b/src/hemlocktrestle/edge/_part_gate.py
@@ -14,6 +14,7 @@
     PartCrash,
     PartQuarantine,
     QuarantinedPart,
+    upstream_of,
 )
 from hemlocktrestle.wire import Heartbeat, SoundPart, Suspicion
 
@@ -122,6 +123,7 @@
             parts,
             bool(report.status),
             record.born_ms if record is not None else 0,
+            ran_ms=int(report.total_ms),
         )
 
     def on_probed(self, suspicion: Suspicion) -> None:
@@ -138,31 +140,40 @@
             with trio.move_on_after(VERDICT_TIMEOUT_S):
                 await event.wait()
 
-    def record_crash(self, suspicion: Suspicion, *, source: str) -> None:
-        """Record a crash that this VM or another one noticed."""
+    def record_crash(self, suspicion: Suspicion, *, crash: str, source: str) -> None:
+        """Record a crash that this VM or another one noticed.
+
+        Args:
+            suspicion: the crash, with the request that ran.
+            crash: name of the crash.
+            source: the VM that noticed it, empty for this one.
+        """
         now = now_ms()
-        crash = PartCrash(
+        known = PartCrash(
             suspicion.parts,
-            f"{suspicion.upstream}/{suspicion.born_ms}",
+            crash,
             suspicion.fingerprint,
             suspicion.request_id,
             suspicion.is_started,
             now - suspicion.age_ms,
+            suspicion.born_ms,
+            suspicion.ran_ms,
         )
-        changes = self._parts.record_crash(crash, now)
+        changes = self._parts.record_crash(known, now)
         if changes is None:
             return
         log.warning(
             "part_suspected",
             extra={
-                "request": crash.request_id,
+                "request": suspicion.request_id,
                 "replica": suspicion.upstream,
+                "crash": crash,
                 "source": source,
-                "parts": crash.parts,
-                "is_started": crash.is_started,
+                "parts": suspicion.parts,
+                "is_started": suspicion.is_started,
             },
         )
-        _log_changes(changes, cause=crash.request_id)
+        _log_changes(changes, cause=suspicion.request_id)
 
     def sound_parts(self) -> tuple[SoundPart, ...]:
         """Return the parts that other VMs may suspect but this one saw answered."""
@@ -192,16 +203,16 @@
 
 
 def _suspicion_of(crash: PartCrash, now: float) -> Suspicion:
-    replica_id, _, born_ms = crash.upstream.rpartition("/")
     return Suspicion(
         "",
         crash.fingerprint,
-        replica_id,
+        upstream_of(crash.upstream),
         crash.request_id,
         crash.parts,
         crash.is_started,
-        int(born_ms),
+        crash.born_ms,
         max(1, int(now - crash.at_ms)),
+        crash.ran_ms,
     )
 
 
--- a/src/hemlocktrestle/edge/_server.py
+++ b/src/hemlocktrestle/edge/_server.py
@@ -242,7 +242,7 @@
         if report.end is AttemptEnd.BROKEN:
             self._on_replica_disconnected(job, placement, report)
         elif report.end is AttemptEnd.RELAYED:
-            self._quarantine.clear_suspicion(job.fingerprint)
+            self._quarantine.record_answer(job.fingerprint, now_ms())
 
 
 def _as_possibly_run(error: RequestError, progress: RequestProgress) -> RequestError:
--- a/src/hemlocktrestle/quarantine/__init__.py
+++ b/src/hemlocktrestle/quarantine/__init__.py
@@ -1,5 +1,6 @@
 """Quarantine of requests, and of parts of prompts, that crash the upstreams."""
 
+from hemlocktrestle.quarantine._crash_log import CrashLog, CrashReport, upstream_of
 from hemlocktrestle.quarantine._fingerprint import chat_fingerprint
 from hemlocktrestle.quarantine._parts import (
     PartChanges,
@@ -21,6 +22,8 @@
     "QUARANTINE_CRASH_COUNT",
     "QUARANTINE_MS",
     "SUSPICION_MS",
+    "CrashLog",
+    "CrashReport",
     "PartChanges",
     "PartCrash",
     "PartQuarantine",
@@ -28,4 +31,5 @@
     "QuarantineRegistry",
     "QuarantinedPart",
     "chat_fingerprint",
+    "upstream_of",
 ]
--- a/src/hemlocktrestle/quarantine/_parts.py
+++ b/src/hemlocktrestle/quarantine/_parts.py
@@ -53,11 +53,13 @@
 
     Args:
         parts: parts of the request's prompt that other requests may share, in order.
-        upstream: the upstream with its incarnation; each of them crashes once.
+        upstream: the crash by its name; several requests may have run at it.
         fingerprint: digest of the request.
         request_id: id of the request.
         is_started: whether the head of the answer had come.
         at_ms: when it was noticed, by the time of the process.
+        born_ms: start of the upstream, 0 if it is not known.
+        ran_ms: for how long the request had run, 0 if it is not known.
     """
 
     parts: tuple[str, ...]
@@ -66,6 +68,8 @@
     request_id: str
     is_started: bool
     at_ms: float
+    born_ms: int = 0
+    ran_ms: int = 0
 
     @property
     def weight(self) -> int:
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -99,6 +99,13 @@
     age_ms: int
 
 
+class SoundRequest(NamedTuple):
+    """An accused request, by its fingerprint, that was answered, and how long ago."""
+
+    fingerprint: str
+    age_ms: int
+
+
 @message("heartbeat")
 class Heartbeat(NamedTuple):
     """Periodic message on each link: it shows that the sender is alive.
@@ -118,7 +125,7 @@
     ``vms_digest`` is a digest of the entries of the VMs that it knows.
     ``leaving`` are the replicas that leave though their registration does not say so.
     ``sound_parts`` are parts of prompts that crashes are blamed on, but that the
-    sender saw in answered requests.
+    sender saw in answered requests.  ``sound_requests`` are such requests themselves.
     """
 
     tree_revision: int
@@ -136,6 +143,7 @@
     vms_digest: int = 0
     leaving: tuple[LeavingReplica, ...] = ()
     sound_parts: tuple[SoundPart, ...] = ()
+    sound_requests: tuple[SoundRequest, ...] = ()
 
 
 @message("ask")
@@ -315,7 +323,8 @@
     ``parts`` are the parts of its prompt that may have caused the crash, in order;
     there are none if content of the answer had come.  ``is_started`` tells whether
     its head had come.  ``born_ms`` is the start of the upstream, 0 if unknown, and
-    ``age_ms`` the time since the crash if the message is sent again.
+    ``age_ms`` the time since the crash if the message is sent again.  ``ran_ms`` is
+    for how long the request had run, 0 if the sender does not say.
     """
 
     pool: str
@@ -326,6 +335,7 @@
     is_started: bool = False
     born_ms: int = 0
     age_ms: int = 0
+    ran_ms: int = 0
 
 
 @message("partTrial")
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -60,6 +60,7 @@
   vmsDigest @12 :UInt64;
   leaving @13 :List(LeavingReplica);
   soundParts @14 :List(SoundPart);
+  soundRequests @15 :List(SoundRequest);
 }
 
 struct LeavingReplica {
@@ -72,6 +73,11 @@
   ageMs @1 :UInt64;
 }
 
+struct SoundRequest {
+  fingerprint @0 :Text;
+  ageMs @1 :UInt64;
+}
+
 struct CustomerDemand {
   customer @0 :Text;
   askedPerS @1 :Float64;
@@ -233,4 +239,5 @@
   isStarted @5 :Bool;
   bornMs @6 :UInt64;
   ageMs @7 :UInt64;
+  ranMs @8 :UInt64;
 }
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -310,12 +310,13 @@
     ) -> None:
         self.disconnected.append(placement.replica_id)
         suspicion = self.part_gate.create_suspicion(job, placement, report)
-        self.part_gate.record_crash(suspicion, source="")
+        crash = f"{placement.replica_id} #1"
+        self.part_gate.record_crash(suspicion, crash=crash, source="")
         self.part_gate.on_probed(suspicion)
         self.quarantine.record_crash(
             job.service.name,
             job.fingerprint,
-            upstream=placement.replica_id,
+            upstream=crash,
             request_id=job.metadata.request_id,
             now_ms=now_ms(),
         )
--- a/tests/edge/test_fleet.py
+++ b/tests/edge/test_fleet.py
@@ -1,7 +1,10 @@
 """Tests of the updates that VMs send each other."""
 
+import itertools
 from typing import Any
 
+import trio
+
 from hemlocktrestle.edge._fleet import EdgeFleet
 from hemlocktrestle.edge._registration import VmEntry
 from hemlocktrestle.edge._state import EdgeState, now_ms
@@ -14,6 +17,8 @@
     LeavingReplica,
     Message,
     Permit,
+    decode,
+    encode,
 )
 from tests.gateway.records import configuration, replica_update
 from tests.peers.test_scheduler_task import ask
@@ -133,6 +138,24 @@
         self.assertEqual({"r2"}, set(granted))
 
 
+class SoundRequestTests(_FleetCase):
+    """Heartbeats tell of requests that crashes are blamed on and that were answered."""
+
+    async def test_an_answer_at_one_vm_counts_at_the_others(self) -> None:
+        """A VM tells on what it heard, as not all VMs are linked to each other."""
+        fleets = [self.fleet()[0] for _ in range(3)]
+        for fleet in fleets:
+            fleet.quarantine.record_crash(
+                "ledger", "f1", upstream="r1 #1", request_id="q1", now_ms=now_ms()
+            )
+        await trio.sleep(0.1)
+        fleets[0].quarantine.record_answer("f1", now_ms())
+        for fleet, other in itertools.pairwise(fleets):
+            message = decode(encode(fleet.heartbeat()))
+            other.on_heartbeat("vm-9", message)
+        self.assertEqual([0, 0, 0], [len(fleet.quarantine) for fleet in fleets])
+
+
 class LeavingReplicaTests(_FleetCase):
     """That a replica leaves is known to all VMs, as if it had registered so.
 
--- a/tests/edge/test_prompt_parts.py
+++ b/tests/edge/test_prompt_parts.py
@@ -123,7 +123,7 @@
 
         async def obtain(job: Any, *, excluded: frozenset[str]) -> Placement:
             for number in (1, 2):
-                harness.part_gate.record_crash(suspicion(number), source="v2")
+                record(harness, suspicion(number))
             placement: Placement = await choose(job, excluded=excluded)
             return placement
 
@@ -139,7 +139,7 @@
         async def blame_and_answer(connection: Connection, request: Request) -> None:
             for number in (1, 2):
                 blamed = suspicion(number, "cafe")
-                harness.part_gate.record_crash(blamed, source="v2")
+                record(harness, blamed)
             self.assertEqual(1, harness.part_gate.quarantined_count)
             await answer(connection, request)
 
@@ -150,6 +150,11 @@
         self.assertEqual(200, await self.send(harness, 2, "cafe"))
 
 
+def record(harness: EdgeHarness, blamed: Suspicion) -> None:
+    """Record a crash that another VM noticed."""
+    harness.part_gate.record_crash(blamed, crash=f"{blamed.upstream} #1", source="v2")
+
+
 def suspicion(number: int, *parts: str) -> Suspicion:
     """Return the message of a crash; the number tells request and replica apart."""
     return Suspicion(
