Free the memory of broken answers at once

Cause: the error of a failed attempt refers to its frames, these to the attempt and its buffer, and the attempt to the error.

Change: bodies are cleared when their budget is returned; the failure of an attempt is caught within its nurseries and stripped of its frames; answers are kept and sent in blocks; answers over 256 KB leave half of the budget to small ones; refusals are read up to 64 KB; an event without end counts; answers of the platform's store are bounded in size and time.

Tests changed: one test of the client reads the head within the exchange, as the exchange now yields a reader; one test of the server compares the bodies as its handler saw them, as a body is empty once its request has ended.

--- /dev/null
+++ b/src/hemlocktrestle/edge/_answer_body.py
@@ -0,0 +1,68 @@
+"""The body of a buffered answer, within the memory budget of all answers."""
+
+from collections.abc import Sequence
+from typing import Self
+
+from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.relay import BodyMemoryBudget, BudgetShare
+
+BLOCK_BYTES = 65_536
+"""Size of a block, in bytes; blocks of one size do not fragment the memory."""
+
+SMALL_BODY_BYTES = 262_144
+"""Size up to which a body may take the last of the budget, in bytes."""
+
+RESERVED_SHARE = 0.5
+"""Share of the budget that larger bodies leave to the small ones.
+
+Answers without end would otherwise take the memory of all the others.
+"""
+
+
+class AnswerBody:
+    """A body that is read block by block.
+
+    On exit its memory is free at once, even if a failed attempt still refers to it.
+
+    Args:
+        budget: the memory of all answers.
+        bytes_max: largest size, in bytes.
+    """
+
+    def __init__(self, budget: BodyMemoryBudget, *, bytes_max: int) -> None:
+        self._share = BudgetShare(budget)
+        self._spared_bytes = int(budget.bytes_max * RESERVED_SHARE)
+        self._bytes_max = bytes_max
+        self._blocks: list[bytearray] = []
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self._blocks.clear()
+        self._share.resize(0)
+
+    @property
+    def blocks(self) -> Sequence[bytearray]:
+        """The body in the order of its bytes."""
+        return self._blocks
+
+    def append(self, piece: bytes) -> None:
+        """Add bytes.
+
+        Raises:
+            RequestError: of kind ``UPSTREAM_BROKEN`` if the answer is too large.
+        """
+        size_bytes = self._share.size_bytes + len(piece)
+        if size_bytes > self._bytes_max:
+            raise RequestError(ErrorKind.UPSTREAM_BROKEN, "answer is too large")
+        spared_bytes = self._spared_bytes if size_bytes > SMALL_BODY_BYTES else 0
+        if not self._share.resize(size_bytes, spared_bytes=spared_bytes):
+            raise RequestError(
+                ErrorKind.UPSTREAM_BROKEN, "no memory is left for answers"
+            )
+        for start in range(0, len(piece), BLOCK_BYTES):
+            part = piece[start : start + BLOCK_BYTES]
+            if not self._blocks or len(self._blocks[-1]) + len(part) > BLOCK_BYTES:
+                self._blocks.append(bytearray())
+            self._blocks[-1] += part
--- a/src/hemlocktrestle/edge/_attempt.py
+++ b/src/hemlocktrestle/edge/_attempt.py
@@ -1,18 +1,20 @@
 """One attempt to send a request to a replica and relay its answer."""
 
-from collections.abc import AsyncGenerator, Callable
-from contextlib import aclosing
-from typing import NamedTuple, Self
+from collections.abc import AsyncGenerator, Awaitable, Callable, Sequence
+from contextlib import AsyncExitStack, ExitStack, aclosing
+from functools import partial
+from typing import NamedTuple
 
 import trio
 
+from hemlocktrestle.edge._answer_body import AnswerBody
 from hemlocktrestle.edge._attempt_log import log_replica_silent
 from hemlocktrestle.edge._job import Job
 from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement
 from hemlocktrestle.edge._progress import RequestProgress
 from hemlocktrestle.edge._silence import SilenceMonitor, SuccessorSearch
 from hemlocktrestle.edge._state import EdgeState, now_ms
-from hemlocktrestle.errors import ErrorKind, RequestError, first_leaf
+from hemlocktrestle.errors import ErrorKind, RequestError, first_leaf, forget_frames
 from hemlocktrestle.gateway import (
     AnswerClass,
     EventSplitter,
@@ -22,7 +24,8 @@
     classify_answer,
 )
 from hemlocktrestle.relay import (
-    BodyMemoryBudget,
+    AnswerReader,
+    BudgetShare,
     CallerConnection,
     ConnectTimeoutError,
     ReplicaAnswer,
@@ -34,6 +37,9 @@
 ANSWER_BYTES_MAX = 16 * 1024 * 1024
 """Largest non-streaming answer that is buffered, in bytes."""
 
+REFUSAL_BYTES_MAX = 65_536
+"""Largest body of a refusal, in bytes; it is only a text for people."""
+
 ANSWER_TIMEOUT_OBJECTIVES = 0.6
 """Share of the latency objective after which another replica is searched for.
 
@@ -51,40 +57,12 @@
 """Events of a stream after which its speed is reported to the pool scheduler."""
 
 
-class _BodyBuffer:
-    """The body of a buffered answer, within the memory budget of all answers."""
-
-    def __init__(self, budget: BodyMemoryBudget) -> None:
-        self._budget = budget
-        self.data = bytearray()
-
-    def __enter__(self) -> Self:
-        return self
-
-    def __exit__(self, *exception: object) -> None:
-        self._budget.release(len(self.data))
-
-    def append(self, piece: bytes) -> None:
-        """Add bytes.
-
-        Raises:
-            RequestError: of kind ``UPSTREAM_BROKEN`` if the answer is too large.
-        """
-        if len(self.data) + len(piece) > ANSWER_BYTES_MAX:
-            raise RequestError(ErrorKind.UPSTREAM_BROKEN, "answer is too large")
-        if not self._budget.reserve(len(piece)):
-            raise RequestError(
-                ErrorKind.UPSTREAM_BROKEN, "no memory is left for answers"
-            )
-        self.data += piece
-
-
 class SealedAnswer(NamedTuple):
     """A replica's complete, sealed answer, as it would go to the caller."""
 
     status: int
     headers: list[tuple[bytes, bytes]]
-    body: bytes
+    body: Sequence[bytearray]
 
 
 class Attempt:
@@ -98,6 +76,7 @@
         progress: counters of the request over all its attempts.
         on_speed: called once, early in a stream, with its speed.
         successors: finds another replica while this one is silent.
+        kept: owns what has to outlive the attempt until the request has ended.
     """
 
     def __init__(
@@ -110,27 +89,28 @@
         *,
         on_speed: Callable[[Job, Placement, AttemptReport], None],
         successors: SuccessorSearch,
+        kept: ExitStack,
     ) -> None:
+        self._kept = kept
         self._on_speed = on_speed
         self._state = state
         self._job = job
         self.placement = placement
         self._stream: trio.abc.Stream | None = None
-        self._silence = SilenceMonitor(successors, on_silent=self._log_silence)
         self._connection = connection
         self._progress = progress
         self._started_ms = now_ms()
+        # It does not refer to the attempt: a cycle would keep the bodies of both.
+        self._silence = SilenceMonitor(
+            successors,
+            on_silent=partial(_log_silence, progress, placement, self._started_ms),
+        )
         self._first_ms = 0.0
         self._event_count = 0
         self.status = 0
         self.unsent_end = AttemptEnd.UNUSED
         self.failure: RequestError | None = None
         self.sealed_answer: SealedAnswer | None = None
-        self._relays = {
-            AnswerClass.REFUSAL: self._read_refusal,
-            AnswerClass.BUFFERED: self._relay_buffered,
-            AnswerClass.STREAM: self._relay_events,
-        }
 
     def report(self, end: AttemptEnd) -> AttemptReport:
         """Return the end and the timings of the attempt."""
@@ -163,9 +143,11 @@
             self._stream = await open_connection(self.placement.address)
         except ConnectTimeoutError as error:
             self.failure = error
+            forget_frames(error)
             self.unsent_end = AttemptEnd.CONNECT_TIMEOUT
         except RequestError as error:
             self.failure = error
+            forget_frames(error)
             self.unsent_end = AttemptEnd.UNREACHABLE
         return self._stream is not None
 
@@ -191,9 +173,9 @@
         try:
             async with (
                 self._silence.guard(),
-                exchange(self._stream, self._replica_request()) as answer,
+                exchange(self._stream, self._replica_request()) as reader,
             ):
-                end = await self._relay(answer)
+                end = await self._receive(reader)
             if self._silence.has_ended_attempt:
                 end = AttemptEnd.SILENT
                 progress.silent_count += 1
@@ -207,14 +189,18 @@
             progress.may_have_sent = had_sent_before
         return self.report(end)
 
-    def _log_silence(self, action: str) -> None:
-        heard_ms = max(self._started_ms, self._progress.last_event_ms)
-        log_replica_silent(
-            self._progress,
-            self.placement,
-            silent_ms=now_ms() - heard_ms,
-            action=action,
-        )
+    async def _receive(self, reader: AnswerReader) -> AttemptEnd:
+        """Relay the answer.
+
+        A failure is caught within the nurseries of the attempt: they would keep it
+        with its frames, and these what the attempt holds.
+        """
+        try:
+            return await self._relay(await reader.read_head())
+        except RequestError as error:
+            self.failure = error
+            forget_frames(error)
+            return AttemptEnd.BROKEN
 
     def _answer_timeout_ms(self) -> float:
         """Return the time of silence after which another replica is searched for.
@@ -254,18 +240,19 @@
                 is_begun=self._connection.is_answer_started,
             ),
         )
-        relay = self._relays.get(verdict.answer_class)
+        relay = _RELAYS.get(verdict.answer_class)
         if relay is None:
             raise RequestError(
                 ErrorKind.UPSTREAM_BROKEN, f"{verdict.reason}: {answer.status}"
             )
-        return await relay(answer)
+        return await relay(self, answer)
 
     async def _read_refusal(self, answer: ReplicaAnswer) -> AttemptEnd:
         """Read a refusal to its end; one that is cut may be another's."""
-        with _BodyBuffer(self._state.answer_budget) as buffer:
+        budget = self._state.answer_budget
+        with AnswerBody(budget, bytes_max=REFUSAL_BYTES_MAX) as body:
             async for piece in answer.body_chunks():
-                buffer.append(piece)
+                body.append(piece)
         self.failure = RequestError(
             ErrorKind.NO_UPSTREAM, f"replica did not take it: {answer.status}"
         )
@@ -273,22 +260,20 @@
         return AttemptEnd.NOT_RUN
 
     async def _relay_buffered(self, answer: ReplicaAnswer) -> AttemptEnd:
-        with _BodyBuffer(self._state.answer_budget) as buffer:
+        budget = self._state.answer_budget
+        with ExitStack() as stack:
+            body = stack.enter_context(AnswerBody(budget, bytes_max=ANSWER_BYTES_MAX))
             async for piece in answer.body_chunks():
-                buffer.append(piece)
-            return await self._send_buffered(answer, buffer.data)
-
-    async def _send_buffered(
-        self, answer: ReplicaAnswer, body: bytearray
-    ) -> AttemptEnd:
-        self._first_ms = now_ms() - self._started_ms
-        headers = self._state.header_codec.forwarded_answer_headers(answer.headers)
-        if answer.status >= 500:
-            self.sealed_answer = SealedAnswer(answer.status, headers, bytes(body))
-            return AttemptEnd.FAILED
-        await self._silence.stop()
-        await self._connection.send_answer(answer.status, headers, bytes(body))
-        return AttemptEnd.RELAYED
+                body.append(piece)
+            self._first_ms = now_ms() - self._started_ms
+            headers = self._state.header_codec.forwarded_answer_headers(answer.headers)
+            if answer.status >= 500:
+                self.sealed_answer = SealedAnswer(answer.status, headers, body.blocks)
+                self._kept.push(stack.pop_all())
+                return AttemptEnd.FAILED
+            await self._silence.stop()
+            await self._connection.send_blocks(answer.status, headers, body.blocks)
+            return AttemptEnd.RELAYED
 
     async def _relay_events(self, answer: ReplicaAnswer) -> AttemptEnd:
         is_continuation = self._connection.is_answer_started
@@ -296,7 +281,11 @@
         headers = self._state.header_codec.forwarded_answer_headers(answer.headers)
         headers = [line for line in headers if line[0] != b"content-length"]
         self._progress.events.start_answer()
-        async with aclosing(self._event_batches(answer, splitter)) as batches:
+        async with AsyncExitStack() as stack:
+            share = stack.enter_context(BudgetShare(self._state.answer_budget))
+            batches = await stack.enter_async_context(
+                aclosing(self._event_batches(answer, splitter, share))
+            )
             async for events in batches:
                 if not self._event_count:
                     self._first_ms = now_ms() - self._started_ms
@@ -317,18 +306,23 @@
         return AttemptEnd.RELAYED
 
     async def _event_batches(
-        self, answer: ReplicaAnswer, splitter: EventSplitter
+        self, answer: ReplicaAnswer, splitter: EventSplitter, share: BudgetShare
     ) -> AsyncGenerator[list[StreamEvent], None]:
         """Yield the events that each piece completes; the time limit bounds each wait.
 
         Bytes that complete no event do not extend the wait.
 
         Raises:
-            RequestError: of kind ``UPSTREAM_BROKEN`` if an event does not follow.
+            RequestError: of kind ``UPSTREAM_BROKEN`` if an event does not follow, or
+                if no memory is left for an event.
         """
         sequence = self._progress.events
         async for piece in answer.body_chunks():
             events = splitter.feed(piece)
+            if not share.resize(splitter.buffered_bytes):
+                raise RequestError(
+                    ErrorKind.UPSTREAM_BROKEN, "no memory is left for events"
+                )
             taken: list[StreamEvent] = []
             if events and sequence.follows(events[0]):
                 await self._silence.suspend()
@@ -364,6 +358,25 @@
         return route.gap_ms * STALL_TIMEOUT_GAPS / 1000 or float("inf")
 
 
+_RELAYS: dict[
+    AnswerClass, Callable[[Attempt, ReplicaAnswer], Awaitable[AttemptEnd]]
+] = {
+    AnswerClass.REFUSAL: Attempt._read_refusal,
+    AnswerClass.BUFFERED: Attempt._relay_buffered,
+    AnswerClass.STREAM: Attempt._relay_events,
+}
+"""How the answers of each class are relayed."""
+
+
+def _log_silence(
+    progress: RequestProgress, placement: Placement, started_ms: float, action: str
+) -> None:
+    heard_ms = max(started_ms, progress.last_event_ms)
+    log_replica_silent(
+        progress, placement, silent_ms=now_ms() - heard_ms, action=action
+    )
+
+
 def _has_framing(answer: ReplicaAnswer) -> bool:
     """Tell whether the answer's framing marks its end, so that a cut is visible."""
     return any(
--- a/src/hemlocktrestle/edge/_attempt_sequence.py
+++ b/src/hemlocktrestle/edge/_attempt_sequence.py
@@ -75,6 +75,7 @@
         progress: counters of the request over all its attempts.
         on_ended: called when an attempt that was never sent has ended.
         is_suspected: tells whether a request may have crashed a replica.
+        kept: owns what has to last until the request has ended.
     """
 
     def __init__(
@@ -87,7 +88,9 @@
         *,
         on_ended: Callable[[Job, Attempt, AttemptReport], None],
         is_suspected: Callable[[Job], bool],
+        kept: ExitStack,
     ) -> None:
+        self._kept = kept
         self._placer = placer
         self._job = job
         self._state = state
@@ -224,6 +227,7 @@
             progress,
             on_speed=self._placer.report_speed,
             successors=self,
+            kept=self._kept,
         )
 
     def _end_unsent(self, attempt: Attempt) -> None:
--- a/src/hemlocktrestle/edge/_server.py
+++ b/src/hemlocktrestle/edge/_server.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from contextlib import AsyncExitStack, ExitStack
 from typing import NamedTuple
 
 import trio
@@ -19,7 +20,7 @@
 from hemlocktrestle.edge._quarantine_placer import QuarantinePlacer
 from hemlocktrestle.edge._quota_gate import EdgeQuotas, over_quota
 from hemlocktrestle.edge._state import EdgeState, now_ms
-from hemlocktrestle.errors import ANSWERS, ErrorKind, RequestError
+from hemlocktrestle.errors import ANSWERS, ErrorKind, RequestError, forget_frames
 from hemlocktrestle.gateway import EventSequence, choose_service, urgency_rank
 from hemlocktrestle.quarantine import QuarantineRegistry
 from hemlocktrestle.relay import CallerConnection, CallerRequest
@@ -109,6 +110,10 @@
                 log_answer_cut(error, progress)
             else:
                 await connection.send_answer(status, answer.headers, answer.body)
+            # The error refers to frames, and these to the request's body.
+            forget_frames(original)
+            forget_frames(error)
+            del error
         finally:
             self.running_count -= 1
             self._on_served(ServedRequest(job, outcome, status, progress))
@@ -190,15 +195,20 @@
         """Send a request to replicas until one answers or no retry is allowed."""
         failure = RequestError(ErrorKind.NO_UPSTREAM, "no replica takes this work")
         sealed: SealedAnswer | None = None
-        async with AttemptSequence(
-            self._state,
-            self._placer,
-            job,
-            connection,
-            progress,
-            on_ended=self._record_end,
-            is_suspected=self._part_gate.is_suspected,
-        ) as attempts:
+        async with AsyncExitStack() as stack:
+            kept = stack.enter_context(ExitStack())
+            attempts = await stack.enter_async_context(
+                AttemptSequence(
+                    self._state,
+                    self._placer,
+                    job,
+                    connection,
+                    progress,
+                    on_ended=self._record_end,
+                    is_suspected=self._part_gate.is_suspected,
+                    kept=kept,
+                )
+            )
             while attempt := await attempts.next(
                 failure, has_answer=sealed is not None
             ):
@@ -216,11 +226,10 @@
                 await self._part_gate.wait_for_verdict(job, attempt.placement)
                 failure = attempt.failure or failure
                 sealed = attempt.sealed_answer or sealed
-        if connection.is_answer_started:
-            raise failure
-        if sealed is not None:
-            await connection.send_answer(sealed.status, sealed.headers, sealed.body)
-            return sealed.status
+            await attempts.withdraw()
+            if sealed is not None and not connection.is_answer_started:
+                await connection.send_blocks(sealed.status, sealed.headers, sealed.body)
+                return sealed.status
         raise failure
 
     def _record_end(self, job: Job, attempt: Attempt, report: AttemptReport) -> None:
--- a/src/hemlocktrestle/errors/__init__.py
+++ b/src/hemlocktrestle/errors/__init__.py
@@ -1,6 +1,6 @@
 """The closed list of error kinds, and the answer that each of them leads to."""
 
-from hemlocktrestle.errors._groups import first_leaf
+from hemlocktrestle.errors._groups import first_leaf, forget_frames
 from hemlocktrestle.errors._kinds import (
     ANSWERS,
     Answer,
@@ -19,5 +19,6 @@
     "Outcome",
     "RequestError",
     "first_leaf",
+    "forget_frames",
     "outcome_of",
 ]
--- a/src/hemlocktrestle/gateway/_events.py
+++ b/src/hemlocktrestle/gateway/_events.py
@@ -44,6 +44,11 @@
             raise RequestError(ErrorKind.UPSTREAM_BROKEN, "event is too large")
         return events
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._buffer)
+
     @property
     def remainder(self) -> bytes:
         """Bytes after the last complete event."""
--- a/src/hemlocktrestle/platform/_store.py
+++ b/src/hemlocktrestle/platform/_store.py
@@ -11,6 +11,7 @@
 from urllib.parse import quote, urlencode
 
 import httpcore
+import trio
 from pydantic import TypeAdapter
 from typing_extensions import TypedDict
 
@@ -31,6 +32,12 @@
 The store usually answers within milliseconds, and a slow one within half a second.
 """
 
+ANSWER_BYTES_MAX = 16 * 1024 * 1024
+"""Largest answer that is read, in bytes: a page of values of up to a megabyte each."""
+
+BODY_TIMEOUT_S = 10.0
+"""Time in which the body of an answer must have come, in seconds."""
+
 CONNECT_TIMEOUT_S = 1.0
 """Timeout for opening a connection to the store, in seconds."""
 
@@ -322,13 +329,14 @@
             "write": CALL_TIMEOUT_S,
         }
         try:
-            response = await self._pool.request(
+            async with self._pool.stream(
                 method,
                 url,
                 headers=headers,
                 content=content,
                 extensions={"timeout": timeouts},
-            )
+            ) as response:
+                answered = await _read_body(response, f"{method} {path}")
         except (
             httpcore.NetworkError,
             httpcore.TimeoutException,
@@ -341,16 +349,31 @@
         if response.status not in ok:
             kind = _STATUS_KINDS.get(response.status, StoreErrorKind.MALFORMED)
             raise StoreError(kind, f"{method} {path}: status {response.status}")
-        if not response.content:
+        if not answered:
             return response.status, {}
         try:
-            return response.status, parse_json(
-                response.content, source=f"{method} {path}"
-            )
+            return response.status, parse_json(answered, source=f"{method} {path}")
         except RequestError as error:
             raise StoreError(StoreErrorKind.MALFORMED, error.message) from error
 
 
+async def _read_body(response: httpcore.Response, call: str) -> bytes:
+    """Return the body of an answer.
+
+    Raises:
+        StoreError: if it does not end within bounds; the connection is closed.
+    """
+    body = bytearray()
+    with trio.move_on_after(BODY_TIMEOUT_S) as scope:
+        async for piece in response.aiter_stream():
+            body += piece
+            if len(body) > ANSWER_BYTES_MAX:
+                raise StoreError(StoreErrorKind.MALFORMED, f"{call}: answer too large")
+    if scope.cancelled_caught:
+        raise StoreError(StoreErrorKind.UNREACHABLE, f"{call}: answer does not end")
+    return bytes(body)
+
+
 def _checked(adapter: TypeAdapter[_Answer], raw: Any, call: str) -> _Answer:
     """Return an answer of the store with its type checked.
 
--- a/src/hemlocktrestle/relay/__init__.py
+++ b/src/hemlocktrestle/relay/__init__.py
@@ -1,22 +1,26 @@
 """HTTP/1.1 server for callers and client for replicas, built on h11."""
 
-from hemlocktrestle.relay._body_budget import BodyMemoryBudget
+from hemlocktrestle.relay._body_budget import BodyMemoryBudget, BudgetShare
 from hemlocktrestle.relay._client import (
+    AnswerReader,
     ConnectTimeoutError,
     ReplicaAnswer,
     ReplicaRequest,
     exchange,
     open_connection,
 )
-from hemlocktrestle.relay._server import CallerConnection, CallerRequest
+from hemlocktrestle.relay._server import CallerConnection, CallerRequest, RequestBody
 
 __all__ = [
+    "AnswerReader",
     "BodyMemoryBudget",
+    "BudgetShare",
     "CallerConnection",
     "CallerRequest",
     "ConnectTimeoutError",
     "ReplicaAnswer",
     "ReplicaRequest",
+    "RequestBody",
     "exchange",
     "open_connection",
 ]
--- a/src/hemlocktrestle/relay/_client.py
+++ b/src/hemlocktrestle/relay/_client.py
@@ -59,7 +59,7 @@
         exchange: the HTTP exchange from which the body is read.
     """
 
-    def __init__(self, status: int, headers: Headers, exchange: "_Exchange") -> None:
+    def __init__(self, status: int, headers: Headers, exchange: "AnswerReader") -> None:
         self.status = status
         self.headers = headers
         self._exchange = exchange
@@ -78,7 +78,13 @@
                 return
 
 
-class _Exchange:
+class AnswerReader:
+    """Reads one answer from a connection.
+
+    Args:
+        stream: the connection.
+    """
+
     def __init__(self, stream: trio.abc.Stream) -> None:
         self.stream = stream
         self.machine = h11.Connection(
@@ -86,7 +92,23 @@
         )
         self._informational_count = 0
 
+    async def read_head(self) -> ReplicaAnswer:
+        """Return the answer once its head has come.
+
+        Raises:
+            RequestError: of kind ``UPSTREAM_BROKEN`` if there is no valid answer.
+        """
+        head = await self.next_event()
+        if not isinstance(head, h11.Response):
+            raise RequestError(ErrorKind.UPSTREAM_BROKEN, "replica sent no answer")
+        return ReplicaAnswer(head.status_code, tuple(head.headers), self)
+
     async def next_event(self) -> h11.Event:
+        """Return the next event of the answer.
+
+        Raises:
+            RequestError: of kind ``UPSTREAM_BROKEN`` if the answer is cut or invalid.
+        """
         try:
             while True:
                 event = self.machine.next_event()
@@ -189,8 +211,8 @@
 @asynccontextmanager
 async def exchange(
     stream: trio.abc.Stream, request: ReplicaRequest
-) -> AsyncIterator[ReplicaAnswer]:
-    """Send a request on a new connection and yield its answer.
+) -> AsyncIterator[AnswerReader]:
+    """Send a request on a new connection and yield the reader of its answer.
 
     The connection is closed on exit, even if the answer was not read to its end.
 
@@ -199,17 +221,16 @@
         request: the request.
 
     Raises:
-        RequestError: of kind ``UPSTREAM_BROKEN`` if there is no valid answer.
+        RequestError: of kind ``INTERNAL`` if the request is not valid HTTP.
     """
     async with AsyncExitStack() as stack:
         stack.push_async_callback(trio.aclose_forcefully, stream)
-        connection = _Exchange(stream)
-        data = connection.encode(request)
+        reader = AnswerReader(stream)
+        data = reader.encode(request)
         nursery = await stack.enter_async_context(trio.open_nursery())
         stack.callback(nursery.cancel_scope.cancel)
         # The replica may answer before it has read the whole request.
-        nursery.start_soon(connection.send, data)
-        head = await connection.next_event()
-        if not isinstance(head, h11.Response):
-            raise RequestError(ErrorKind.UPSTREAM_BROKEN, "replica sent no answer")
-        yield ReplicaAnswer(head.status_code, tuple(head.headers), connection)
+        nursery.start_soon(reader.send, data)
+        # The frame of a cancelled request may outlive it.
+        del request, data
+        yield reader
--- a/src/hemlocktrestle/relay/_server.py
+++ b/src/hemlocktrestle/relay/_server.py
@@ -2,7 +2,7 @@
 
 import logging
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple
 
 import h11
@@ -30,6 +30,26 @@
 """Time to read what has arrived on an idle connection that is closed, in seconds."""
 
 
+class RequestBody:
+    """A request's body until the request has ended.
+
+    The frames of a request that was cancelled or failed may outlive it, up to the
+    next run of the garbage collector; its body does not.
+
+    Args:
+        data: the bytes.
+    """
+
+    __slots__ = ("data",)
+
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+
+    def release(self) -> None:
+        """Free the memory."""
+        self.data = b""
+
+
 class CallerRequest(NamedTuple):
     """A complete request of a caller.
 
@@ -37,16 +57,21 @@
         method: the method.
         target: the request target as received.
         headers: header lines, names in lower case.
-        body: the complete body.
+        held_body: the complete body.
         arrived_ms: when the head was complete, by the clock of the process.
     """
 
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    held_body: RequestBody
     arrived_ms: float
 
+    @property
+    def body(self) -> bytes:
+        """The complete body, empty once the request has ended."""
+        return self.held_body.data
+
 
 class CallerConnection:
     """One connection of a caller.
@@ -68,6 +93,7 @@
     ) -> None:
         self._body_budget = body_budget
         self._reserved_bytes = 0
+        self._held_body = RequestBody(b"")
         self._stream = stream
         self._limits = limits
         self._is_closing = is_closing
@@ -116,16 +142,34 @@
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
     ) -> None:
         """Send a complete answer in one send."""
+        await self.send_blocks(status, headers, [body] if body else [])
+
+    async def send_blocks(
+        self,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        blocks: Sequence[bytes | bytearray],
+    ) -> None:
+        """Send a complete answer whose body comes in blocks, without a copy of it.
+
+        A single block is sent together with the head.
+        """
+        length = sum(map(len, blocks))
         lines = [line for line in headers if line[0] != b"content-length"]
-        lines.append((b"content-length", str(len(body)).encode()))
+        lines.append((b"content-length", str(length).encode()))
         if self._is_closing():
             lines.append((b"connection", b"close"))
         self.is_answer_started = True
         send = self._machine.send
         data = send(h11.Response(status_code=status, headers=lines)) or b""
         # An answer to HEAD has the body's length but no body.
-        if body and not self._is_head_request:
-            data += send(h11.Data(data=body)) or b""
+        if self._is_head_request:
+            blocks = []
+        for block in blocks[:-1]:
+            await self._send(data + (send(h11.Data(data=bytes(block))) or b""))
+            data = b""
+        if blocks:
+            data += send(h11.Data(data=bytes(blocks[-1]))) or b""
         data += send(h11.EndOfMessage()) or b""
         await self._send(data)
 
@@ -225,11 +269,12 @@
             return None
         if body is None:
             return None
+        self._held_body = RequestBody(body)
         return CallerRequest(
             bytes(head.method),
             bytes(head.target),
             tuple((bytes(name), bytes(value)) for name, value in head.headers),
-            body,
+            self._held_body,
             arrived_ms,
         )
 
@@ -326,6 +371,7 @@
         self._reserved_bytes += count
 
     def _release_body(self) -> None:
+        self._held_body.release()
         self._body_budget.release(self._reserved_bytes)
         self._reserved_bytes = 0
 
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -273,15 +273,26 @@
             nursery.cancel_scope.cancel()
         return reply
 
-    async def send_together(self, count: int) -> None:
-        """Send ordinary requests at once, and wait until all are answered."""
+    def forget(self) -> None:
+        """Forget what was served, and the requests with their bodies."""
+        self.served.clear()
+        self.requests.clear()
+
+    async def send_together(self, count: int) -> list[int]:
+        """Send ordinary requests at once; return the statuses of their answers."""
+        statuses: list[int] = []
+
+        async def send_one() -> None:
+            statuses.append((await self.send()).status)
+
         async with trio.open_nursery() as replicas:
             self._shared_nursery = replicas
             async with trio.open_nursery() as callers:
                 for _ in range(count):
-                    callers.start_soon(self.send)
+                    callers.start_soon(send_one)
             self._shared_nursery = None
             replicas.cancel_scope.cancel()
+        return statuses
 
     async def _open(self, address: str) -> Any:
         script = self.scripts.get(address)
--- a/tests/edge/test_endless_bytes.py
+++ b/tests/edge/test_endless_bytes.py
@@ -1,16 +1,25 @@
 """Tests of replicas that send bytes without end which never become an answer."""
 
+import gc
+import tracemalloc
 from typing import Any
 
 import trio
 
 from hemlocktrestle.edge._placement import AttemptEnd
-from tests.edge.harness import EdgeHarness, Script
+from tests.edge.harness import EdgeHarness, Script, sealed
+from tests.edge.test_replica_answers import raw
 from tests.edge.test_server import ONCE, STREAM, WHOLE, stream_of
 from tests.gateway.records import configuration, replica
 from tests.standins.http import Connection, Request
 from tests.support import TrioTestCase
 
+REQUESTS = 5
+"""Requests whose memory is looked at together."""
+
+GROWTH_BYTES_MAX = 100_000
+"""Memory that a request may leave behind, in bytes; its body alone is larger."""
+
 FLOOD_CHUNKS = 3_000
 """Chunks of a flood after which a replica waits; 64 KiB each, far beyond any limit."""
 
@@ -93,3 +102,110 @@
         reply = await harness.send(method="POST", body=b"wipe")
         self.assertEqual(502, reply.status)
         self.assertEqual(1_000_000, budget.available_bytes)
+
+    async def test_a_refusal_without_end_is_not_believed(self) -> None:
+        """It is read only as far as a refusal may be long."""
+        head = b"HTTP/1.1 503 X\r\nx-attempt-id: a1\r\nx-not-executed: 1\r\n\r\n"
+        harness = EdgeHarness(self, {"r1": endless(head, GARBAGE)}, found=ONCE)
+        budget = harness.state.answer_budget
+        reply = await harness.send(method="POST", body=b"wipe")
+        self.assertEqual(502, reply.status)
+        self.assertEqual(budget.bytes_max, budget.available_bytes)
+
+
+class FreedMemoryTests(TrioTestCase):
+    """What broken answers held is free when their requests have ended.
+
+    Guards against a process that is killed for its memory while its books say that
+    most of it is free: buffers of failed attempts lived until the garbage collector
+    ran, as errors referred to frames and these to the errors.
+    """
+
+    def setUp(self) -> None:
+        """Keep the garbage collector from running."""
+        super().setUp()
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+
+    async def _grown_bytes(self, harness: EdgeHarness, **request: Any) -> int:
+        """Return by how much the memory in use grows over some requests."""
+        await harness.send(**request)
+        harness.forget()
+        before = tracemalloc.get_traced_memory()[0]
+        for _ in range(REQUESTS):
+            await harness.send(**request)
+        harness.forget()
+        return tracemalloc.get_traced_memory()[0] - before
+
+    async def test_buffered_answers(self) -> None:
+        """Also what each request itself held: its body, and a connection's buffer."""
+        for name, script in NO_ANSWERS.items():
+            with self.subTest(name):
+                harness = EdgeHarness(self, {"r1": script}, found=ONCE)
+                body = b"w" * 500_000
+                grown = await self._grown_bytes(harness, method="POST", body=body)
+                self.assertLess(grown, REQUESTS * GROWTH_BYTES_MAX)
+                budget = harness.state.answer_budget
+                self.assertEqual(budget.bytes_max, budget.available_bytes)
+
+    async def test_errors_of_replicas(self) -> None:
+        """A 500 without end is no answer; a whole one is kept until it is sent."""
+        head = SEALED_HEAD.replace(b"200 OK", b"500 X")
+        whole = head.replace(b"\r\n\r\n", b"\r\ncontent-length: 1000000\r\n\r\n")
+        for script in (endless(head, GARBAGE), raw(whole + b"x" * 1_000_000)):
+            harness = EdgeHarness(self, {"r1": script, "r2": script})
+            grown = await self._grown_bytes(harness)
+            self.assertLess(grown, REQUESTS * GROWTH_BYTES_MAX)
+            budget = harness.state.answer_budget
+            self.assertEqual(budget.bytes_max, budget.available_bytes)
+
+    async def test_streams(self) -> None:
+        """An event without end is not relayed, and leaves nothing behind."""
+        head = SEALED_HEAD.replace(b"\r\n\r\n", b"\r\ncontent-type: text/event-stream")
+        script = endless(head + b"\r\n\r\n", GARBAGE)
+        records = tuple(replica(name, service="assistant") for name in ("r1", "r2"))
+        found = configuration(STREAM)
+        scripts = dict.fromkeys(("r1", "r2"), script)
+        harness = EdgeHarness(self, scripts, found=found, records=records)
+        grown = await self._grown_bytes(harness, path="/advice/1")
+        self.assertLess(grown, REQUESTS * GROWTH_BYTES_MAX)
+        budget = harness.state.answer_budget
+        self.assertEqual(budget.bytes_max, budget.available_bytes)
+
+
+class SharedBudgetTests(TrioTestCase):
+    """Answers without end do not take the memory of all others."""
+
+    async def test_small_answers_are_relayed_beside_them(self) -> None:
+        """Guards against sound answers dropped because the budget was used up."""
+        body = b"x" * 200_000
+
+        async def answer(connection: Connection, request: Request) -> None:
+            await connection.send_head(200, sealed(body, request))
+            for start in range(0, len(body), 1_000):
+                await connection.send_chunk(body[start : start + 1_000])
+                await trio.sleep(0.02)
+            await connection.finish()
+
+        scripts = {"r1": endless(SEALED_HEAD, GARBAGE, pause_s=0.01), "r2": answer}
+        harness = EdgeHarness(self, scripts, found=ONCE)
+        statuses = await harness.send_together(60)
+        self.assertGreater(harness.reached_replicas().count("r1"), 9)
+        self.assertEqual(harness.reached_replicas().count("r2"), statuses.count(200))
+
+    async def test_a_large_answer_is_relayed_whole(self) -> None:
+        """Bounds on broken answers do not cut sound ones."""
+        body = bytes(range(256)) * 20_000
+
+        async def answer(connection: Connection, request: Request) -> None:
+            await connection.send_head(200, sealed(body, request))
+            await connection.send_chunk(body)
+            await connection.finish()
+
+        harness = EdgeHarness(self, {"r1": answer})
+        reply = await harness.send()
+        self.assertEqual((200, True), (reply.status, reply.is_whole))
+        self.assertTrue(reply.body == body)
--- a/tests/edge/test_permit_placer.py
+++ b/tests/edge/test_permit_placer.py
@@ -18,7 +18,7 @@
 from hemlocktrestle.gateway import FleetSnapshot, RequestMetadata
 from hemlocktrestle.peers import HeldPermit
 from hemlocktrestle.platform import decode_settings
-from hemlocktrestle.relay import CallerRequest, ConnectTimeoutError
+from hemlocktrestle.relay import CallerRequest, ConnectTimeoutError, RequestBody
 from hemlocktrestle.wire import Ask, LeavingReplica, Permit
 from tests.gateway.records import SERVICES, customer, replica_update, route
 from tests.platform.documents import SETTINGS
@@ -46,6 +46,7 @@
             RequestProgress(),
             on_speed=unused,
             successors=unused,
+            kept=unused,
         )
         report = await attempt.run()
         return FAILURE_BY_END[report.end]
@@ -104,7 +105,7 @@
 
 def _job() -> Job:
     metadata = RequestMetadata("a1", "h", "/", "", None, 10, 20, 0, True)
-    request = CallerRequest(b"GET", b"/", (), b"", 0.0)
+    request = CallerRequest(b"GET", b"/", (), RequestBody(b""), 0.0)
     return Job(
         request=request,
         metadata=metadata,
--- a/tests/relay/test_client.py
+++ b/tests/relay/test_client.py
@@ -70,7 +70,8 @@
             theirs.close()
             found: list[ErrorKind] = []
             try:
-                async with exchange(trio.SocketStream(ours), request):
+                async with exchange(trio.SocketStream(ours), request) as reader:
+                    await reader.read_head()
                     self.fail("there was an answer")
             except* RequestError as errors:
                 found += [one.kind for one in _leaves(errors)]
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -28,12 +28,14 @@
         self.limits = LIMITS
         self.body_budget = BodyMemoryBudget(2_500)
         self.handled: list[CallerRequest] = []
+        self.bodies: list[bytes] = []
 
     async def handle(
         self, request: CallerRequest, connection: CallerConnection
     ) -> None:
         """Answer with the request's body."""
         self.handled.append(request)
+        self.bodies.append(request.body)
         await connection.send_answer(200, [], request.body)
 
     async def exchange(self, *pieces: bytes, pause_s: float = 0.0) -> bytes:
@@ -74,7 +76,14 @@
             post + b"transfer-encoding: chunked\r\n\r\n1\r\na\r\n",
             b"2\r\nbc\r\n0\r\n\r\n",
         )
-        self.assertEqual([b"abc", b"abc"], [request.body for request in self.handled])
+        self.assertEqual([b"abc", b"abc"], self.bodies)
+
+    async def test_a_body_is_free_once_its_request_has_ended(self) -> None:
+        """Guards against bodies that frames of failed requests keep in memory."""
+        post = b"POST /x HTTP/1.1\r\nhost: a\r\n"
+        await self.exchange(post + b"content-length: 3\r\n\r\nabc")
+        self.assertEqual([b""], [request.body for request in self.handled])
+        self.assertEqual(2_500, self.body_budget.available_bytes)
 
     async def test_exceeded_limits_are_answered(self) -> None:
         """Exceeded limits give 431, 413, 400 and 408, and no request is handled."""
