--- a/src/hemlocktrestle/quarantine/__init__.py
+++ b/src/hemlocktrestle/quarantine/__init__.py
@@ -2,12 +2,12 @@
 
 from hemlocktrestle.quarantine._crash_log import CrashLog, CrashReport, upstream_of
 from hemlocktrestle.quarantine._fingerprint import chat_fingerprint
-from hemlocktrestle.quarantine._parts import (
+from hemlocktrestle.quarantine._part_records import (
     PartChanges,
     PartCrash,
-    PartQuarantine,
     QuarantinedPart,
 )
+from hemlocktrestle.quarantine._parts import PartQuarantine
 from hemlocktrestle.quarantine._registry import (
     ENTRIES_MAX,
     QUARANTINE_CRASH_COUNT,
--- a/src/hemlocktrestle/relay/__init__.py
+++ b/src/hemlocktrestle/relay/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server for callers and client for replicas, built on h11."""
 
 from hemlocktrestle.relay._body_budget import BodyMemoryBudget, BudgetShare
+from hemlocktrestle.relay._caller_request import CallerRequest, RequestBody
 from hemlocktrestle.relay._client import (
     AnswerReader,
     ConnectTimeoutError,
@@ -9,7 +10,7 @@
     exchange,
     open_connection,
 )
-from hemlocktrestle.relay._server import CallerConnection, CallerRequest, RequestBody
+from hemlocktrestle.relay._server import CallerConnection
 
 __all__ = [
     "AnswerReader",
--- a/src/hemlocktrestle/relay/_server.py
+++ b/src/hemlocktrestle/relay/_server.py
@@ -3,14 +3,14 @@
 import logging
 import math
 from collections.abc import Awaitable, Callable, Sequence
-from typing import NamedTuple
 
 import h11
 import trio
 
 from hemlocktrestle.errors import ANSWERS, ErrorKind, RequestError, first_leaf
-from hemlocktrestle.gateway import CallerLimits, Headers
+from hemlocktrestle.gateway import CallerLimits
 from hemlocktrestle.relay._body_budget import BodyMemoryBudget
+from hemlocktrestle.relay._caller_request import CallerRequest, RequestBody
 
 log = logging.getLogger(__name__)
 
@@ -30,49 +30,6 @@
 """Time to read what has arrived on an idle connection that is closed, in seconds."""
 
 
-class RequestBody:
-    """A request's body until the request has ended.
-
-    The frames of a request that was cancelled or failed may outlive it, up to the
-    next run of the garbage collector; its body does not.
-
-    Args:
-        data: the bytes.
-    """
-
-    __slots__ = ("data",)
-
-    def __init__(self, data: bytes) -> None:
-        self.data = data
-
-    def release(self) -> None:
-        """Free the memory."""
-        self.data = b""
-
-
-class CallerRequest(NamedTuple):
-    """A complete request of a caller.
-
-    Args:
-        method: the method.
-        target: the request target as received.
-        headers: header lines, names in lower case.
-        held_body: the complete body.
-        arrived_ms: when the head was complete, by the clock of the process.
-    """
-
-    method: bytes
-    target: bytes
-    headers: Headers
-    held_body: RequestBody
-    arrived_ms: float
-
-    @property
-    def body(self) -> bytes:
-        """The complete body, empty once the request has ended."""
-        return self.held_body.data
-
-
 class CallerConnection:
     """One connection of a caller.
 
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -13,11 +13,13 @@
     PartCrash,
     PartQuarantine,
 )
+from hemlocktrestle.quarantine._part_records import (
+    RETRIAL_MS,
+    SINGLE_CRASH_RETRIAL_MS,
+)
 from hemlocktrestle.quarantine._parts import (
     CRASHES_MAX,
     QUARANTINED_MAX,
-    RETRIAL_MS,
-    SINGLE_CRASH_RETRIAL_MS,
     SOUND_PARTS_MAX,
 )
 
