Notice a silent connection under the watch of the replicas

Cause: the watch of the replicas' entries waited 20 s for a change, and nothing shorter checked its connection.

Change: it waits 1.5 s and its answer may come 1 s later; the pause for a batch is made only after changes.

Evidence: test_a_watch_on_a_silent_connection_is_replaced failed before the change and passes now.

--- a/src/hemlocktrestle/edge/_watchers.py
+++ b/src/hemlocktrestle/edge/_watchers.py
@@ -25,8 +25,15 @@
 
 log = logging.getLogger(__name__)
 
-WATCH_WAIT_MS = 20_000
-"""Longest wait of one watch call, in milliseconds; the store allows up to 30 s."""
+REPLICAS_WAIT_MS = 1_500
+"""Longest wait of one watch of the replicas, in milliseconds.
+
+Its answer shows that the connection works: one that has gone silent hides that a
+replica leaves, which must be known after 2.5 s.
+"""
+
+REPLICAS_TIMEOUT_S = 1.0
+"""How much later the answer to such a watch may come, in seconds."""
 
 CONFIRM_WAIT_MS = 750
 """Longest wait of one watch of the configuration, in milliseconds.
@@ -245,7 +252,10 @@
         while not exchange.is_relayed:
             exchange.follows_store = True
             watched = await self._store.watch(
-                REGISTRATIONS_PREFIX, after=exchange.revision, wait_ms=WATCH_WAIT_MS
+                REGISTRATIONS_PREFIX,
+                after=exchange.revision,
+                wait_ms=REPLICAS_WAIT_MS,
+                timeout_s=REPLICAS_TIMEOUT_S,
             )
             self._health.record_answer(self.name)
             exchange.revision = watched.revision
@@ -256,7 +266,8 @@
                 else:
                     registry.apply_update(_decode_update(event))
             exchange.publish()
-            await trio.sleep(BATCH_S)
+            if watched.events:
+                await trio.sleep(BATCH_S)
         exchange.follows_store = False
         while exchange.is_relayed:
             await sleep_until_multiple(RELAY_CHECK_S)
--- a/tests/edge/test_watchers.py
+++ b/tests/edge/test_watchers.py
@@ -72,8 +72,11 @@
 class WatchedStore:
     """A stand-in of the store, and the state of the process that watches it."""
 
-    def __init__(self, store: PlatformStoreStandIn, state: EdgeState) -> None:
+    def __init__(
+        self, store: PlatformStoreStandIn, state: EdgeState, backend: MemoryBackend
+    ) -> None:
         self.store = store
+        self.backend = backend
         self.state = state
         self.versions: list[int] = []
 
@@ -113,13 +116,13 @@
             decode_settings(SETTINGS, source="test"),
             fleet=lambda customer=None: FleetSnapshot(1, 1, {}),
         )
-        watched = WatchedStore(store, state)
-        state.on_configuration = lambda: watched.versions.append(watched.version)
-        watched.configure(10)
-        watched.register("r1")
         health = StoreHealth(state)
         async with trio.open_nursery() as nursery:
             backend = MemoryBackend(store, nursery)
+            watched = WatchedStore(store, state, backend)
+            state.on_configuration = lambda: watched.versions.append(watched.version)
+            watched.configure(10)
+            watched.register("r1")
             client = PlatformStore("10.0.0.1:80", backend=backend)
             async with client:
                 replicas = ReplicaWatcher(
@@ -242,6 +245,27 @@
 
         await self.run_with(check)
 
+    async def test_a_watch_on_a_silent_connection_is_replaced(self) -> None:
+        """Guards against replicas that leave unseen while a watch hangs.
+
+        Silent connections excuse a VM for four seconds.  Then it has 2.5 s to learn
+        of a replica that leaves, from the store's acknowledgement on.
+        """
+
+        async def check(watched: WatchedStore) -> None:
+            for pause_s in (0.0, 0.7, 1.9):
+                await trio.sleep(pause_s)
+                watched.backend.silence()
+                await trio.sleep(4.0)
+                watched.register("r1", state="draining")
+                await trio.sleep(2.5)
+                self.assertEqual([], watched.replicas)
+                watched.register("r1")
+                await trio.sleep(2.5)
+                self.assertEqual(["r1"], watched.replicas)
+
+        await self.run_with(check)
+
     async def test_draining_and_removed_replicas_are_not_used(self) -> None:
         """Nor does one whose entry is removed while the store is healthy."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -30,6 +30,12 @@
     def __init__(self, store: PlatformStoreStandIn, nursery: trio.Nursery) -> None:
         self._store = store
         self._nursery = nursery
+        self._streams: list[_MemoryStream] = []
+
+    def silence(self) -> None:
+        """Let the open connections go silent for good; new ones work."""
+        for stream in self._streams:
+            stream.is_silent = True
 
     async def connect_tcp(
         self, host: str, port: int, *args: object, **options: object
@@ -37,16 +43,21 @@
         """Open a connection."""
         ours, theirs = trio.testing.memory_stream_pair()
         self._nursery.start_soon(self._store.serve, theirs)
-        return _MemoryStream(ours)
+        self._streams.append(_MemoryStream(ours))
+        return self._streams[-1]
 
 
 class _MemoryStream(httpcore.AsyncNetworkStream):
     def __init__(self, stream: trio.abc.Stream) -> None:
         self._stream = stream
+        self.is_silent = False
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         with trio.move_on_after(timeout or float("inf")):
-            return bytes(await self._stream.receive_some(max_bytes))
+            data = bytes(await self._stream.receive_some(max_bytes))
+            if self.is_silent:
+                await trio.sleep_forever()
+            return data
         raise httpcore.ReadTimeout
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
