Tell a VM that restarts of whole requests that crash replicas

Cause: a VM whose link opens was told only of crashes that parts of prompts may have caused.

Change: the suspicions of whole requests that still count are sent as well, bounded, once for each crash.

Evidence: RestartTests.test_a_vm_that_restarts_refuses_what_the_others_refuse failed before the change and passes now. A kill of all VMs still forgets.

--- a/src/hemlocktrestle/edge/_crash_monitor.py
+++ b/src/hemlocktrestle/edge/_crash_monitor.py
@@ -28,6 +28,15 @@
 """Suspicions that are remembered, so that each is passed on and counted once."""
 
 
+RESENT_SUSPICIONS_MAX = 64
+"""Most suspicions of whole requests that are sent to a VM whose link has opened."""
+
+
+class _SeenSuspicion(NamedTuple):
+    suspicion: Suspicion
+    at_ms: float
+
+
 class _PendingProbe(NamedTuple):
     suspicion: Suspicion
     address: str
@@ -57,7 +66,7 @@
         self._network = network
         part_gate.trials.broadcast = self._broadcast
         self._crash_log = CrashLog()
-        self._seen: dict[tuple[str, str], None] = {}
+        self._seen: dict[tuple[str, str], _SeenSuspicion] = {}
         self._probe_sender, self._probe_receiver = trio.open_memory_channel[
             _PendingProbe
         ](PENDING_PROBES_MAX)
@@ -82,7 +91,14 @@
 
     def on_link_opened(self, vm: str) -> None:
         """Send the crashes that another VM may not know: it may have restarted."""
-        for suspicion in self._part_gate.known_suspicions():
+        known = {
+            (suspicion.fingerprint, suspicion.upstream, suspicion.request_id): suspicion
+            for suspicion in (
+                *self._known_suspicions(),
+                *self._part_gate.known_suspicions(),
+            )
+        }
+        for suspicion in known.values():
             if not self._network.reply(vm, suspicion):
                 self._network.send(vm, suspicion)
 
@@ -126,8 +142,12 @@
         report = CrashReport(suspicion.upstream, at_ms - suspicion.ran_ms, at_ms)
         crash = self._crash_log.identify(report)
         self._part_gate.record_crash(suspicion, crash=crash, source=source)
-        if not self._is_new(crash, suspicion.fingerprint):
+        key = (crash, suspicion.fingerprint)
+        if key in self._seen:
             return
+        self._seen[key] = _SeenSuspicion(suspicion, at_ms)
+        if len(self._seen) > SEEN_SUSPICIONS_MAX:
+            del self._seen[next(iter(self._seen))]
         if self._quarantine.answered_ms(suspicion.fingerprint) >= report.began_ms:
             log.info(
                 "request_not_suspected",
@@ -145,15 +165,19 @@
             # One that is sent again comes from each of the VMs that know it.
             self._network.broadcast(suspicion, skip=source)
 
-    def _is_new(self, crash: str, fingerprint: str) -> bool:
-        """Tell whether a request is not known yet to have run at a crash."""
-        key = (crash, fingerprint)
-        if key in self._seen:
-            return False
-        self._seen[key] = None
-        if len(self._seen) > SEEN_SUSPICIONS_MAX:
-            del self._seen[next(iter(self._seen))]
-        return True
+    def _known_suspicions(self) -> list[Suspicion]:
+        """Return the latest suspicions of whole requests that still count.
+
+        Their parts are left out: the part gate knows which of them still count.
+        """
+        now = now_ms()
+        entries = {entry.fingerprint: entry for entry in self._quarantine.entries(now)}
+        found = [
+            seen.suspicion._replace(parts=(), age_ms=max(1, int(now - seen.at_ms)))
+            for (crash, fingerprint), seen in self._seen.items()
+            if fingerprint in entries and crash in entries[fingerprint].crashes
+        ]
+        return found[-RESENT_SUSPICIONS_MAX:]
 
     def _suspect(self, suspicion: Suspicion, crash: str, *, source: str) -> None:
         entry = self._quarantine.record_crash(
--- a/tests/edge/test_repeated_crashes.py
+++ b/tests/edge/test_repeated_crashes.py
@@ -86,6 +86,34 @@
         self.assertEqual([False] * 3, self.quarantined(mesh))
 
 
+class RestartTests(RepeatedCrashCase):
+    """A VM that restarts learns of whole requests from the others.
+
+    Guards against a rolling restart after which each VM sends a request that crashes
+    replicas twice more.
+    """
+
+    async def test_a_vm_that_restarts_refuses_what_the_others_refuse(self) -> None:
+        """Also in a series: who was told tells the next one."""
+        mesh = Mesh(self, "v1", "v2", "v3")
+        for number in range(2):
+            self.crash(mesh, "v1", f"r{number}", ran_ms=100)
+            await trio.sleep(2)
+        for vm in ("v1", "v2", "v3"):
+            mesh.start(vm)
+            await trio.sleep(2)
+        self.assertEqual([True] * 3, self.quarantined(mesh))
+
+    async def test_what_was_answered_since_is_not_told(self) -> None:
+        """A crash that no longer counts does not begin anew at a new VM."""
+        mesh = Mesh(self, "v1", "v2")
+        self.crash(mesh, "v1", "r1", ran_ms=100)
+        await trio.sleep(1)
+        self.registry(mesh, "v1").record_answer(FINGERPRINT, now_ms())
+        mesh.start("v2")
+        self.assertEqual([None, None], self.entries(mesh))
+
+
 class AnsweredRequestTests(RepeatedCrashCase):
     """A request that replicas answer is not refused because others die under it."""
 
