--- a/src/hemlocktrestle/edge/_crash_monitor.py
+++ b/src/hemlocktrestle/edge/_crash_monitor.py
@@ -23,11 +23,9 @@
 PENDING_PROBES_MAX = 64
 """Replicas that may wait for a probe; more of them fail only in an outage."""
 
-
 SEEN_SUSPICIONS_MAX = 4_096
 """Suspicions that are remembered, so that each is passed on and counted once."""
 
-
 RESENT_SUSPICIONS_MAX = 64
 """Most suspicions of whole requests that are sent to a VM whose link has opened."""
 
@@ -87,7 +85,7 @@
         if isinstance(message, Suspicion):
             self._record_suspicion(message, source=vm)
         elif isinstance(message, PartTrial):
-            self._part_gate.trials.on_message(vm, message)
+            self._part_gate.on_trial(vm, message)
 
     def on_link_opened(self, vm: str) -> None:
         """Send the crashes that another VM may not know: it may have restarted."""
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -257,7 +257,11 @@
         self.replica_notices.on_news(vm, message.leaving)
         self.part_gate.on_heartbeat(vm, message)
         for fingerprint, age_ms in message.sound_requests:
-            self.quarantine.record_answer(fingerprint, now - age_ms)
+            if self.quarantine.record_answer(fingerprint, now - age_ms):
+                log.info(
+                    "request_acquitted",
+                    extra={"fingerprint": fingerprint, "source": vm, "age_ms": age_ms},
+                )
         self.membership.on_heartbeat(
             vm,
             now,
--- a/src/hemlocktrestle/edge/_part_gate.py
+++ b/src/hemlocktrestle/edge/_part_gate.py
@@ -16,7 +16,7 @@
     QuarantinedPart,
     upstream_of,
 )
-from hemlocktrestle.wire import Heartbeat, SoundPart, Suspicion
+from hemlocktrestle.wire import Heartbeat, PartTrial, SoundPart, Suspicion
 
 log = logging.getLogger(__name__)
 
@@ -195,6 +195,13 @@
             changes = self._parts.record_sound([part], at_ms=now - age_ms, now_ms=now)
             _log_changes(changes, cause=vm)
 
+    def on_trial(self, vm: str, trial: PartTrial) -> None:
+        """Apply the beginning or the end of another VM's trial."""
+        now = now_ms()
+        changes = self._parts.record_sound(trial.sound_parts, at_ms=now, now_ms=now)
+        _log_changes(changes, cause=trial.request_id)
+        self.trials.on_message(vm, trial)
+
     def known_suspicions(self) -> list[Suspicion]:
         """Return the crashes that a VM whose link has opened may not know."""
         now = now_ms()
--- a/src/hemlocktrestle/edge/_part_trials.py
+++ b/src/hemlocktrestle/edge/_part_trials.py
@@ -88,9 +88,6 @@
     def on_message(self, vm: str, trial: PartTrial) -> None:
         """Apply the beginning or the end of another VM's trial; forward it once."""
         is_known = trial.request_id in self._running
-        if trial.sound_parts:
-            now = now_ms()
-            self._parts.record_sound(trial.sound_parts, at_ms=now, now_ms=now)
         if trial.is_running == is_known:
             return
         if trial.is_running:
--- a/src/hemlocktrestle/edge/_server.py
+++ b/src/hemlocktrestle/edge/_server.py
@@ -251,7 +251,19 @@
         if report.end is AttemptEnd.BROKEN:
             self._on_replica_disconnected(job, placement, report)
         elif report.end is AttemptEnd.RELAYED:
-            self._quarantine.record_answer(job.fingerprint, now_ms())
+            self._acquit(job)
+
+    def _acquit(self, job: Job) -> None:
+        """Note that such a request was answered and so crashes no replica."""
+        if self._quarantine.record_answer(job.fingerprint, now_ms()):
+            log.info(
+                "request_acquitted",
+                extra={
+                    "request": job.metadata.request_id,
+                    "fingerprint": job.fingerprint,
+                    "source": "answer",
+                },
+            )
 
 
 def _as_possibly_run(error: RequestError, progress: RequestProgress) -> RequestError:
--- a/tests/edge/test_part_trials.py
+++ b/tests/edge/test_part_trials.py
@@ -251,7 +251,7 @@
     async def test_a_trial_of_a_vm_that_died_ends(self) -> None:
         """Guards against a part that nobody may try because one VM is gone."""
         mesh = await self.mesh()
-        mesh.gates["v2"].trials.on_message("v9", PartTrial("q9", (POISON, NEW), True))
+        mesh.gates["v2"].on_trial("v9", PartTrial("q9", (POISON, NEW), True))
         self.assertFalse(await self.begin(mesh, "v2", "q1"))
         await trio.sleep(TRIAL_MS_MAX / 1000)
         self.assertTrue(await self.begin(mesh, "v2", "q2"))
