--- a/src/hemlocktrestle/platform/__init__.py
+++ b/src/hemlocktrestle/platform/__init__.py
@@ -17,9 +17,11 @@
 from hemlocktrestle.platform._store import (
     CONFIGURATION_KEY,
     REGISTRATIONS_PREFIX,
+    PlatformStore,
+)
+from hemlocktrestle.platform._store_records import (
     Item,
     Page,
-    PlatformStore,
     RemovedItem,
     StoreError,
     StoreErrorKind,
--- a/src/hemlocktrestle/platform/_store.py
+++ b/src/hemlocktrestle/platform/_store.py
@@ -5,9 +5,8 @@
 import logging
 import socket
 from contextlib import AsyncExitStack
-from enum import Enum
 from types import TracebackType
-from typing import Any, NamedTuple, NotRequired, Self, TypeVar
+from typing import Any, NotRequired, Self, TypeVar
 from urllib.parse import quote, urlencode
 
 import httpcore
@@ -17,6 +16,14 @@
 
 from hemlocktrestle.documents import Revision, Text, check, parse_json
 from hemlocktrestle.errors import RequestError
+from hemlocktrestle.platform._store_records import (
+    Item,
+    Page,
+    RemovedItem,
+    StoreError,
+    StoreErrorKind,
+    WatchResult,
+)
 
 log = logging.getLogger(__name__)
 
@@ -67,31 +74,6 @@
 ]
 
 
-class StoreErrorKind(Enum):
-    """Why a call to the store failed."""
-
-    UNREACHABLE = "unreachable"
-    REFUSED = "refused"
-    THROTTLED = "throttled"
-    HISTORY_LOST = "history-lost"
-    CONDITION_FAILED = "condition-failed"
-    LEASE_ENDED = "lease-ended"
-    MALFORMED = "nonsense"
-
-
-class StoreError(Exception):
-    """A failed call to the store.
-
-    Args:
-        kind: why it failed.
-        message: text for the log.
-    """
-
-    def __init__(self, kind: StoreErrorKind, message: str) -> None:
-        super().__init__(message)
-        self.kind = kind
-
-
 _STATUS_KINDS = {
     404: StoreErrorKind.LEASE_ENDED,
     410: StoreErrorKind.HISTORY_LOST,
@@ -101,35 +83,6 @@
 }
 
 
-class Item(NamedTuple):
-    """One key with its value and the store revision of its last change."""
-
-    key: str
-    value: bytes
-    revision: int
-
-
-class RemovedItem(NamedTuple):
-    """A key that was removed, with the store revision of the removal."""
-
-    key: str
-    revision: int
-
-
-class Page(NamedTuple):
-    """All items under a prefix, and the store revision of the first page read."""
-
-    items: tuple[Item, ...]
-    revision: int
-
-
-class WatchResult(NamedTuple):
-    """Changes under a prefix, and the revision after which to watch next."""
-
-    events: tuple[Item | RemovedItem, ...]
-    revision: int
-
-
 class _Head(TypedDict):
     currentRev: NotRequired[Revision]
 
