Serve queued requests by tier and slack, late ones too

The order is now the tier, strictly, and within it the least slack: the time left less the work left, as measured on the route's answers (WorkEstimates). Slack falls at the same rate for all, so an entry's key never changes and the queue needs neither the time nor what it once learned; entries are in sorted lists, and the cost test of the queue holds as it was.

test_what_is_late_goes_last_whatever_its_tier and test_the_time_to_a_first_part_counts_as_late asserted the fault. In their place test_a_high_tier_goes_first_however_little_time_is_left asserts the reverse, test_a_long_answer_starts_early_enough and test_the_first_part_has_a_limit_of_its_own assert how the work counts, and a property test compares the order with a sorted list.

The policy is called time_left; settings may still say objective.

--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -61,7 +61,7 @@
 
 log = logging.getLogger(__name__)
 
-QUEUE_POLICY = "objective"
+QUEUE_POLICY = "time_left"
 """Name of the queueing policy of the pool schedulers."""
 
 SCHEDULER_CHECK_S = 0.25
--- a/src/hemlocktrestle/scheduler/__init__.py
+++ b/src/hemlocktrestle/scheduler/__init__.py
@@ -6,7 +6,7 @@
 """
 
 from hemlocktrestle.scheduler import _fair_queue as _fair_queue
-from hemlocktrestle.scheduler import _objective_queue as _objective_queue
+from hemlocktrestle.scheduler import _slack_queue as _slack_queue
 from hemlocktrestle.scheduler._chooser import CHOOSERS, Chooser, chooser
 from hemlocktrestle.scheduler._core import PERMIT_VALID_MS, Outgoing, PoolScheduler
 from hemlocktrestle.scheduler._early_refusal import (
--- a/src/hemlocktrestle/scheduler/_core.py
+++ b/src/hemlocktrestle/scheduler/_core.py
@@ -17,8 +17,9 @@
 from hemlocktrestle.scheduler._queue import QUEUES, QueuedAsk
 from hemlocktrestle.scheduler._upstream import InFlight, UpstreamModel
 from hemlocktrestle.scheduler._upstream_set import UpstreamSet
+from hemlocktrestle.scheduler._work import WorkEstimates
 from hemlocktrestle.wire import (
-    NO_OBJECTIVE,
+    NO_PART_LIMIT,
     Ask,
     Message,
     Permit,
@@ -76,6 +77,7 @@
         self._last_grant_ms = 0.0
         self._grant_gap_ms = 0.0
         self._routes: dict[str, str] = {}
+        self._work = WorkEstimates()
 
     def set_upstreams(
         self, records: Iterable[UpstreamRecord], now_ms: float
@@ -101,10 +103,16 @@
         if not self._upstreams.serves(ask.excluded):
             refusal = Refusal(ask.ask_id, ErrorKind.NO_UPSTREAM.value)
             return [Outgoing(vm, refusal)]
-        objective_at_ms = (
-            math.inf if ask.aim_ms == NO_OBJECTIVE else now_ms + ask.aim_ms
+        waiting = QueuedAsk(
+            ask,
+            vm,
+            now_ms,
+            deadline_ms=now_ms + ask.deadline_ms,
+            part_due_ms=(
+                math.inf if ask.aim_ms == NO_PART_LIMIT else now_ms + ask.aim_ms
+            ),
+            work=self._work.expect(ask),
         )
-        waiting = QueuedAsk(ask, vm, now_ms, now_ms + ask.deadline_ms, objective_at_ms)
         self._queue.push(waiting)
         self._deadlines.push((waiting.deadline_ms, ask.ask_id))
         outgoing = self._grant(now_ms)
@@ -124,7 +132,7 @@
         self._upstreams.finish(release, now_ms)
         route = self._routes.pop(release.ask_id, None)
         if route is not None and release.sent and not release.failure:
-            self._queue.learn(route, release.first_token_ms)
+            self._work.learn(route, release)
         return self._grant(now_ms)
 
     def record_running(self, vm: str, running: Running, now_ms: float) -> None:
@@ -212,7 +220,6 @@
     def _grant(self, now_ms: float) -> list[Outgoing]:
         outgoing: list[Outgoing] = []
         self._upstreams.advance(now_ms)
-        self._queue.advance(now_ms)
         if not self._upstreams.has_room:
             return []
         for waiting in self._queue.in_service_order(self._upstreams.is_open):
--- a/src/hemlocktrestle/scheduler/_policy.py
+++ b/src/hemlocktrestle/scheduler/_policy.py
@@ -58,14 +58,16 @@
     return PoolPolicy(tier_shares=(1.0, 0.85, 0.7))
 
 
+@policy("time_left")
 @policy("objective")
-def objective_policy() -> PoolPolicy:
-    """Serve first what can still meet its latency objective.
+def time_left_policy() -> PoolPolicy:
+    """Serve by tier, then by the time that each caller has left.
 
-    For engines that report their slots, with callers that set a latency objective.
+    For engines that report their slots.  ``objective`` is an older name of it, which
+    settings may still hold.
     """
     return PoolPolicy(
-        queue="objective",
+        queue="least_slack",
         early_refusal="none",
         prefill_share=1.0,
     )
--- a/src/hemlocktrestle/scheduler/_queue.py
+++ b/src/hemlocktrestle/scheduler/_queue.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple, Protocol, TypeVar
 
 from hemlocktrestle.scheduler._heap import LazyHeap
+from hemlocktrestle.scheduler._work import NO_WORK, Work
 from hemlocktrestle.wire import Ask
 
 LONG_PROMPT_TOKENS = 1_024
@@ -23,16 +24,31 @@
 
 
 class QueuedAsk(NamedTuple):
-    """A queued permit request: its requesting VM, its arrival and its deadline.
-
-    ``objective_at_ms`` is when the first part of the answer becomes late.
+    """A queued permit request.
+
+    Args:
+        ask: the request.
+        vm: its requesting VM.
+        arrived_ms: when it arrived.
+        deadline_ms: when its caller must have the whole answer.
+        part_due_ms: when its caller must have the first part.
+        work: the work that is left to answer it.
     """
 
     ask: Ask
     vm: str
     arrived_ms: float
     deadline_ms: float
-    objective_at_ms: float = math.inf
+    part_due_ms: float = math.inf
+    work: Work = NO_WORK
+
+    @property
+    def latest_start_ms(self) -> float:
+        """When it must start for its answer to be in time."""
+        return min(
+            self.part_due_ms - self.work.first_ms,
+            self.deadline_ms - self.work.total_ms,
+        )
 
 
 class AskQueue(Protocol):
@@ -77,14 +93,6 @@
         """Return all queued requests, in no order."""
         ...
 
-    def advance(self, now_ms: float) -> None:
-        """Set the time by which requests are ordered."""
-        ...
-
-    def learn(self, route: str, first_ms: float) -> None:
-        """Learn the time to the first part of an answer of a route."""
-        ...
-
 
 _QueueType = TypeVar("_QueueType", bound=type)
 
@@ -154,12 +162,6 @@
         entry = self._by_id.pop(ask_id, None)
         return entry.queued if entry is not None else None
 
-    def advance(self, now_ms: float) -> None:
-        """Do nothing: the order does not depend on the time."""
-
-    def learn(self, route: str, first_ms: float) -> None:
-        """Do nothing: the order does not depend on answer times."""
-
     def _number(self, waiting: QueuedAsk) -> int:
         self._count += 1
         self._by_id[waiting.ask.ask_id] = Numbered(self._count, waiting)
--- a/src/hemlocktrestle/wire/__init__.py
+++ b/src/hemlocktrestle/wire/__init__.py
@@ -15,7 +15,7 @@
 )
 from hemlocktrestle.wire._messages import (
     MESSAGE_TYPES,
-    NO_OBJECTIVE,
+    NO_PART_LIMIT,
     PROTOCOL_VERSION,
     TIERS,
     Ask,
@@ -51,7 +51,7 @@
 __all__ = [
     "FRAME_BYTES_MAX",
     "MESSAGE_TYPES",
-    "NO_OBJECTIVE",
+    "NO_PART_LIMIT",
     "PROTOCOL_VERSION",
     "TIERS",
     "Ask",
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -12,8 +12,8 @@
 TIERS: tuple[str, ...] = ("high", "normal", "low")
 """Tier names from the highest to the lowest priority; the index is the rank."""
 
-NO_OBJECTIVE = -1
-"""Value of ``aim_ms`` for a request that has a deadline but no latency objective."""
+NO_PART_LIMIT = -1
+"""Value of ``aim_ms`` for a caller that waits for any part until the deadline."""
 
 _Record = TypeVar("_Record", bound=type)
 
@@ -152,9 +152,9 @@
 
     ``tier`` is a priority, 0 the highest; ``deadline_ms`` is the time that remains
     to the deadline when the message is sent; ``excluded`` names upstreams that the
-    requesting VM will not use; ``aim_ms`` is the time that remains to the latency
-    objective for the first part of the answer, or ``NO_OBJECTIVE``; requests of
-    one ``route`` have similar cost; ``amount`` is the charge to the customer's
+    requesting VM will not use; ``aim_ms`` is the time that remains until the caller
+    leaves without a first part of the answer, or ``NO_PART_LIMIT``; requests of one
+    ``route`` have similar cost; ``amount`` is the charge to the customer's
     quota, 0 if it was charged before.
     """
 
@@ -168,7 +168,7 @@
     prefix_digest: int
     deadline_ms: int
     excluded: tuple[str, ...] = ()
-    aim_ms: int = NO_OBJECTIVE
+    aim_ms: int = NO_PART_LIMIT
     route: str = ""
     amount: int = 0
 
