Refuse at once what cannot be answered in time

With waits as long as the caller's time, a request behind more work than fits would be held to its deadline and then refused: the edge's policy refused nothing early (early_refusal none). Its caller learns nothing and loses the time in which it could ask again.

A scheduler now forecasts each start from the work that runs and that is queued before the request, over the slots that share it; both are measured by route. It refuses as soon as the answer would come too late, also when higher tiers arrive meanwhile. A forecast counts at 0.6, the share that by_expected_time already used (now one constant); nothing is refused while a slot is free, for a route that was not measured, or by forecast while a lower tier is queued. A high tier then keeps its place until its time is up. The refusal says when there will be room, each caller later than the one refused before it, and the log line has the figures.

--- a/src/hemlocktrestle/peers/_scheduler_task.py
+++ b/src/hemlocktrestle/peers/_scheduler_task.py
@@ -12,6 +12,7 @@
 from hemlocktrestle.membership import Membership
 from hemlocktrestle.scheduler import (
     POLICY_DEFAULT,
+    Forecast,
     Outgoing,
     PoolScheduler,
     policy_named,
@@ -314,9 +315,9 @@
         """Send messages; withdraw a permit that cannot be sent, to free its slot."""
         waiting = deque(outgoing)
         while waiting:
-            vm, message = waiting.popleft()
+            vm, message, forecast = waiting.popleft()
             if isinstance(message, Refusal):
-                self._log_refusal(scheduler, vm, message)
+                self._log_refusal(scheduler, vm, message, forecast)
                 self._refund(message.ask_id)
             elif isinstance(message, Permit):
                 self._charged.pop(message.ask_id, None)
@@ -329,7 +330,21 @@
         if ask is not None:
             self._gate.refund(ask)
 
-    def _log_refusal(self, scheduler: PoolScheduler, vm: str, refusal: Refusal) -> None:
+    def _log_refusal(
+        self,
+        scheduler: PoolScheduler,
+        vm: str,
+        refusal: Refusal,
+        forecast: Forecast | None,
+    ) -> None:
+        inputs = {}
+        if forecast is not None:
+            inputs = {
+                "wait_ms": round(forecast.wait_ms),
+                "work_ms": round(forecast.work.total_ms),
+                "left_ms": round(forecast.left_ms),
+                "retry_after_ms": refusal.retry_after_ms,
+            }
         log.info(
             "ask_refused",
             extra={
@@ -338,6 +353,7 @@
                 "reason": refusal.kind,
                 "pool": scheduler.pool,
                 "queued_count": scheduler.queued_count,
+                **inputs,
                 "inbox_ms": round(self._inbox_wait_ms),
                 "oldest_in_hand_ms": round(
                     scheduler.oldest_in_flight_ms(self._now_ms())
--- a/src/hemlocktrestle/scheduler/__init__.py
+++ b/src/hemlocktrestle/scheduler/__init__.py
@@ -14,6 +14,7 @@
     DeadlineForecast,
     early_refusal,
 )
+from hemlocktrestle.scheduler._forecast import Forecast
 from hemlocktrestle.scheduler._policy import (
     POLICIES,
     POLICY_DEFAULT,
@@ -38,6 +39,7 @@
     "AskQueue",
     "Chooser",
     "DeadlineForecast",
+    "Forecast",
     "InFlight",
     "Outgoing",
     "PoolPolicy",
--- a/src/hemlocktrestle/scheduler/_early_refusal.py
+++ b/src/hemlocktrestle/scheduler/_early_refusal.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from hemlocktrestle.scheduler._upstream import UpstreamModel
+from hemlocktrestle.scheduler._work import COUNTED_SHARE
 from hemlocktrestle.wire import Ask
 
 
@@ -24,12 +25,6 @@
     now_ms: float
 
 
-LEAST_TIME_SHARE = 0.6
-"""Least time that a request is assumed to take, as a share of its expected time.
-
-Below 1, so that a moderate overestimate does not refuse a request.
-"""
-
 IsUnmeetable = Callable[[DeadlineForecast], bool]
 
 EARLY_REFUSALS: dict[str, IsUnmeetable] = {}
@@ -61,9 +56,9 @@
     """
     if not prospect.model.in_flight:
         return False
-    if prospect.idle_ms * LEAST_TIME_SHARE > prospect.remaining_ms:
+    if prospect.idle_ms * COUNTED_SHARE > prospect.remaining_ms:
         return True
     if prospect.ask.tier == 0:
         return False
     expected_ms = prospect.model.expected_ms(prospect.ask, prospect.now_ms)
-    return expected_ms * LEAST_TIME_SHARE > prospect.remaining_ms
+    return expected_ms * COUNTED_SHARE > prospect.remaining_ms
--- a/src/hemlocktrestle/scheduler/_policy.py
+++ b/src/hemlocktrestle/scheduler/_policy.py
@@ -11,6 +11,8 @@
     """The registered decisions that a pool uses, and the limit of its queue.
 
     ``tier_shares`` and ``prefill_share`` are those of an upstream's model.
+    ``forecasts_starts`` refuses requests by the work that goes before them; the
+    queue must support it.
     """
 
     queue: str = "tiered_fair"
@@ -19,6 +21,7 @@
     tier_shares: tuple[float, ...] = (1.0,)
     prefill_share: float = 0.5
     early_refusal: str = "expected"
+    forecasts_starts: bool = False
     queued_count_max: int = QUEUED_COUNT_MAX
     uses_prefixes: bool = True
     detects_stragglers: bool = True
@@ -69,6 +72,7 @@
     return PoolPolicy(
         queue="least_slack",
         early_refusal="none",
+        forecasts_starts=True,
         prefill_share=1.0,
     )
 
--- a/src/hemlocktrestle/scheduler/_queue.py
+++ b/src/hemlocktrestle/scheduler/_queue.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple, Protocol, TypeVar
 
 from hemlocktrestle.scheduler._heap import LazyHeap
-from hemlocktrestle.scheduler._work import NO_WORK, Work
+from hemlocktrestle.scheduler._work import COUNTED_SHARE, NO_WORK, Work
 from hemlocktrestle.wire import Ask
 
 LONG_PROMPT_TOKENS = 1_024
@@ -50,6 +50,14 @@
             self.deadline_ms - self.work.total_ms,
         )
 
+    @property
+    def give_up_ms(self) -> float:
+        """When its answer would come too late, even if much less has to be done."""
+        return min(
+            self.part_due_ms - COUNTED_SHARE * self.work.first_ms,
+            self.deadline_ms - COUNTED_SHARE * self.work.total_ms,
+        )
+
 
 class AskQueue(Protocol):
     """Orders queued permit requests, both for service and for shedding."""
@@ -93,6 +101,18 @@
         """Return all queued requests, in no order."""
         ...
 
+    def lowest_tier(self) -> list[QueuedAsk]:
+        """Return the queued requests of the lowest tier, in order of service."""
+        ...
+
+    def is_lowest_tier(self, tier: int) -> bool:
+        """Tell whether no request of a lower tier is queued."""
+        ...
+
+    def work_before_ms(self, waiting: QueuedAsk) -> float:
+        """Return the sum of the queued work that is served before a request."""
+        ...
+
 
 _QueueType = TypeVar("_QueueType", bound=type)
 
@@ -162,6 +182,18 @@
         entry = self._by_id.pop(ask_id, None)
         return entry.queued if entry is not None else None
 
+    def lowest_tier(self) -> list[QueuedAsk]:
+        """Raise: this order is not used with forecasts."""
+        raise NotImplementedError
+
+    def is_lowest_tier(self, tier: int) -> bool:
+        """Raise: this order is not used with forecasts."""
+        raise NotImplementedError
+
+    def work_before_ms(self, waiting: QueuedAsk) -> float:
+        """Raise: this order is not used with forecasts."""
+        raise NotImplementedError
+
     def _number(self, waiting: QueuedAsk) -> int:
         self._count += 1
         self._by_id[waiting.ask.ask_id] = Numbered(self._count, waiting)
--- a/src/hemlocktrestle/scheduler/_slack_queue.py
+++ b/src/hemlocktrestle/scheduler/_slack_queue.py
@@ -1,7 +1,8 @@
 """A queue that serves, within each tier, the request with the least slack first."""
 
-from bisect import bisect_left, insort
+from bisect import bisect_left
 from collections.abc import Iterator
+from heapq import merge
 from typing import NamedTuple
 
 from hemlocktrestle.scheduler._queue import (
@@ -29,6 +30,13 @@
     ask_id: str
 
 
+class _KindQueue(NamedTuple):
+    """Requests of one kind in order of service, and the work of each."""
+
+    entries: list[_Entry]
+    work_ms: list[float]
+
+
 @queue("least_slack")
 class LeastSlackQueue(_IndexedQueue):
     """Strict tiers; within a tier the least slack first, equal ones by arrival.
@@ -41,14 +49,17 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._by_kind: dict[_Kind, list[_Entry]] = {}
+        self._by_kind: dict[_Kind, _KindQueue] = {}
 
     def push(self, waiting: QueuedAsk) -> None:
         """Add a request; one with the same id is replaced."""
         self.remove(waiting.ask.ask_id)
         number = self._number(waiting)
-        entries = self._by_kind.setdefault(_kind_of(waiting), [])
-        insort(entries, _Entry(waiting.latest_start_ms, number, waiting.ask.ask_id))
+        kind_queue = self._by_kind.setdefault(_kind_of(waiting), _KindQueue([], []))
+        entry = _Entry(waiting.latest_start_ms, number, waiting.ask.ask_id)
+        index = bisect_left(kind_queue.entries, entry)
+        kind_queue.entries.insert(index, entry)
+        kind_queue.work_ms.insert(index, waiting.work.total_ms)
 
     def remove(self, ask_id: str) -> QueuedAsk | None:
         """Remove a request that is not served; ``None`` if it is not queued."""
@@ -57,10 +68,11 @@
             return None
         number, waiting = numbered
         kind = _kind_of(waiting)
-        entries = self._by_kind[kind]
+        kind_queue = self._by_kind[kind]
         entry = _Entry(waiting.latest_start_ms, number, ask_id)
-        del entries[bisect_left(entries, entry)]
-        if not entries:
+        index = bisect_left(kind_queue.entries, entry)
+        del kind_queue.entries[index], kind_queue.work_ms[index]
+        if not kind_queue.entries:
             del self._by_kind[kind]
         return super().remove(ask_id)
 
@@ -69,7 +81,7 @@
         passed_counts: dict[_Kind, int] = {}
         while (kind := self._first_kind(is_open, passed_counts)) is not None:
             passed_count = passed_counts.get(kind, 0)
-            entry = self._by_kind[kind][passed_count]
+            entry = self._by_kind[kind].entries[passed_count]
             yield self._by_id[entry.ask_id].queued
             if self._is_current(entry.ask_id, entry.number):
                 passed_counts[kind] = passed_count + 1
@@ -77,19 +89,48 @@
     def next_to_shed(self) -> QueuedAsk | None:
         """Return the request to shed first: of the lowest tier, the last in order."""
         last: tuple[int, _Entry] | None = None
-        for kind, entries in self._by_kind.items():
-            found = (kind.tier, entries[-1])
+        for kind, kind_queue in self._by_kind.items():
+            found = (kind.tier, kind_queue.entries[-1])
             if last is None or found > last:
                 last = found
         return self.get(last[1].ask_id) if last is not None else None
 
+    def lowest_tier(self) -> list[QueuedAsk]:
+        """Return the queued requests of the lowest tier, in order of service."""
+        tier = max((kind.tier for kind in self._by_kind), default=0)
+        entries = merge(
+            *(
+                kind_queue.entries
+                for kind, kind_queue in self._by_kind.items()
+                if kind.tier == tier
+            )
+        )
+        return [self._by_id[entry.ask_id].queued for entry in entries]
+
+    def is_lowest_tier(self, tier: int) -> bool:
+        """Tell whether no request of a lower tier is queued."""
+        return all(kind.tier <= tier for kind in self._by_kind)
+
+    def work_before_ms(self, waiting: QueuedAsk) -> float:
+        """Return the sum of the queued work that is served before a request."""
+        number = self._by_id[waiting.ask.ask_id].number
+        own = _Entry(waiting.latest_start_ms, number, waiting.ask.ask_id)
+        tier = waiting.ask.tier
+        before_ms = 0.0
+        for kind, (entries, work_ms) in self._by_kind.items():
+            if kind.tier == tier:
+                before_ms += sum(work_ms[: bisect_left(entries, own)])
+            elif kind.tier < tier:
+                before_ms += sum(work_ms)
+        return before_ms
+
     def _first_kind(
         self, is_open: IsOpen, passed_counts: dict[_Kind, int]
     ) -> _Kind | None:
         """Return the kind whose first request that was not passed over is next."""
         first: tuple[int, _Entry] | None = None
         found: _Kind | None = None
-        for kind, entries in self._by_kind.items():
+        for kind, (entries, _) in self._by_kind.items():
             passed_count = passed_counts.get(kind, 0)
             if passed_count >= len(entries) or not is_open(kind.ask_class, kind.tier):
                 continue
--- a/src/hemlocktrestle/scheduler/_upstream_set.py
+++ b/src/hemlocktrestle/scheduler/_upstream_set.py
@@ -65,6 +65,7 @@
         self._by_prefix: dict[int, set[str]] = {}
         self._fastest_prefill = 0.0
         self._fastest_decode = 0.0
+        self._slot_count = 0
 
     def __len__(self) -> int:
         return len(self._models)
@@ -94,6 +95,7 @@
             name for name, model in self._removed.items() if not model.in_flight
         ]:
             del self._removed[name]
+        self._slot_count = sum(model.slots for model in self)
         return is_changed
 
     @property
@@ -194,6 +196,7 @@
 
     def check_stragglers(self, now_ms: float) -> None:
         """Compare each upstream's speed with its own past and with its peers."""
+        self._slot_count = sum(model.slots for model in self)
         if not self._models:
             return
         self._fastest_prefill = min(model.rates.prefill.ms_per_token for model in self)
@@ -229,6 +232,17 @@
                 model.rates = fastest.rates.copied()
                 self._reindex(model)
 
+    def slot_count(self, excluded: Iterable[str] = ()) -> int:
+        """Return how many requests the upstreams may run at once.
+
+        Args:
+            excluded: names of upstreams that do not count.
+        """
+        excluded_count = sum(
+            self._models[name].slots for name in excluded if name in self._models
+        )
+        return self._slot_count - excluded_count
+
     def idle_ms(self, ask: Ask) -> float:
         """Estimate the time of a request on the fastest upstream, if it were idle."""
         tokens = max(1, ask.prompt_tokens - PREFIX_TOKENS)
--- a/src/hemlocktrestle/scheduler/_work.py
+++ b/src/hemlocktrestle/scheduler/_work.py
@@ -5,6 +5,12 @@
 from hemlocktrestle.latency import Estimate
 from hemlocktrestle.wire import Ask, Release
 
+COUNTED_SHARE = 0.6
+"""Share of an expected time that counts against a request.
+
+Below 1, so that a moderate overestimate does not refuse one that would be in time.
+"""
+
 
 class Work(NamedTuple):
     """Times that an answer takes from its grant, 0 for what was never measured.
