Ask the next zone when one cannot answer in time

A caller got 503 while another zone had a free slot: a refusal for lack of time ended the search, though only a refused queue did not. Such a refusal now leads to the next zone, like a shed request. If none has room, the caller is told the earliest time that a zone with upstreams named; a later zone without any takes that back no more, and does not lead to a choice without a permit.

Failed before: test_a_zone_without_time_is_followed_by_the_next_one.

--- a/src/hemlocktrestle/peers/_permit_client.py
+++ b/src/hemlocktrestle/peers/_permit_client.py
@@ -115,6 +115,7 @@
             RequestError: no permit was granted; nothing was sent to an upstream.
         """
         last = RequestError(ErrorKind.NO_UPSTREAM, "no upstream takes this work")
+        refusals: list[RequestError] = []
         zone_index = 0
         part_due_ms = math.inf
         if ask.aim_ms != NO_PART_LIMIT:
@@ -135,6 +136,8 @@
                 return await self._attempt(attempt_ask, zones[zone_index], until_ms)
             except RequestError as error:
                 last = error
+            if last.kind in _OVERLOAD_KINDS:
+                refusals.append(last)
             if last.kind in _FINAL_KINDS:
                 break
             if last.kind in _NEXT_ZONE_KINDS:
@@ -143,7 +146,8 @@
                 pause_ms = self._jitter.uniform(0, RETRY_DELAY_MS_MAX)
                 remaining_ms = max(0.0, until_ms - self._now_ms())
                 await trio.sleep(min(pause_ms, remaining_ms) / 1000)
-        raise last
+        # A zone that was asked in vain after one had no room takes nothing back.
+        raise min(refusals, key=_retry_after_ms, default=last)
 
     def release(self, held: HeldPermit, release: Release) -> None:
         """Return a permit to every scheduler that counts its request as in flight.
@@ -348,12 +352,16 @@
 _FINAL_KINDS = frozenset(
     {
         ErrorKind.DEADLINE_IN_QUEUE,
-        ErrorKind.DEADLINE_UNMEETABLE,
         ErrorKind.RATE_LIMITED,
     }
 )
 _KNOWN_KINDS = frozenset(kind.value for kind in ErrorKind)
-_NEXT_ZONE_KINDS = frozenset({ErrorKind.NO_UPSTREAM, ErrorKind.SHED})
+_OVERLOAD_KINDS = frozenset({ErrorKind.SHED, ErrorKind.DEADLINE_UNMEETABLE})
+_NEXT_ZONE_KINDS = _OVERLOAD_KINDS | {ErrorKind.NO_UPSTREAM}
+
+
+def _retry_after_ms(error: RequestError) -> float:
+    return math.inf if error.retry_after_ms is None else error.retry_after_ms
 
 
 def _unused_release(permit: Permit) -> Release:
--- a/tests/peers/test_permit_client.py
+++ b/tests/peers/test_permit_client.py
@@ -1,12 +1,13 @@
 """Tests of permit requests to schedulers that do not respond, and of the retries."""
 
 import random
+from typing import Any
 
 import trio
 import trio.testing
 from testtools import ExpectedException
 
-from hemlocktrestle.errors import RequestError
+from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.membership import Listing, Membership, UpstreamRecord, VmRecord
 from hemlocktrestle.peers import PermitClient
 from hemlocktrestle.wire import (
@@ -100,6 +101,34 @@
         asked = [message for _, message in self.sent if isinstance(message, Ask)]
         self.assertEqual([400, 200], [round(ask.aim_ms, -2) for ask in asked[:2]])
 
+    async def test_a_zone_without_time_is_followed_by_the_next_one(self) -> None:
+        """Guards against 503 while another zone has a free slot.
+
+        If that one has no upstream either, the caller is told what the first said.
+        """
+        for second, outcome in (
+            (Permit("", POOL, "u2", "u2:1", 0, 1_000), "permit"),
+            (Refusal("", "no_upstream"), ErrorKind.DEADLINE_UNMEETABLE),
+        ):
+            client = self._new_client()
+            replies = [Refusal("", "deadline_unmeetable", 3_000), second]
+
+            def send(vm: str, message: Message, left: list[Any] = replies) -> bool:
+                if isinstance(message, Ask):
+                    reply = left.pop(0)._replace(ask_id=message.ask_id)
+                    self.permit_client.on_message(vm, reply)
+                return True
+
+            self.patch(client, "_send", send)
+            try:
+                await client.obtain(
+                    ASK, zones=("z", "z"), deadline_at_ms=now_ms() + 2_000
+                )
+            except RequestError as error:
+                self.assertEqual((outcome, 3_000), (error.kind, error.retry_after_ms))
+            else:
+                self.assertEqual("permit", outcome)
+
     async def test_a_silent_scheduler_is_not_trusted_at_its_next_heartbeat(
         self,
     ) -> None:
