Tell silence from measured answers, not from the objective

On a route with a short objective, work was done twice: a repeatable request whose replica answers after 500 ms, as usual there, was sent to a second one after 0.6 of an objective of 200 ms. On a route with a long one, a caller with 3 s left got no answer, as the search would begin after 6 s. Streams went by 2 objectives and 4 of the route's pauses.

A VM now measures how long answers of each route take to begin, and the pauses between their parts (mean and mean deviation, as RFC 6298). A replica counts as silent beyond what is usual. Another one is searched for if it can still answer within the caller's time, and, in a stream, once the silence has lasted as long as the move itself would take. Nothing is known of a route from fewer than eight answers; then both replicas get as long. The scheduler's estimates of work now ask for as many, too.

The stream's route in tests has the patience that the platform states.

--- a/src/hemlocktrestle/edge/_answer.py
+++ b/src/hemlocktrestle/edge/_answer.py
@@ -50,8 +50,8 @@
     if retry_after_ms is None and answer.retry_after_s is not None:
         retry_after_ms = answer.retry_after_s * 1000.0
     if retry_after_ms is not None and status in {429, 503}:
-        pause_ms = max(RETRY_AFTER_MS_MIN, retry_after_ms)
-        seconds = pause_ms * jitter.uniform(1.0, 1.0 + SPREAD_SHARE) / 1000
+        pause_ms = retry_after_ms * jitter.uniform(1.0, 1.0 + SPREAD_SHARE)
+        seconds = max(RETRY_AFTER_MS_MIN, pause_ms) / 1000
         headers.append((b"retry-after", f"{seconds:.2f}".encode()))
     document = {
         "error": {
--- a/src/hemlocktrestle/edge/_attempt.py
+++ b/src/hemlocktrestle/edge/_attempt.py
@@ -40,19 +40,6 @@
 REFUSAL_BYTES_MAX = 65_536
 """Largest body of a refusal, in bytes; it is only a text for people."""
 
-ANSWER_TIMEOUT_OBJECTIVES = 0.6
-"""Share of the latency objective after which another replica is searched for.
-
-The rest of the objective is enough for another, healthy replica to answer.
-"""
-
-STALL_TIMEOUT_GAPS = 4.0
-"""Stall timeout of a stream, as a multiple of the route's longest allowed gap."""
-
-FIRST_EVENT_TIMEOUT_OBJECTIVES = 2.0
-"""First-event timeout of a stream, as a multiple of the latency objective."""
-
-
 SPEED_REPORT_EVENTS = 5
 """Events of a stream after which its speed is reported to the pool scheduler."""
 
@@ -106,6 +93,7 @@
             on_silent=partial(_log_silence, progress, placement, self._started_ms),
         )
         self._first_ms = 0.0
+        self._usual_first_ms = 0.0
         self._event_count = 0
         self.status = 0
         self.unsent_end = AttemptEnd.UNUSED
@@ -125,14 +113,14 @@
     def report_cancelled(self) -> AttemptReport:
         """Return the report of an attempt that the caller or its deadline ended.
 
-        A replica that sent nothing of use until the deadline, for longer than the
-        latency objective, has failed; what it sent may have been no answer.
+        A replica that sent nothing of use until the deadline, for longer than answers
+        usually take, has failed; what it sent may have been no answer.
         """
         abandoned = self.report(AttemptEnd.ABANDONED)
         is_overdue = (
             now_ms() >= self._job.deadline_at_ms
             and not abandoned.first_ms
-            and abandoned.total_ms >= self._job.route.objective_ms
+            and abandoned.total_ms >= self._usual_first_ms
         )
         return abandoned._replace(end=AttemptEnd.SILENT) if is_overdue else abandoned
 
@@ -169,7 +157,12 @@
         progress.may_have_sent = True
         progress.runs_count += 1
         end = AttemptEnd.BROKEN
-        self._silence.expect_within(self._answer_timeout_ms() / 1000)
+        left_ms = self._job.part_due_ms - now_ms()
+        times = self._state.answer_times
+        self._usual_first_ms = times.usual_first_ms(self._job.route.name, left_ms)
+        if self._may_be_replaced:
+            limit_ms = times.first_limit_ms(self._job.route.name, left_ms)
+            self._silence.expect_within(limit_ms / 1000)
         try:
             async with (
                 self._silence.guard(),
@@ -202,17 +195,11 @@
             forget_frames(error)
             return AttemptEnd.BROKEN
 
-    def _answer_timeout_ms(self) -> float:
-        """Return the time of silence after which another replica is searched for.
-
-        It is infinite if the request may not be sent again.
-        """
+    @property
+    def _may_be_replaced(self) -> bool:
+        """Whether the request may be sent to one more replica."""
         route = self._job.route
-        if not route.may_retry or self._progress.runs_count >= route.attempts:
-            return float("inf")
-        if route.kind is RequestKind.STREAM:
-            return route.objective_ms * FIRST_EVENT_TIMEOUT_OBJECTIVES
-        return route.objective_ms * ANSWER_TIMEOUT_OBJECTIVES
+        return route.may_retry and self._progress.runs_count < route.attempts
 
     def _replica_request(self) -> ReplicaRequest:
         job = self._job
@@ -266,6 +253,7 @@
             async for piece in answer.body_chunks():
                 body.append(piece)
             self._first_ms = now_ms() - self._started_ms
+            self._learn_first()
             headers = self._state.header_codec.forwarded_answer_headers(answer.headers)
             if answer.status >= 500:
                 self.sealed_answer = SealedAnswer(answer.status, headers, body.blocks)
@@ -289,6 +277,7 @@
             async for events in batches:
                 if not self._event_count:
                     self._first_ms = now_ms() - self._started_ms
+                    self._learn_first()
                 self._record_events(len(events))
                 self._start_answer(answer.status, headers)
                 await self._connection.send_chunk(
@@ -317,6 +306,9 @@
                 if no memory is left for an event.
         """
         sequence = self._progress.events
+        answer_times = self._state.answer_times
+        route = self._job.route
+        heard_ms = 0.0
         async for piece in answer.body_chunks():
             events = splitter.feed(piece)
             if not share.resize(splitter.buffered_bytes):
@@ -326,10 +318,18 @@
             taken: list[StreamEvent] = []
             if events and sequence.follows(events[0]):
                 await self._silence.suspend()
+                if heard_ms:
+                    answer_times.learn_gap(route.name, now_ms() - heard_ms)
                 # An event counts as the caller's only once it is certain to be sent.
                 taken = sequence.take(events)
                 yield taken
-                self._silence.expect_within(self._stall_timeout_s())
+                heard_ms = now_ms()
+                if self._may_be_replaced:
+                    left_ms = min(
+                        route.patience_ms, self._job.deadline_at_ms - heard_ms
+                    )
+                    limit_ms = answer_times.gap_limit_ms(route.name, left_ms)
+                    self._silence.expect_within(limit_ms / 1000)
             if len(taken) < len(events):
                 raise RequestError(
                     ErrorKind.UPSTREAM_BROKEN,
@@ -350,12 +350,8 @@
             self._progress.first_ms = now_ms() - self._job.request.arrived_ms
             self._connection.start_answer(status, headers)
 
-    def _stall_timeout_s(self) -> float:
-        """Return the longest silence of a stream; infinite if it may not be resumed."""
-        route = self._job.route
-        if not route.may_resume or self._progress.runs_count >= route.attempts:
-            return float("inf")
-        return route.gap_ms * STALL_TIMEOUT_GAPS / 1000 or float("inf")
+    def _learn_first(self) -> None:
+        self._state.answer_times.learn_first(self._job.route.name, self._first_ms)
 
 
 _RELAYS: dict[
--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -8,6 +8,7 @@
 from hemlocktrestle.edge._replica_notices import ReplicaNotices
 from hemlocktrestle.edge._shutdown import Phase, Shutdown
 from hemlocktrestle.gateway import (
+    AnswerTimes,
     CallerLimits,
     Configuration,
     FleetSnapshot,
@@ -55,6 +56,7 @@
         self.has_loaded_replicas = False
         self.has_loaded_vms = False
         self.quotas = QuotaTracker(now_ms())
+        self.answer_times = AnswerTimes()
         self.stored_busy_customers: set[str] = set()
         self.shutdown = Shutdown(lambda: self.settings.bounds.grace_ms)
         body_bytes_max = int(settings.memory_bytes * BODY_MEMORY_SHARE)
--- a/src/hemlocktrestle/gateway/__init__.py
+++ b/src/hemlocktrestle/gateway/__init__.py
@@ -6,6 +6,7 @@
     ExpectedAnswer,
     classify_answer,
 )
+from hemlocktrestle.gateway._answer_times import AnswerTimes
 from hemlocktrestle.gateway._caller_time import answer_due_ms, part_due_ms
 from hemlocktrestle.gateway._configuration import (
     CallerLimits,
@@ -48,6 +49,7 @@
     "STORE_RECOVERY_GRACE_MS",
     "AnswerClass",
     "AnswerMetadata",
+    "AnswerTimes",
     "AnswerVerdict",
     "CallerLimits",
     "Configuration",
--- a/src/hemlocktrestle/latency/__init__.py
+++ b/src/hemlocktrestle/latency/__init__.py
@@ -1,6 +1,6 @@
 """Latency histograms with few significant digits, and moving estimates of times."""
 
-from hemlocktrestle.latency._estimate import Estimate
+from hemlocktrestle.latency._estimate import Estimate, Estimates
 from hemlocktrestle.latency._latencies import Latencies, Percentiles
 
-__all__ = ["Estimate", "Latencies", "Percentiles"]
+__all__ = ["Estimate", "Estimates", "Latencies", "Percentiles"]
--- a/src/hemlocktrestle/latency/_estimate.py
+++ b/src/hemlocktrestle/latency/_estimate.py
@@ -9,6 +9,9 @@
 USUAL_DEVIATIONS = 4
 """Mean deviations above the mean up to which a value is usual."""
 
+KNOWN_COUNT_MIN = 8
+"""Values from which an estimate counts: single ones may be of an odd replica."""
+
 USUAL_MEANS = 2
 """Multiple of the mean up to which a value is usual, however steady they were."""
 
@@ -16,17 +19,22 @@
 class Estimate:
     """Moving mean and mean deviation of a time; all in the unit of what it learns."""
 
-    __slots__ = ("_deviation", "is_known", "mean")
+    __slots__ = ("_count", "_deviation", "mean")
 
     def __init__(self) -> None:
-        self.is_known = False
         self.mean = 0.0
+        self._count = 0
         self._deviation = 0.0
 
+    @property
+    def is_known(self) -> bool:
+        """Whether enough was measured to rely on it."""
+        return self._count >= KNOWN_COUNT_MIN
+
     def learn(self, value: float) -> None:
         """Learn one measured value."""
-        if not self.is_known:
-            self.is_known = True
+        self._count += 1
+        if self._count == 1:
             self.mean, self._deviation = value, value / 2
             return
         distance = abs(value - self.mean)
@@ -39,3 +47,32 @@
         return max(
             USUAL_MEANS * self.mean, self.mean + USUAL_DEVIATIONS * self._deviation
         )
+
+
+KEYS_MAX = 4_096
+"""Keys whose estimates are kept; those that learned least recently go first."""
+
+_UNKNOWN = Estimate()
+
+
+class Estimates:
+    """Estimates by key, bounded in number."""
+
+    def __init__(self) -> None:
+        self._by_key: dict[str, Estimate] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_key)
+
+    def learn(self, key: str, value: float) -> None:
+        """Learn one measured value of a key."""
+        estimate = self._by_key.pop(key, None) or Estimate()
+        # The dictionary's order is that of learning.
+        self._by_key[key] = estimate
+        estimate.learn(value)
+        if len(self._by_key) > KEYS_MAX:
+            del self._by_key[next(iter(self._by_key))]
+
+    def find(self, key: str) -> Estimate:
+        """Return the estimate of a key; one that is not known if it never learned."""
+        return self._by_key.get(key, _UNKNOWN)
--- a/src/hemlocktrestle/scheduler/_work.py
+++ b/src/hemlocktrestle/scheduler/_work.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from hemlocktrestle.latency import Estimate
+from hemlocktrestle.latency import Estimates
 from hemlocktrestle.wire import Ask, Release
 
 COUNTED_SHARE = 0.6
@@ -25,32 +25,27 @@
 
 
 NO_WORK = Work()
-"""The work of a request whose route was not measured."""
-
-
-class _RouteTimes(NamedTuple):
-    first_ms: Estimate
-    token_ms: Estimate
+"""What is left of a request whose work is not known."""
 
 
 class WorkEstimates:
     """Measured times of answers, by route."""
 
     def __init__(self) -> None:
-        self._routes: dict[str, _RouteTimes] = {}
+        self._first_ms = Estimates()
+        self._token_ms = Estimates()
 
     def learn(self, route: str, release: Release) -> None:
         """Learn from the release of a request that was answered."""
-        times = self._routes.setdefault(route, _RouteTimes(Estimate(), Estimate()))
         first_ms = float(release.first_token_ms)
         rest_ms = max(0.0, release.total_ms - first_ms)
-        times.first_ms.learn(first_ms)
-        times.token_ms.learn(rest_ms / max(1, release.output_tokens))
+        self._first_ms.learn(route, first_ms)
+        self._token_ms.learn(route, rest_ms / max(1, release.output_tokens))
 
     def expect(self, ask: Ask) -> Work:
         """Return the work that a request is expected to be."""
-        times = self._routes.get(ask.route)
-        if times is None:
+        first = self._first_ms.find(ask.route)
+        if not first.is_known:
             return NO_WORK
-        first_ms = times.first_ms.mean
-        return Work(first_ms, first_ms + ask.output_tokens * times.token_ms.mean)
+        token_ms = self._token_ms.find(ask.route).mean
+        return Work(first.mean, first.mean + ask.output_tokens * token_ms)
--- a/tests/edge/test_server.py
+++ b/tests/edge/test_server.py
@@ -278,6 +278,7 @@
     may_resume=True,
     gap_ms=300.0,
     timeout_ms=15_000.0,
+    patience_ms=2_400.0,
 )
 
 
--- a/tests/scheduler/test_slack_queue.py
+++ b/tests/scheduler/test_slack_queue.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
+from hemlocktrestle.latency._estimate import KNOWN_COUNT_MIN
 from hemlocktrestle.scheduler import QUEUES, PoolScheduler, QueuedAsk, policy_named
 from hemlocktrestle.scheduler._slack_queue import LeastSlackQueue
 from hemlocktrestle.scheduler._work import NO_WORK, Work
@@ -184,9 +185,10 @@
     def test_measured_work_decides_between_equal_deadlines(self) -> None:
         """Guards against an order that ignores how long answers of a route take."""
         scheduler = self.scheduler(1)
-        scheduler.enqueue("v1", self.ask("m", route="long", deadline_ms=9_000), 0)
-        took = Release("m", "assistant", "u1", True, "", 300, 300, 10, 1)
-        scheduler.release(took, 300)
+        for _ in range(KNOWN_COUNT_MIN):
+            scheduler.enqueue("v1", self.ask("m", route="long", deadline_ms=9_000), 0)
+            took = Release("m", "assistant", "u1", True, "", 300, 300, 10, 1)
+            scheduler.release(took, 300)
         scheduler.enqueue("v1", self.ask("busy"), 300)
         for name in ("short", "long"):
             scheduler.enqueue("v1", self.ask(name, route=name, deadline_ms=900), 300)
