Defer a repetition by the caller's time and the usual answer

A caller whose replica fell silent, and whose next one refused, got 502 after one objective or two seconds, whichever was less: 1 ms on a route with an objective of 1 ms, though its retries were free again after 50 ms. A stream that broke off was cut after two seconds though its caller would have waited for longer.

An obstacle that may pass is now waited out for as long as an answer of the route usually takes, as a caller without any part can ask again itself, and with a part of a stream until the caller leaves; in both cases the next answer must still come in time.

Failed before: test_the_objective_does_not_bound_the_wait (502 on a route with an objective of 1 ms) and test_a_stream_waits_until_its_caller_leaves.

--- a/src/hemlocktrestle/edge/_attempt_sequence.py
+++ b/src/hemlocktrestle/edge/_attempt_sequence.py
@@ -26,12 +26,6 @@
 OWED_FACTOR = 2
 """Factor on both limits for an answer that the caller is owed."""
 
-DEFERRAL_S_MAX = 2.0
-"""Longest wait to send a request again once no attempt is left, in seconds.
-
-Callers give up a stream after two seconds without an event.
-"""
-
 SEARCH_PAUSE_S = 0.1
 """Pause after a search without a result, in seconds; it doubles with each one."""
 
@@ -132,7 +126,7 @@
             return attempt
         if self._progress.connect_count >= SENDS_MAX and self._is_owed:
             await self._pauses.wait()
-        until_s = trio.current_time() + self._deferral_s(has_answer=has_answer)
+        until_ms = now_ms() + self._deferral_ms(has_answer=has_answer)
         while True:
             obstacle = self._reserve_retry()
             if not obstacle:
@@ -146,7 +140,7 @@
                     obstacle = error.kind.value
                     self._relax_exclusions()
             self._refund_retry()
-            if obstacle in _LASTING_OBSTACLES or trio.current_time() >= until_s:
+            if obstacle in _LASTING_OBSTACLES or now_ms() >= until_ms:
                 self._log_decision("request_not_repeated", failure, obstacle)
                 return None
             self._log_decision("request_deferred", failure, obstacle)
@@ -201,9 +195,7 @@
 
     async def _place(self) -> Attempt:
         progress = self._progress
-        job = self._job
-        if progress.event_count:
-            job = job._replace(last_part_ms=progress.last_event_ms)
+        job = self._current_job()
         with self._state.shutdown.limit_wait(is_begun=job.is_begun):
             placement = await self._placer.obtain(
                 job, excluded=frozenset(self._excluded)
@@ -244,13 +236,27 @@
         kept = self._excluded & set(self._progress.replicas[-1:])
         self._excluded = kept if kept != self._excluded else set()
 
-    def _deferral_s(self, *, has_answer: bool) -> float:
-        """Return how long an obstacle may last before the request is given up."""
-        if self._connection.is_answer_started:
-            return DEFERRAL_S_MAX
-        if not self._is_owed or has_answer:
+    def _current_job(self) -> Job:
+        """Return the request with what its caller has got by now."""
+        if not self._progress.event_count:
+            return self._job
+        return self._job._replace(last_part_ms=self._progress.last_event_ms)
+
+    def _deferral_ms(self, *, has_answer: bool) -> float:
+        """Return how long an obstacle may last before the request is given up.
+
+        A caller without any part can ask again itself, so it is not kept for longer
+        than an answer usually takes.  One with a part of a stream waits until it
+        leaves.  Both must still get the answer in time.
+        """
+        if has_answer or not self._is_owed:
             return 0.0
-        return min(DEFERRAL_S_MAX, self._job.route.objective_ms / 1000)
+        left_ms = self._current_job().part_due_ms - now_ms()
+        times = self._state.answer_times
+        last_ms = left_ms - times.needed_ms(self._job.route.name, left_ms)
+        if self._connection.is_answer_started:
+            return last_ms
+        return min(last_ms, times.usual_first_ms(self._job.route.name, left_ms))
 
     @property
     def _is_owed(self) -> bool:
--- a/tests/edge/test_silent_replica.py
+++ b/tests/edge/test_silent_replica.py
@@ -340,6 +340,38 @@
         self.assertEqual(502, reply.status)
         self.assertLess(reply.first_ms, 2_000)
 
+    async def test_the_objective_does_not_bound_the_wait(self) -> None:
+        """Guards against callers that are given up sooner on one route than another.
+
+        The retries are spent for 50 ms, within which answers usually come.
+        """
+        for objective_ms in (1.0, 60_000.0):
+            self.found = configuration(
+                JOBS._replace(attempts=3, objective_ms=objective_ms)
+            )
+            harness = self.harness(never_answer)
+
+            async def refuse(
+                connection: Connection, request: Request, found: Any = harness
+            ) -> None:
+                self.spend_retries(found)
+                found.scripts["r2"] = answer_ok
+                await REFUSES(connection, request)
+
+            harness.scripts["r2"] = refuse
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._free_retries, harness)
+                reply = await harness.send()
+            self.assertEqual(200, reply.status)
+
+    async def _free_retries(self, harness: EdgeHarness) -> None:
+        budget = harness.state.retry_budget(self.service)
+        while budget.remaining(1, now_ms()) >= 1:
+            await trio.sleep(0.01)
+        await trio.sleep(0.05)
+        for _ in range(100):
+            budget.record_request(now_ms())
+
 
 class OwedStreamTests(_SilentReplicaCase):
     """A stream that broke is resumed within bounds."""
@@ -377,6 +409,25 @@
         self.assertTrue(len(harness.requests) <= SENDS_MAX * OWED_FACTOR)
         self.assertLess(now_ms() - started_ms, 6_000)
 
+    async def test_a_stream_waits_until_its_caller_leaves(self) -> None:
+        """Guards against a cut while the caller still waits for the next event.
+
+        The retries are spent for 3 s, and its caller leaves after 5 s.
+        """
+        self.found = configuration(STREAM._replace(patience_ms=5_000.0))
+        harness = self.harness(self.break_once, self.break_once)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._free_retries_after, harness, 3.0)
+            reply = await self.send(harness)
+        self.assertEqual((WHOLE, True), (reply.body, reply.is_whole))
+
+    async def _free_retries_after(self, harness: EdgeHarness, delay_s: float) -> None:
+        self.spend_retries(harness)
+        await trio.sleep(delay_s)
+        budget = harness.state.retry_budget(self.service)
+        for _ in range(200):
+            budget.record_request(now_ms())
+
     async def break_then_refuse(self, connection: Connection, request: Request) -> None:
         """Break off after one event, and refuse to resume."""
         if "last-event-id" in request.headers:
