Tell callers refused for crashes when to come back

A caller whose request was refused for crashes got 503 without a Retry-After and asked again at once. A caller that waited for another request's trial was sent away after one second, with one second to come back, whatever time it had.

Refusals now state when the quarantine of the request ends, or when a part of its prompt is tried again. A request in doubt waits while an answer can still come within its caller's time, and is then told when the trial ends at the latest.

Failed before: test_the_caller_is_told_when_the_quarantine_ends; test_a_long_wait_ends_with_a_time_to_come_back asserted the second and now asserts both times from the caller's.

--- a/src/hemlocktrestle/edge/_part_gate.py
+++ b/src/hemlocktrestle/edge/_part_gate.py
@@ -41,7 +41,7 @@
         self._state = state
         self._parts = PartQuarantine()
         self._pending: dict[tuple[str, str], trio.Event] = {}
-        self.trials = PartTrials(self._parts)
+        self.trials = PartTrials(self._parts, state.answer_times)
         self.refused_count = 0
 
     @property
@@ -69,7 +69,9 @@
             },
         )
         raise RequestError(
-            ErrorKind.QUARANTINED, "prompts with a part of this one crash replicas"
+            ErrorKind.QUARANTINED,
+            "prompts with a part of this one crash replicas",
+            retry_after_ms=min(entry.retrial_ms, entry.expires_ms) - now,
         )
 
     def is_suspected(self, job: Job) -> bool:
--- a/src/hemlocktrestle/edge/_part_trials.py
+++ b/src/hemlocktrestle/edge/_part_trials.py
@@ -13,14 +13,12 @@
 from hemlocktrestle.edge._job import Job
 from hemlocktrestle.edge._state import now_ms
 from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.gateway import AnswerTimes
 from hemlocktrestle.quarantine import PartQuarantine, QuarantinedPart
 from hemlocktrestle.wire import Message, PartTrial
 
 log = logging.getLogger(__name__)
 
-TRIAL_WAIT_S = 1.0
-"""Longest wait of a request for the end of another one's trial, in seconds."""
-
 TRIAL_MS_MAX = 5_000.0
 """Time after which a trial no longer holds others back, in milliseconds."""
 
@@ -35,10 +33,12 @@
 
     Args:
         parts: suspected and quarantined parts.
+        answer_times: how long answers usually take.
     """
 
-    def __init__(self, parts: PartQuarantine) -> None:
+    def __init__(self, parts: PartQuarantine, answer_times: AnswerTimes) -> None:
         self._parts = parts
+        self._answer_times = answer_times
         self._running: dict[str, _Trial] = {}
         self._attempt_counts: dict[str, int] = {}
         self._changed = trio.Event()
@@ -48,6 +48,8 @@
     async def begin(self, job: Job) -> None:
         """Wait until a request may be sent; it is a trial if its parts are in doubt.
 
+        It waits while an answer can still come within the caller's time.
+
         Raises:
             RequestError: of kind ``QUARANTINED`` if other trials take too long.
         """
@@ -55,7 +57,8 @@
         if request_id in self._attempt_counts:
             self._attempt_counts[request_id] += 1
             return
-        with trio.move_on_after(TRIAL_WAIT_S):
+        until_ms = 0.0
+        with trio.move_on_at(self._latest_start_ms(job) / 1000):
             while True:
                 entry = self._parts.doubtful(job.metadata.prompt_parts, now_ms())
                 if entry is None:
@@ -69,9 +72,13 @@
         raise RequestError(
             ErrorKind.QUARANTINED,
             "another request tells whether a part of this one crashes replicas",
-            retry_after_ms=TRIAL_WAIT_S * 1000,
+            retry_after_ms=max(0.0, until_ms - now_ms()),
         )
 
+    def _latest_start_ms(self, job: Job) -> float:
+        left_ms = job.part_due_ms - now_ms()
+        return job.part_due_ms - self._answer_times.needed_ms(job.route.name, left_ms)
+
     def end_attempt(self, request_id: str) -> None:
         """Note that an attempt of a request has ended, and its trial with the last."""
         count = self._attempt_counts.get(request_id, 0)
--- a/src/hemlocktrestle/edge/_server.py
+++ b/src/hemlocktrestle/edge/_server.py
@@ -178,10 +178,13 @@
         Raises:
             RequestError: of kind ``QUARANTINED``.
         """
-        entry = self._quarantine.find(job.fingerprint, now_ms())
+        now = now_ms()
+        entry = self._quarantine.find(job.fingerprint, now)
         if entry is not None and entry.is_quarantined:
             raise RequestError(
-                ErrorKind.QUARANTINED, "requests like this one crash replicas"
+                ErrorKind.QUARANTINED,
+                "requests like this one crash replicas",
+                retry_after_ms=entry.expires_ms - now,
             )
         self._part_gate.check(job)
 
--- a/tests/edge/test_part_trials.py
+++ b/tests/edge/test_part_trials.py
@@ -6,7 +6,8 @@
 
 import trio
 
-from hemlocktrestle.edge._part_trials import TRIAL_MS_MAX, TRIAL_WAIT_S
+from hemlocktrestle.edge._part_trials import TRIAL_MS_MAX
+from hemlocktrestle.edge._state import now_ms
 from hemlocktrestle.wire import PartTrial
 from tests.edge.harness import EdgeHarness, Reply, Script, answer_after
 from tests.edge.test_prompt_parts import (
@@ -172,7 +173,12 @@
         self.assertEqual([200] * 4, statuses)
 
     async def test_a_long_wait_ends_with_a_time_to_come_back(self) -> None:
-        """A request that waits for a slow trial is refused, and has not run."""
+        """Guards against a caller that is sent away while it still has time.
+
+        A request that waits for a slow trial is refused when only the time that an
+        answer takes is left, half of its caller's patience, and has not run.  It is
+        told when the trial ends at the latest.
+        """
         answer = answer_after(9_000, stream())
         harness = self.harness(POISON, answer=answer)
         for _ in range(4):
@@ -181,11 +187,14 @@
             nursery.start_soon(self.send, harness, [NEW])
             await trio.sleep(0.1)
             sent = set(self.request_ids(harness))
+            started_ms = now_ms()
             reply = await self.send(harness, [NEW])
+            self.assertEqual(STREAM.patience_ms / 2, round(now_ms() - started_ms, -2))
             self.assertEqual(sent, set(self.request_ids(harness)))
             nursery.cancel_scope.cancel()
         self.assertEqual(503, reply.status)
-        self.assertEqual(TRIAL_WAIT_S * 1000, reply.retry_after_ms)
+        wanted_ms = TRIAL_MS_MAX - 100 - STREAM.patience_ms / 2
+        self.assertEqual(wanted_ms, round(reply.retry_after_ms, -2))
 
     async def test_a_caller_that_leaves_ends_its_trial(self) -> None:
         """Guards against a trial without a verdict that holds others back."""
