Tell callers over their quota when there is room again

Callers over their quota were told to come back after 3 s at most, to a window of 8 s that was still full; and after up to 8 s where only this VM's part was spent, which is renewed within a second.

Retry-After is now the time that the counts say: until enough spending leaves the window, or until the next part.

Failed before: test_the_window_sets_the_pause (3000 for 7900 ms), test_a_refusal_for_the_part_says_when_the_next_one_comes (7900 for 900 ms).

--- a/src/hemlocktrestle/edge/_quota_gate.py
+++ b/src/hemlocktrestle/edge/_quota_gate.py
@@ -10,16 +10,12 @@
 log = logging.getLogger(__name__)
 
 
-RETRY_AFTER_MS_MAX = 3_000.0
-"""Longest ``Retry-After`` for a caller over its quota, in milliseconds."""
-
-
 def over_quota(wait_ms: float) -> RequestError:
     """Return the error of a request that is over its customer's quota."""
     return RequestError(
         ErrorKind.RATE_LIMITED,
         "customer is over its quota",
-        retry_after_ms=min(wait_ms, RETRY_AFTER_MS_MAX),
+        retry_after_ms=wait_ms,
     )
 
 
--- a/src/hemlocktrestle/gateway/_quota.py
+++ b/src/hemlocktrestle/gateway/_quota.py
@@ -220,6 +220,9 @@
         if account.spent_of_part + amount <= account.part:
             account.spend(amount, now_ms)
             return None
+        if amount <= room:
+            # The next part may be large enough.
+            return max(WAIT_MS_MIN, account.part_at_ms + PART_INTERVAL_MS - now_ms)
         return _wait_ms(account, amount - room, quota, now_ms)
 
     def remaining(self, fleet: FleetSnapshot, now_ms: float) -> dict[str, float]:
--- a/tests/edge/test_answer.py
+++ b/tests/edge/test_answer.py
@@ -9,6 +9,7 @@
     SPREAD_SHARE,
     error_answer,
 )
+from hemlocktrestle.edge._quota_gate import over_quota
 from hemlocktrestle.errors import ErrorKind, RequestError
 
 
@@ -35,3 +36,11 @@
         error = RequestError(ErrorKind.DRAINING, "leaving", retry_after_ms=0)
         found = retry_after_ms(error, random.Random(1))
         self.assertTrue(found >= RETRY_AFTER_MS_MIN, found)
+
+
+class QuotaTests(TestCase):
+    """A caller over its quota is told when its window has room."""
+
+    def test_the_window_sets_the_pause(self) -> None:
+        """Guards against callers that come back after 3 s to a window of 8 s."""
+        self.assertEqual(7_900, over_quota(7_900).retry_after_ms)
--- a/tests/gateway/test_quota.py
+++ b/tests/gateway/test_quota.py
@@ -130,6 +130,19 @@
         passed = [fleet.spend(1, 25.0, 4_000 + step * 50.0) for step in range(20)]
         self.assertTrue(all(passed))
 
+    def test_a_refusal_for_the_part_says_when_the_next_one_comes(self) -> None:
+        """Guards against a caller that stays away for a window of 8 s.
+
+        The quota has room; this VM has spent its part of it until the next update.
+        """
+        tracker = QuotaTracker(LONG_AGO_MS)
+        fleet = FleetSnapshot(2, 2, {}, domain_count=2)
+        for now_ms in (0.0, 100.0):
+            wait_ms = tracker.admit(
+                "c", QUOTA, amount=4_000, fleet=fleet, now_ms=now_ms
+            )
+        self.assertEqual(900, wait_ms)
+
     def test_a_refusal_says_when_to_come_again(self) -> None:
         """A request is admitted after the wait that its refusal stated."""
         tracker = QuotaTracker(LONG_AGO_MS)
