Read from the settings how soon changes must be known

A VM relied on a relay whose contact with the store was up to 1.8 s old, and watched the replicas for 1.5 s and one second more, in any deployment: figures from a bound of 2.5 s that the settings state. Where replicas leave sooner, work would reach them too late; where changes have more time, all VMs read the store for no reason.

Both bounds are now read, and the waits are shares of them; with 2.5 s the figures are as before (the pause that batches changes is 0.75 in place of 0.8 s, and a slow store gets 1.5 s). Comments that gave prices as reasons give the store's limits.

Failed before: test_the_settings_say_how_old_a_confirmation_may_be and test_the_times_to_know_changes_are_read (no such bounds).

--- a/src/hemlocktrestle/edge/_configuration_exchange.py
+++ b/src/hemlocktrestle/edge/_configuration_exchange.py
@@ -11,20 +11,13 @@
 from typing import NamedTuple
 
 from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.edge._store_task import OWN_READ_MS
 from hemlocktrestle.edge._watchers import apply_configuration
 from hemlocktrestle.peers import PeerNetwork
 from hemlocktrestle.wire import ConfigurationNews, Heartbeat, Message, TreeFetch
 
 log = logging.getLogger(__name__)
 
-CONFIRMATION_MS_MAX = 1_800.0
-"""Age from which a relay's last contact with the store does not count, in ms.
-
-A relay confirms its configuration every 0.75 s and reports that twice a second.
-If both relays are cut off, a VM still reads a new configuration within 2.5 s, the
-shortest time that the platform allows.
-"""
-
 BEHIND_MS_MAX = 1_000.0
 """Time behind a relay after which a VM reads the store itself, in milliseconds."""
 
@@ -99,10 +92,18 @@
         if self._is_behind() and now - self._behind_since_ms > BEHIND_MS_MAX:
             return False
         return any(
-            now - report.confirmed_ms <= CONFIRMATION_MS_MAX
+            now - report.confirmed_ms <= self._confirmation_ms_max
             for report in self._reports.values()
         )
 
+    @property
+    def _confirmation_ms_max(self) -> float:
+        """Age from which a relay's last contact with the store does not count.
+
+        If all relays are cut off, this VM still reads a new configuration in time.
+        """
+        return self._state.settings.bounds.configuration_known_ms - OWN_READ_MS
+
     def on_heartbeat(self, vm: str, heartbeat: Heartbeat) -> None:
         """Fetch the configuration of a VM that has had a newer one for some time."""
         now = now_ms()
--- a/src/hemlocktrestle/edge/_replica_exchange.py
+++ b/src/hemlocktrestle/edge/_replica_exchange.py
@@ -14,6 +14,7 @@
 
 from hemlocktrestle.documents import check
 from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.edge._store_task import OWN_READ_MS
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.gateway import ReplicaRecord, ReplicaUpdate
 from hemlocktrestle.peers import PeerNetwork
@@ -27,13 +28,6 @@
 
 log = logging.getLogger(__name__)
 
-CONFIRMATION_MS_MAX = 1_800.0
-"""Age from which a relay's last contact with the store does not count, in ms.
-
-A VM whose relays are cut off then still learns from the store within 2.5 s, the
-shortest time that the platform allows, that a replica leaves.
-"""
-
 FETCH_TIMEOUT_MS = 2_000.0
 """Time after which replicas that did not come are fetched again, in milliseconds."""
 
@@ -93,6 +87,14 @@
         """Whether other VMs rely on this one to watch the replicas."""
         return self._vm in self._relays
 
+    @property
+    def _confirmation_ms_max(self) -> float:
+        """Age from which a relay's last contact with the store does not count.
+
+        If all relays are cut off, this VM still learns in time that a replica leaves.
+        """
+        return self._state.settings.bounds.leaving_known_ms - OWN_READ_MS
+
     @property
     def is_relayed(self) -> bool:
         """Whether a relay sends each change, so that no watch is needed."""
@@ -101,7 +103,7 @@
         now = now_ms()
         return any(
             self._is_complete(vm)
-            and now - self._sources[vm].confirmed_ms <= CONFIRMATION_MS_MAX
+            and now - self._sources[vm].confirmed_ms <= self._confirmation_ms_max
             for vm in self._relays
         )
 
--- a/src/hemlocktrestle/edge/_stall_monitor.py
+++ b/src/hemlocktrestle/edge/_stall_monitor.py
@@ -15,7 +15,7 @@
 STALL_MS = 250.0
 """Lateness of a check that is logged, in milliseconds.
 
-It is a large part of a usual latency objective.
+A scheduler that is late by as much counts as silent, and callers notice the pause.
 """
 
 
--- a/src/hemlocktrestle/edge/_store_task.py
+++ b/src/hemlocktrestle/edge/_store_task.py
@@ -11,12 +11,15 @@
 
 log = logging.getLogger(__name__)
 
+OWN_READ_MS = 700.0
+"""Time in which a VM notices that its relays are cut off and reads the store, in ms."""
+
 RETRY_S_MIN = 0.2
 RETRY_S_MAX = 0.8
 """Range of the random pause before a failed store call is retried, in seconds.
 
 Changes must be in force a few seconds after the store returns, which bounds the
-pause; calls to a store that is down are charged for too, which forbids a short one.
+pause; a store that comes back must not get calls of all VMs at short intervals.
 """
 
 
--- a/src/hemlocktrestle/edge/_vm_list.py
+++ b/src/hemlocktrestle/edge/_vm_list.py
@@ -5,10 +5,15 @@
 import xxhash
 
 from hemlocktrestle.edge._registration import VmEntry
-from hemlocktrestle.edge._replica_exchange import CONFIRMATION_MS_MAX
 from hemlocktrestle.edge._state import now_ms
 from hemlocktrestle.wire import Heartbeat
 
+CONFIRMATION_MS_MAX = 1_800.0
+"""Age from which a relay's last contact with the store does not count, in ms.
+
+Relays state it twice a second, so a few reports may be lost.
+"""
+
 CONFIRMED_VMS_MIN = 32
 """Number of VMs from which a list that a relay confirms is not read again.
 
--- a/src/hemlocktrestle/edge/_watchers.py
+++ b/src/hemlocktrestle/edge/_watchers.py
@@ -25,32 +25,26 @@
 
 log = logging.getLogger(__name__)
 
-REPLICAS_WAIT_MS = 1_500
-"""Longest wait of one watch of the replicas, in milliseconds.
+REPLICAS_WAIT_SHARE = 0.6
+"""Longest wait of one watch of the replicas, as a share of the time to know changes.
 
 Its answer shows that the connection works: one that has gone silent hides that a
-replica leaves, which must be known after 2.5 s.
+replica leaves.  The answer may come later by the rest of that time.
 """
 
-REPLICAS_TIMEOUT_S = 1.0
-"""How much later the answer to such a watch may come, in seconds."""
+WATCH_WAIT_MS_MIN = 250
+"""Shortest such wait, in milliseconds: the store's calls are limited."""
 
-CONFIRM_WAIT_MS = 750
-"""Longest wait of one watch of the configuration, in milliseconds.
+CONFIRM_SHARE = 0.3
+"""Longest wait of one watch of the configuration, as a share of the time to know it.
 
 Its answer confirms that the configuration in force is the newest, also to the VMs
-that rely on this one.
+that rely on this one.  It may come later by as much: longer, and a call that is lost
+as the store returns would delay a new configuration beyond that time.
 """
 
-ANSWER_TIMEOUT_S = 0.75
-"""Time in which the store must answer about the configuration, in seconds.
-
-A slow store answers within half a second.  Longer, and a call that is lost as the
-store returns would delay a new configuration beyond the time that is allowed.
-"""
-
-SLOW_ANSWER_TIMEOUT_S = 1.5
-"""The same after a call without an answer, and before the first configuration."""
+SLOW_FACTOR = 2
+"""Factor on the time for the answer after a call without one, and at the start."""
 
 SLOW_STORE_MS = 10_000.0
 """Time after such a call for which the store counts as slow, in milliseconds."""
@@ -58,11 +52,10 @@
 RELAY_CHECK_S = 0.25
 """Time between checks whether a relay still brings the configuration, in seconds."""
 
-BATCH_S = 0.8
-"""Pause before registrations are watched again, in seconds.
+BATCH_SHARE = 0.3
+"""Pause before registrations are watched again, as a share of the time to know them.
 
-Each watch call that returns is charged for, so changes are batched for this long.
-It is well within the time in which a draining replica must be known.
+The store allows so many reads a second for all VMs, so changes are batched.
 """
 
 CONFIRMATION_CHECK_S = 0.5
@@ -115,8 +108,13 @@
     def _answer_timeout_s(self) -> float:
         is_slow = now_ms() - self._failed_ms < SLOW_STORE_MS
         if is_slow or self._state.configuration is None:
-            return SLOW_ANSWER_TIMEOUT_S
-        return ANSWER_TIMEOUT_S
+            return self._confirm_s() * SLOW_FACTOR
+        return self._confirm_s()
+
+    def _confirm_s(self) -> float:
+        bounds = self._state.settings.bounds
+        wait_ms = bounds.configuration_known_ms * CONFIRM_SHARE
+        return max(WATCH_WAIT_MS_MIN, wait_ms) / 1000
 
     async def _watch(self) -> None:
         item, revision = await self._store.get(
@@ -134,7 +132,7 @@
             watched = await self._store.watch(
                 CONFIGURATION_KEY,
                 after=after,
-                wait_ms=CONFIRM_WAIT_MS,
+                wait_ms=int(self._confirm_s() * 1000),
                 timeout_s=self._answer_timeout_s(),
             )
             self._record_answer()
@@ -250,12 +248,15 @@
         exchange.revision = page.revision
         exchange.publish()
         while not exchange.is_relayed:
+            known_within_s = self._state.settings.bounds.leaving_known_ms / 1000
             exchange.follows_store = True
             watched = await self._store.watch(
                 REGISTRATIONS_PREFIX,
                 after=exchange.revision,
-                wait_ms=REPLICAS_WAIT_MS,
-                timeout_s=REPLICAS_TIMEOUT_S,
+                wait_ms=max(
+                    WATCH_WAIT_MS_MIN, int(known_within_s * REPLICAS_WAIT_SHARE * 1000)
+                ),
+                timeout_s=known_within_s * (1 - REPLICAS_WAIT_SHARE),
             )
             self._health.record_answer(self.name)
             exchange.revision = watched.revision
@@ -267,7 +268,7 @@
                     registry.apply_update(_decode_update(event))
             exchange.publish()
             if watched.events:
-                await trio.sleep(BATCH_S)
+                await trio.sleep(known_within_s * BATCH_SHARE)
         exchange.follows_store = False
         while exchange.is_relayed:
             await sleep_until_multiple(RELAY_CHECK_S)
--- a/src/hemlocktrestle/platform/_settings.py
+++ b/src/hemlocktrestle/platform/_settings.py
@@ -17,6 +17,7 @@
     ListenAddress,
     Name,
     PositiveAmount,
+    PositiveMilliseconds,
     check,
 )
 from hemlocktrestle.errors import ErrorKind, RequestError
@@ -30,6 +31,9 @@
 QUOTA_WINDOW_DEFAULT_S = 10
 """Default quota window if the platform states none, in seconds."""
 
+KNOWN_WITHIN_DEFAULT_MS = 2_500.0
+"""Default time in which changes must be known, in milliseconds: the shortest in use."""
+
 _OWN_FIELDS = frozenset({"nodeName", "platformSettings", "contractBounds"})
 """Fields that distinguish the platform's files from the project's own settings."""
 
@@ -62,6 +66,8 @@
     budgetRatio: Amount
     budgetWindowS: _Seconds
     budgetSlack: Amount
+    drainMs: NotRequired[PositiveMilliseconds]
+    configApplyMs: NotRequired[PositiveMilliseconds]
     quotaWindowS: NotRequired[_Seconds]
     quotaOver: NotRequired[Amount]
     quotaSlack: NotRequired[Amount]
@@ -100,6 +106,8 @@
         quota_window_ms: window over which quotas are counted.
         quota_excess_share: share by which a quota may be exceeded.
         quota_slack: amount by which a quota may be exceeded beyond that, in a window.
+        leaving_known_ms: time in which a VM must know that a replica leaves.
+        configuration_known_ms: time in which a new configuration must be in force.
     """
 
     grace_ms: float
@@ -109,6 +117,8 @@
     quota_window_ms: float
     quota_excess_share: float
     quota_slack: float
+    leaving_known_ms: float = KNOWN_WITHIN_DEFAULT_MS
+    configuration_known_ms: float = KNOWN_WITHIN_DEFAULT_MS
 
 
 class EdgeSettings(NamedTuple):
@@ -221,5 +231,7 @@
             quota_window_ms=bounds.get("quotaWindowS", QUOTA_WINDOW_DEFAULT_S) * 1000,
             quota_excess_share=bounds.get("quotaOver", 0.0),
             quota_slack=bounds.get("quotaSlack", 0.0),
+            leaving_known_ms=bounds.get("drainMs", KNOWN_WITHIN_DEFAULT_MS),
+            configuration_known_ms=bounds.get("configApplyMs", KNOWN_WITHIN_DEFAULT_MS),
         ),
     )
--- a/src/hemlocktrestle/platform/_store.py
+++ b/src/hemlocktrestle/platform/_store.py
@@ -192,7 +192,7 @@
         Args:
             prefix: prefix of the keys.
             allow_stale: whether a result that is some seconds old is acceptable,
-                which is charged at a tenth of the price.
+                which does not count toward the store's rate limit.
         """
         query: dict[str, Any] = {"prefix": prefix}
         if allow_stale:
--- a/tests/edge/test_configuration_exchange.py
+++ b/tests/edge/test_configuration_exchange.py
@@ -166,6 +166,20 @@
         await trio.sleep(1.9)
         self.assertFalse(exchange.is_relayed)
 
+    async def test_the_settings_say_how_old_a_confirmation_may_be(self) -> None:
+        """Guards against figures of one deployment in the code of all.
+
+        Where changes must be known within 5 s, a report of 3 s ago is no reason to
+        read the store; where within 1.5 s, one of 1 s ago is.
+        """
+        for known_ms, age_ms, is_relayed in ((5_000, 3_000, True), (1_500, 900, False)):
+            exchange = self.exchange()
+            settings = exchange._state.settings
+            bounds = settings.bounds._replace(configuration_known_ms=known_ms)
+            exchange._state.settings = settings._replace(bounds=bounds)
+            exchange.on_heartbeat("vm-3", heartbeat(40, age_ms=age_ms))
+            self.assertEqual(is_relayed, exchange.is_relayed)
+
     async def test_a_relay_that_does_not_deliver_is_not_relied_on(self) -> None:
         """A VM that stays behind reads the store itself."""
         exchange = self.exchange()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -33,6 +33,22 @@
         self.assertEqual(10_000, settings.bounds.retry_window_ms)
         self.assertEqual(7600, settings.peer_port)
 
+    def test_the_times_to_know_changes_are_read(self) -> None:
+        """Guards against a VM that keeps to other times than its deployment's."""
+        bounds = {**SETTINGS["contractBounds"], "drainMs": 900, "configApplyMs": 7_000}
+        found = decode_settings(
+            {**SETTINGS, "contractBounds": bounds}, source="s"
+        ).bounds
+        self.assertEqual(
+            (900, 7_000), (found.leaving_known_ms, found.configuration_known_ms)
+        )
+        for name in ("drainMs", "configApplyMs"):
+            del bounds[name]
+        found = decode_settings(
+            {**SETTINGS, "contractBounds": bounds}, source="s"
+        ).bounds
+        self.assertEqual(found.leaving_known_ms, found.configuration_known_ms)
+
     def test_unknown_fields_are_ignored(self) -> None:
         """Unknown fields are ignored, since the platform adds fields over time."""
         self.assertEqual("", error_message({**SETTINGS, "new": 1}))
