Split the messages about permits from the others

The registry of message types and the messages between requesting VMs and schedulers have modules of their own; the records and their order of registration by the codec are unchanged.

tests/wire and tests/peers pass; one import of a test names the new module.

--- a/src/hemlocktrestle/wire/__init__.py
+++ b/src/hemlocktrestle/wire/__init__.py
@@ -14,11 +14,7 @@
     frame_bytes,
 )
 from hemlocktrestle.wire._messages import (
-    MESSAGE_TYPES,
-    NO_PART_LIMIT,
     PROTOCOL_VERSION,
-    TIERS,
-    Ask,
     ConfigurationNews,
     CustomerDemand,
     Heartbeat,
@@ -26,16 +22,10 @@
     LeavingReplica,
     Message,
     PartTrial,
-    Permit,
     PoolSummary,
-    Pulse,
-    Queued,
-    Refusal,
-    Release,
     ReplicaBatch,
     ReplicaFetch,
     ReplicaNews,
-    Running,
     SoundPart,
     SoundRequest,
     Suspicion,
@@ -45,8 +35,20 @@
     TreeFetch,
     TreePage,
     UpstreamRefusal,
+)
+from hemlocktrestle.wire._permit_messages import (
+    NO_PART_LIMIT,
+    TIERS,
+    Ask,
+    Permit,
+    Pulse,
+    Queued,
+    Refusal,
+    Release,
+    Running,
     Withdraw,
 )
+from hemlocktrestle.wire._registry import MESSAGE_TYPES
 
 __all__ = [
     "FRAME_BYTES_MAX",
--- a/src/hemlocktrestle/wire/_codec.py
+++ b/src/hemlocktrestle/wire/_codec.py
@@ -9,7 +9,8 @@
 import capnp
 
 from hemlocktrestle.errors import ErrorKind, RequestError
-from hemlocktrestle.wire._messages import MESSAGE_TYPES, Message
+from hemlocktrestle.wire._messages import Message
+from hemlocktrestle.wire._registry import MESSAGE_TYPES
 
 REASON_CHARS_MAX = 200
 """Most characters of the library's reason in an error message.
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -20,7 +20,7 @@
     encode,
     frame_bytes,
 )
-from hemlocktrestle.wire._messages import MESSAGE_TYPES
+from hemlocktrestle.wire._registry import MESSAGE_TYPES
 from tests.odd_values import JSON_VALUES
 
 ASK = Ask("r1.0", "assistant", "clinics", 1, 2.5, 100, 50, 2**63, 9000, ("e1", "e2"))
