Tell a crash between two events from a stream that ends early

The traces show the same in each: the replica answered with neither a length nor chunks, and it crashed between two events, which closes the connection.

--- a/tests/soak/_deployment.py
+++ b/tests/soak/_deployment.py
@@ -181,6 +181,7 @@
         self.link: RelayedLink | None = None
         self.address = ""
         self.draining_from_s = float("inf")
+        self.ended_s = float("inf")
         self.scope = trio.CancelScope()
 
     @property
@@ -305,6 +306,7 @@
         """Stop a replica at once, with its open connections."""
         self.replicas.pop(replica.standin.replica_id, None)
         self.removed_replicas.append(replica)
+        replica.ended_s = trio.current_time()
         replica.scope.cancel()
 
     def runs(self) -> list[Run]:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -55,7 +55,11 @@
         standin = ReplicaStandIn("i-1")
         replica = Replica(standin, "ledger")
         replica.draining_from_s = options.pop("leaves_s", float("inf"))
-        deployment.replicas["i-1"] = replica
+        replica.ended_s = options.pop("replica_ended_s", float("inf"))
+        if replica.ended_s < float("inf"):
+            deployment.removed_replicas.append(replica)
+        else:
+            deployment.replicas["i-1"] = replica
         deployment.versions = options.pop("versions", [])
         tenant = {"x-tenant": "clinics"} if one.kind == "advice" else {}
         for fields in runs:
@@ -98,6 +102,26 @@
         for name, (one, runs) in cases.items():
             self.assertThat(await self._violated(one, *runs), Contains(name))
 
+    async def test_a_crash_between_two_events_of_a_stream_without_framing(
+        self,
+    ) -> None:
+        """Only then is a short stream no fault: nothing tells it from a whole one."""
+        short = stream(EVENT_COUNT - 1)
+        within = short._replace(body=short.body + b"id: ")
+        name = "streams_are_in_order"
+        crashed: dict[str, Any] = {"replica_ended_s": 100.15}
+        unframed = {"is_unframed": True}
+        self.assertNotIn(name, await self._violated(short, unframed, **crashed))
+        for one, run, options in (
+            (within, unframed, crashed),
+            (short, {}, crashed),
+            (short, unframed, {}),
+            (short, unframed, {"replica_ended_s": 99.0}),
+            (short, unframed, {"replica_ended_s": 101.0}),
+        ):
+            found = await self._violated(one, run, **options)
+            self.assertThat(found, Contains(name))
+
     async def test_time_limits_apply_only_without_disturbances(self) -> None:
         """Time limits are checked only if the store was undisturbed."""
         late = {"leaves_s": 90.0}
--- a/tests/soak/test_edge.py
+++ b/tests/soak/test_edge.py
@@ -35,6 +35,7 @@
     906: Regression("an entry with a port out of range ended a process"),
     1008: Regression("a replica's connection that closed at once left no answer"),
     1037: Regression("a replica's connection that closed at once left no answer"),
+    5033: Regression("a replica without framing crashed between two events"),
 }
 
 
