--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -1,6 +1,7 @@
 """Callers with persistent connections, and records of the answers they received."""
 
 import random
+import select
 from typing import NamedTuple
 
 import h11
@@ -121,9 +122,11 @@
         self, vm: Vm
     ) -> tuple[trio.SocketStream, h11.Connection] | None:
         known = self._open.get(vm.name)
-        if known is not None:
+        if known is not None and not _has_closed(known[0]):
             return known
+        # The process may end, and its address go, while the connection is closed.
         host, _, port = vm.addresses["callers"].rpartition(":")
+        await self._drop(vm)
         with trio.move_on_after(1.0):
             stream = await trio.open_tcp_stream(host, int(port))
             self._open[vm.name] = stream, h11.Connection(h11.CLIENT)
@@ -135,6 +138,16 @@
             await trio.aclose_forcefully(known[0])
 
 
+def _has_closed(stream: trio.SocketStream) -> bool:
+    """Tell whether the VM closed an idle connection, as callers' libraries do.
+
+    Nothing else makes it readable before a request.
+    """
+    poller = select.poll()
+    poller.register(stream.socket, select.POLLIN)
+    return bool(poller.poll(0))
+
+
 class _Answer:
     """The part of an answer that was received."""
 
