Repeat a store call on a new connection when a kept one is silent

Callers of the zone daemon got 503, not run, for a keyed request while the store worked: a connection that was kept open had lost its other end, the call on it ran into its time limit, and nothing tried a new one.

Reads, and granting and renewing a lease, may be made twice: after a timeout they are made once more on a connection of their own. A write is not; an unanswered one is read back, and that read now finds the store.

Failed before: test_calls_that_may_be_repeated_are.

--- a/src/hemlocktrestle/adapters/_etcd_store.py
+++ b/src/hemlocktrestle/adapters/_etcd_store.py
@@ -4,7 +4,7 @@
 import json
 from collections.abc import AsyncIterator, Iterator, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
-from typing import Any
+from typing import Any, Self
 
 import httpcore
 
@@ -77,6 +77,14 @@
                 max_connections=64, keepalive_expiry=5.0, retries=0
             )
         )
+        self._unpooled = httpcore.AsyncConnectionPool(
+            max_connections=64, max_keepalive_connections=0, retries=0
+        )
+
+    async def __aenter__(self) -> Self:
+        await super().__aenter__()
+        await self._stack.enter_async_context(self._unpooled)
+        return self
 
     async def read(self, prefix: str, *, is_prefix: bool = False) -> Snapshot:
         """Read one key, or all keys with a prefix; see the port."""
@@ -129,13 +137,15 @@
 
     async def grant_lease(self, ttl_s: int) -> int:
         """Create a lease; see the port."""
-        answer = await self._call("/v3/lease/grant", {"TTL": str(ttl_s)})
+        answer = await self._repeatable_call("/v3/lease/grant", {"TTL": str(ttl_s)})
         with _reading_answer():
             return int(answer["ID"])
 
     async def renew_lease(self, lease_id: int) -> bool:
         """Renew a lease; see the port."""
-        answer = await self._call("/v3/lease/keepalive", {"ID": str(lease_id)})
+        answer = await self._repeatable_call(
+            "/v3/lease/keepalive", {"ID": str(lease_id)}
+        )
         with _reading_answer():
             return int(answer.get("result", {}).get("TTL", 0)) > 0
 
@@ -174,17 +184,35 @@
             yield _batches(response)
 
     async def _range(self, body: dict[str, Any]) -> Snapshot:
-        answer = await self._call("/v3/kv/range", body)
+        answer = await self._repeatable_call("/v3/kv/range", body)
         with _reading_answer():
             return Snapshot(
                 int(answer["header"]["revision"]),
                 tuple(_key_value(fields) for fields in answer.get("kvs", [])),
             )
 
-    async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+    async def _repeatable_call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Make a call that may be made twice, the second time on a new connection.
+
+        A pooled connection may have fallen silent while new ones work.
+        """
+        try:
+            return await self._call(path, body)
+        except RequestError as error:
+            if not isinstance(error.__cause__, httpcore.TimeoutException):
+                raise
+        return await self._call(path, body, pool=self._unpooled)
+
+    async def _call(
+        self,
+        path: str,
+        body: dict[str, Any],
+        *,
+        pool: httpcore.AsyncConnectionPool | None = None,
+    ) -> dict[str, Any]:
         timeouts = dict.fromkeys(("connect", "pool", "write", "read"), IO_TIMEOUT_S)
         try:
-            response = await self._pool.request(
+            response = await (pool or self._pool).request(
                 "POST",
                 f"http://{self._address}{path}",
                 headers=[("content-type", "application/json")],
--- a/tests/adapters/test_etcd_store.py
+++ b/tests/adapters/test_etcd_store.py
@@ -1,13 +1,16 @@
 """Tests of the client of the key-value service with answers of another form."""
 
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import httpcore
+import trio
+from testtools import TestCase
 
 from hemlocktrestle.adapters import EtcdStore
 from hemlocktrestle.errors import ErrorKind, RequestError
 from tests.odd_values import ODD_BYTES
+from tests.standins.http import Connection, GoneError
 from tests.support import TrioTestCase
 
 ODD_ANSWERS: tuple[bytes, ...] = (
@@ -73,3 +76,40 @@
                     await call(store)
                 except RequestError as error:
                     self.assertIs(ErrorKind.STORE_UNAVAILABLE, error.kind)
+
+
+class SilentConnectionTests(TestCase):
+    """A pooled connection falls silent while new ones work."""
+
+    def test_calls_that_may_be_repeated_are(self) -> None:
+        """Guards against a keyed request that is refused as the store is silent.
+
+        The store works; only the connection that was kept open does not.
+        """
+        trio.run(self._call_over_silent_connection)
+
+    async def _call_over_silent_connection(self) -> None:
+        calls: tuple[Callable[[EtcdStore], Awaitable[object]], ...] = (
+            lambda store: store.read("/a"),
+            lambda store: store.grant_lease(5),
+            lambda store: store.renew_lease(7),
+        )
+        answer = {"header": {"revision": "1"}, "ID": "7", "result": {"TTL": "5"}}
+
+        async def handle(stream: trio.SocketStream) -> None:
+            connection = Connection(stream)
+            with suppress(GoneError, trio.BrokenResourceError):
+                if await connection.next_request() is not None:
+                    await connection.send_json(answer)
+                    # From now on nothing is read or sent on this connection.
+                    await trio.sleep_forever()
+
+        for call in calls:
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                nursery.start_soon(trio.serve_listeners, handle, listeners)
+                host, port = listeners[0].socket.getsockname()[:2]
+                async with EtcdStore(f"{host}:{port}") as store:
+                    await store.read("/a")
+                    await call(store)
+                nursery.cancel_scope.cancel()
