--- a/src/hemlocktrestle/gateway/_answer_times.py
+++ b/src/hemlocktrestle/gateway/_answer_times.py
@@ -55,7 +55,7 @@
         return first.mean if first.is_known else left_ms * EQUAL_SHARE
 
     def first_limit_ms(self, route: str, left_ms: float) -> float:
-        """Return the silence after which another replica is worth a search.
+        """Return the silence after which another replica is searched for.
 
         It is infinite if another one could not answer in time after it.
 
