Move streams when their callers run out of time, not at short pauses

The limit was the usual pause or the time that a move takes, and both are short where replicas are quick; but sound replicas pause for a second, and the move costs others.

A stream's replica now gets half of the time for which its caller waits for an event, or what is usual if that is longer; the other half is for the other one.

--- a/src/hemlocktrestle/gateway/_answer_times.py
+++ b/src/hemlocktrestle/gateway/_answer_times.py
@@ -11,9 +11,10 @@
 """
 
 EQUAL_SHARE = 0.5
-"""Share of the time left that a replica gets while nothing was measured.
+"""Share of the time left that a replica gets in any case.
 
-The rest is as much for another one.
+That holds while nothing was measured, and for the pauses of a stream, which sound
+replicas make, too.  The rest is as much for another replica.
 """
 
 
@@ -69,12 +70,12 @@
     def gap_limit_ms(self, route: str, left_ms: float) -> float:
         """Return the same for the silence of a replica that has sent a part.
 
-        It is at least as long as another replica needs: a pause that is shorter costs
-        the caller less than the move.
+        A move costs another prefill and a slot that others wait for, so it comes only
+        when it is time for the caller.
         """
         needed_ms = self.needed_ms(route, left_ms)
         gap: Estimate = self._gap_ms.find(route)
-        silence_ms = max(SILENCE_MS_MIN, gap.usual_max, needed_ms)
+        silence_ms = max(SILENCE_MS_MIN, gap.usual_max, left_ms * EQUAL_SHARE)
         return _if_in_time(silence_ms, needed_ms, left_ms)
 
 
