Log length, age, waits and forecasts of each queue

pool_queue is one line a second for each tier of which requests waited, at the VM that schedules the pool; the age of the oldest is a metric, too. No decision changes.

--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -305,6 +305,7 @@
             pool_queued_asks=lambda: {
                 found.pool: found.queued_count for found in summaries()
             },
+            pool_oldest_queued_ms=self._scheduler_task.oldest_queued_ms,
             pool_free_slots=lambda: {
                 found.pool: found.free_slots for found in summaries()
             },
--- a/src/hemlocktrestle/edge/_metrics.py
+++ b/src/hemlocktrestle/edge/_metrics.py
@@ -67,6 +67,7 @@
     """Functions that return current values by label."""
 
     pool_queued_asks: Callable[[], Labels]
+    pool_oldest_queued_ms: Callable[[], Labels]
     pool_free_slots: Callable[[], Labels]
     pool_oldest_in_hand_ms: Callable[[], Labels]
     customer_quota_left: Callable[[], Labels]
@@ -94,6 +95,7 @@
     "part_refusals": "Requests refused for a part of their prompts, since the start.",
     "pool_oldest_in_hand_ms": "Age of the oldest request counted as in hand.",
     "pool_queued_asks": "Asks that wait in front of a pool kept here.",
+    "pool_oldest_queued_ms": "How long the oldest ask has waited for a pool kept here.",
     "pool_free_slots": "Requests that a pool kept here may still be given.",
     "customer_quota_left": "What a customer may still spend in this window.",
     "service_repeats_left": "Repeats that this VM may still send to a service.",
--- a/src/hemlocktrestle/peers/_scheduler_task.py
+++ b/src/hemlocktrestle/peers/_scheduler_task.py
@@ -46,6 +46,9 @@
 TICKS_PER_REFRESH = 5
 """Checks of deadlines per check of the upstreams and of the pools' assignment."""
 
+TICKS_PER_REPORT = 10
+"""Checks of deadlines per log line about the requests that wait."""
+
 HAND_BACK_DELAY_MS = 1_000.0
 """Delay before a VM hands back the queue of a pool that it lost, in milliseconds.
 
@@ -143,6 +146,14 @@
         """Time that the last handled message waited in the inbox, in milliseconds."""
         return self._inbox_wait_ms
 
+    def oldest_queued_ms(self) -> dict[str, float]:
+        """Return the age of the oldest queued request, by pool, in milliseconds."""
+        now_ms = self._now_ms()
+        return {
+            pool: scheduler.oldest_queued_ms(now_ms)
+            for pool, scheduler in self._schedulers.items()
+        }
+
     def oldest_in_flight_ms(self) -> dict[str, float]:
         """Return the age of the oldest request in flight, by pool, in milliseconds."""
         now_ms = self._now_ms()
@@ -292,6 +303,8 @@
                     self._refresh(pool)
                     self._hand_back(pool, scheduler)
                 self._send(scheduler, scheduler.tick(self._now_ms()))
+                if ticks % TICKS_PER_REPORT == 0:
+                    self._log_queue(scheduler)
 
     def _hand_back(self, pool: str, scheduler: PoolScheduler) -> None:
         """Return queued requests of a pool that another VM schedules now.
@@ -330,6 +343,23 @@
         if ask is not None:
             self._gate.refund(ask)
 
+    def _log_queue(self, scheduler: PoolScheduler) -> None:
+        for report in scheduler.report_queue(self._now_ms()):
+            log.info(
+                "pool_queue",
+                extra={
+                    "pool": scheduler.pool,
+                    "tier": report.tier,
+                    "queued_count": report.queued_count,
+                    "oldest_ms": round(report.oldest_ms),
+                    "granted_count": report.granted_count,
+                    "waited_ms": round(report.waited_ms),
+                    "forecast_ms": round(report.forecast_ms),
+                    "left_ms": round(report.left_ms),
+                    "refused_count": report.refused_count,
+                },
+            )
+
     def _log_refusal(
         self,
         scheduler: PoolScheduler,
--- a/src/hemlocktrestle/scheduler/_core.py
+++ b/src/hemlocktrestle/scheduler/_core.py
@@ -16,6 +16,7 @@
 from hemlocktrestle.scheduler._heap import LazyHeap
 from hemlocktrestle.scheduler._policy import PoolPolicy
 from hemlocktrestle.scheduler._queue import QUEUES, QueuedAsk
+from hemlocktrestle.scheduler._queue_meter import QueueMeter, TierReport
 from hemlocktrestle.scheduler._upstream import InFlight, UpstreamModel
 from hemlocktrestle.scheduler._upstream_set import UpstreamSet
 from hemlocktrestle.scheduler._work import NO_WORK, WorkEstimates
@@ -81,6 +82,7 @@
         self._routes: dict[str, str] = {}
         self._work = WorkEstimates()
         self._forecaster = StartForecaster()
+        self._meter = QueueMeter()
 
     def set_upstreams(
         self, records: Iterable[UpstreamRecord], now_ms: float
@@ -120,7 +122,10 @@
         self._deadlines.push((waiting.give_up_ms, ask.ask_id))
         outgoing = self._grant(now_ms)
         if self.policy.forecasts_starts and self.is_queued(ask.ask_id):
-            outgoing += self._refuse_if_hopeless(waiting, now_ms)
+            before_ms = self._queue.work_before_ms(waiting)
+            forecast = self._forecast(waiting, before_ms, now_ms)
+            self._meter.record_queued(waiting, forecast.wait_ms)
+            outgoing += self._refuse_if_hopeless(waiting, forecast, now_ms)
         while len(self._queue) > self.policy.queued_count_max:
             outgoing += self._shed_last(now_ms)
         return outgoing
@@ -128,6 +133,7 @@
     def withdraw(self, withdraw: Withdraw, now_ms: float) -> list[Outgoing]:
         """Drop a permit request that its requester gave up, and its permit."""
         self._queue.remove(withdraw.ask_id)
+        self._meter.forget(withdraw.ask_id)
         self._forget_running(withdraw.ask_id)
         self._upstreams.drop(withdraw.ask_id)
         return self._grant(now_ms)
@@ -150,6 +156,7 @@
         for waiting in self._queue.queued_asks():
             if waiting.vm == vm:
                 self._queue.remove(waiting.ask.ask_id)
+                self._meter.forget(waiting.ask.ask_id)
         for ask_id in self._upstreams.remove_requester(vm):
             self._forget_running(ask_id)
         return self._grant(now_ms)
@@ -191,6 +198,15 @@
         wait_ms = saturated(queued_count * gap_ms)
         return PoolSummary(self.pool, queued_count, wait_ms, saturated(free_slots))
 
+    def report_queue(self, now_ms: float) -> list[TierReport]:
+        """Return what became of requests that waited since the last report."""
+        return self._meter.report(self._queue.queued_asks(), now_ms)
+
+    def oldest_queued_ms(self, now_ms: float) -> float:
+        """Return how long the oldest queued request has waited, 0 if there is none."""
+        arrivals_ms = (waiting.arrived_ms for waiting in self._queue.queued_asks())
+        return now_ms - min(arrivals_ms, default=now_ms)
+
     def oldest_in_flight_ms(self, now_ms: float) -> float:
         """Return the age of the oldest request in flight, 0 if there is none.
 
@@ -244,6 +260,7 @@
                 continue
             self._queue.serve(ask.ask_id)
             self._record_grant(waiting, now_ms)
+            self._meter.record_granted(waiting, now_ms)
             self._upstreams.assign(model, ask, waiting.vm, now_ms)
             self._routes[ask.ask_id] = ask.route
             self._forecaster.start(ask.ask_id, waiting.work)
@@ -275,15 +292,16 @@
             return []
         return [self._refuse(waiting, ErrorKind.SHED, now_ms)]
 
-    def _refuse_if_hopeless(self, waiting: QueuedAsk, now_ms: float) -> list[Outgoing]:
+    def _refuse_if_hopeless(
+        self, waiting: QueuedAsk, forecast: Forecast, now_ms: float
+    ) -> list[Outgoing]:
         """Refuse a request that cannot be answered in time.
 
         While a lower tier is queued, it keeps its place until its time is up.
         """
         if not self._queue.is_lowest_tier(waiting.ask.tier):
             return []
-        before_ms = self._queue.work_before_ms(waiting)
-        if not self._forecast(waiting, before_ms, now_ms).is_hopeless:
+        if not forecast.is_hopeless:
             return []
         return [self._refuse(waiting, ErrorKind.DEADLINE_UNMEETABLE, now_ms)]
 
@@ -310,6 +328,7 @@
 
     def _refuse(self, waiting: QueuedAsk, kind: ErrorKind, now_ms: float) -> Outgoing:
         """Refuse a queued request; its caller is told when to come back."""
+        self._meter.record_refused(waiting)
         if not self.policy.forecasts_starts:
             return self._return_to_requester(waiting, kind)
         ask_id = waiting.ask.ask_id
@@ -325,6 +344,7 @@
         """Refuse a queued request for which another scheduler may have room."""
         ask_id = waiting.ask.ask_id
         self._queue.remove(ask_id)
+        self._meter.forget(ask_id)
         return Outgoing(waiting.vm, Refusal(ask_id, kind.value))
 
     def _forget_running(self, ask_id: str) -> str | None:
