Refuse at once what only lengthens a queue that stands

Cause: a queue was bounded by its callers' time alone. While more come than the slots can answer it grows to that bound and stays there. It serves nobody more; each answer starts when its caller is about to leave, and tiers below wait for nothing.

Change: after CoDel (RFC 8289), by the time spent in the queue. A tier's queue stands once its oldest request has waited for more than a twentieth of its caller's time, at each look, for as long as a caller stays: a burst that can be answered in time is over by then. While it stands a request is refused unless its wait would be short, the lowest tier first, and told when to come back.

--- a/src/hemlocktrestle/scheduler/_core.py
+++ b/src/hemlocktrestle/scheduler/_core.py
@@ -17,6 +17,7 @@
 from hemlocktrestle.scheduler._policy import PoolPolicy
 from hemlocktrestle.scheduler._queue import QUEUES, QueuedAsk
 from hemlocktrestle.scheduler._queue_meter import QueueMeter, TierReport
+from hemlocktrestle.scheduler._standing import StandingQueues, short_wait_ms
 from hemlocktrestle.scheduler._upstream import InFlight, UpstreamModel
 from hemlocktrestle.scheduler._upstream_set import UpstreamSet
 from hemlocktrestle.scheduler._work import NO_WORK, WorkEstimates
@@ -83,6 +84,7 @@
         self._work = WorkEstimates()
         self._forecaster = StartForecaster()
         self._meter = QueueMeter()
+        self._standing = StandingQueues()
 
     def set_upstreams(
         self, records: Iterable[UpstreamRecord], now_ms: float
@@ -122,10 +124,7 @@
         self._deadlines.push((waiting.give_up_ms, ask.ask_id))
         outgoing = self._grant(now_ms)
         if self.policy.forecasts_starts and self.is_queued(ask.ask_id):
-            before_ms = self._queue.work_before_ms(waiting)
-            forecast = self._forecast(waiting, before_ms, now_ms)
-            self._meter.record_queued(waiting, forecast.wait_ms)
-            outgoing += self._refuse_if_hopeless(waiting, forecast, now_ms)
+            outgoing += self._refuse_if_in_vain(waiting, now_ms)
         while len(self._queue) > self.policy.queued_count_max:
             outgoing += self._shed_last(now_ms)
         return outgoing
@@ -170,7 +169,8 @@
                 kind = ErrorKind.DEADLINE_IN_QUEUE
                 outgoing.append(self._refuse(waiting, kind, now_ms))
         if self.policy.forecasts_starts:
-            outgoing += self._refuse_hopeless(now_ms)
+            self._standing.observe(self._queue.queued_asks(), now_ms)
+            outgoing += self._refuse_in_vain(now_ms)
         if now_ms - self._stragglers_checked_ms >= STRAGGLER_CHECK_MS:
             self._stragglers_checked_ms = now_ms
             self._upstreams.check_stragglers(now_ms)
@@ -292,34 +292,58 @@
             return []
         return [self._refuse(waiting, ErrorKind.SHED, now_ms)]
 
-    def _refuse_if_hopeless(
-        self, waiting: QueuedAsk, forecast: Forecast, now_ms: float
-    ) -> list[Outgoing]:
-        """Refuse a request that cannot be answered in time.
+    def _refuse_if_in_vain(self, waiting: QueuedAsk, now_ms: float) -> list[Outgoing]:
+        """Refuse a request that was just queued if its wait serves nobody.
 
         While a lower tier is queued, it keeps its place until its time is up.
         """
+        before_ms = self._queue.work_before_ms(waiting)
+        forecast = self._forecast(waiting, before_ms, now_ms)
+        self._meter.record_queued(waiting, forecast.wait_ms)
         if not self._queue.is_lowest_tier(waiting.ask.tier):
             return []
-        if not forecast.is_hopeless:
-            return []
-        return [self._refuse(waiting, ErrorKind.DEADLINE_UNMEETABLE, now_ms)]
+        kind = self._refusal_kind(waiting, forecast, now_ms)
+        if kind is None and self._standing.is_long_before(waiting):
+            kind = self._shed_kind(waiting, now_ms)
+        return [] if kind is None else [self._refuse(waiting, kind, now_ms)]
 
-    def _refuse_hopeless(self, now_ms: float) -> list[Outgoing]:
-        """Refuse what can no longer be answered in time, from the lowest tier up."""
-        lowest = self._queue.lowest_tier()
-        if not lowest:
-            return []
-        outgoing = []
-        before_ms = self._queue.work_before_ms(lowest[0])
-        for waiting in lowest:
-            if self._forecast(waiting, before_ms, now_ms).is_hopeless:
-                kind = ErrorKind.DEADLINE_UNMEETABLE
-                outgoing.append(self._refuse(waiting, kind, now_ms))
-            else:
-                before_ms += waiting.work.total_ms
+    def _refuse_in_vain(self, now_ms: float) -> list[Outgoing]:
+        """Refuse the requests whose wait serves nobody, from the lowest tier up."""
+        outgoing: list[Outgoing] = []
+        is_tier_kept = False
+        while not is_tier_kept and (lowest := self._queue.lowest_tier()):
+            before_ms = self._queue.work_before_ms(lowest[0])
+            for waiting in lowest:
+                forecast = self._forecast(waiting, before_ms, now_ms)
+                kind = self._refusal_kind(waiting, forecast, now_ms)
+                if kind is None:
+                    is_tier_kept = True
+                    before_ms += waiting.work.total_ms
+                else:
+                    outgoing.append(self._refuse(waiting, kind, now_ms))
         return outgoing
 
+    def _refusal_kind(
+        self, waiting: QueuedAsk, forecast: Forecast, now_ms: float
+    ) -> ErrorKind | None:
+        """Return why a request would wait in vain, or ``None``.
+
+        It cannot be answered in time, or it lengthens a queue that stands.
+        """
+        if forecast.is_hopeless:
+            return ErrorKind.DEADLINE_UNMEETABLE
+        # Whoever gets the next slot may always wait for it.
+        if forecast.wait_ms <= max(short_wait_ms(waiting), forecast.slot_ms):
+            return None
+        return self._shed_kind(waiting, now_ms)
+
+    def _shed_kind(self, waiting: QueuedAsk, now_ms: float) -> ErrorKind | None:
+        """Return why a request may not lengthen the queue, or ``None`` if it may."""
+        if not self._standing.is_standing_before(waiting, now_ms):
+            return None
+        self._standing.record_refused(waiting, now_ms)
+        return ErrorKind.SHED
+
     def _forecast(
         self, waiting: QueuedAsk, before_ms: float, now_ms: float
     ) -> Forecast:
--- a/src/hemlocktrestle/scheduler/_forecast.py
+++ b/src/hemlocktrestle/scheduler/_forecast.py
@@ -14,12 +14,14 @@
         work: the work that is left from there.
         left_ms: when its caller must have the whole answer.
         part_left_ms: when its caller must have the first part.
+        slot_ms: when the next slot becomes free.
     """
 
     wait_ms: float
     work: Work
     left_ms: float
     part_left_ms: float
+    slot_ms: float
 
     @property
     def is_hopeless(self) -> bool:
@@ -63,11 +65,13 @@
             now_ms: the time of the process in milliseconds.
         """
         running_ms = self._running_sum_ms / max(1, len(self._running_ms))
+        slot_ms = running_ms / max(1, slot_count)
         return Forecast(
-            (running_ms + before_ms) / max(1, slot_count),
+            slot_ms + before_ms / max(1, slot_count),
             waiting.work,
             waiting.deadline_ms - now_ms,
             waiting.part_due_ms - now_ms,
+            slot_ms,
         )
 
     def return_ms(
--- a/src/hemlocktrestle/scheduler/_queue.py
+++ b/src/hemlocktrestle/scheduler/_queue.py
@@ -42,6 +42,11 @@
     part_due_ms: float = math.inf
     work: Work = NO_WORK
 
+    @property
+    def stays_ms(self) -> float:
+        """How long its caller stays without a first part, from its arrival."""
+        return min(self.part_due_ms, self.deadline_ms) - self.arrived_ms
+
     @property
     def latest_start_ms(self) -> float:
         """When it must start for its answer to be in time."""
