Ask a region that refuses lower tiers only before a higher tier is refused

Callers saw: with one region full, its high-tier callers were refused while another region answered lower tiers.

Cause: another region is asked only if it reports free slots, which under overload no region has. Each region sheds its lowest tier first, but not before a higher tier of another region.

Change: a scheduler's summary states the highest tier for which its queue stands. A region that refuses lower tiers only is asked last, after the others have refused.

Tests: test_a_region_whose_queue_stands_only_for_lower_tiers_is_asked, not there before (the summary had no such field).

--- a/src/hemlocktrestle/edge/_permit_placer.py
+++ b/src/hemlocktrestle/edge/_permit_placer.py
@@ -18,7 +18,7 @@
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.membership import ZoneLoad, order_zones
 from hemlocktrestle.peers import HeldPermit, PermitClient
-from hemlocktrestle.wire import NO_PART_LIMIT, Ask, Pulse, Release
+from hemlocktrestle.wire import NO_PART_LIMIT, NO_TIER, Ask, Pulse, Release
 
 log = logging.getLogger(__name__)
 
@@ -197,13 +197,15 @@
     def _regions(self, job: Job, excluded: frozenset[str]) -> tuple[str, ...]:
         """Return the regions to request a permit from, the shortest wait first.
 
-        Another region is included if it reports free slots.  If no region qualifies,
-        all that have a replica of the service are returned.
+        Another region is included if it reports free slots.  One that refuses lower
+        tiers only comes last, for a request that the others refuse.  If no region
+        qualifies, all that have a replica of the service are returned.
         """
         membership = self._fleet.membership
         now = now_ms()
         pool = job.service.name
         loads: dict[str, ZoneLoad] = {}
+        last: set[str] = set()
         for record in membership.all_upstreams():
             if pool not in record.pools or record.is_leaving:
                 continue
@@ -220,6 +222,8 @@
                     summary,
                     penalty_ms=ROUND_TRIPS * round_trip_ms,
                 )
+            elif summary is not None and job.rank < summary.standing_tier < NO_TIER:
+                last.add(record.region)
         if not loads:
             regions = {
                 record.region
@@ -228,7 +232,7 @@
                 and (record.is_leaving or record.name not in excluded)
             }
             return tuple(sorted(regions))
-        return order_zones(loads.values(), tier=job.rank)
+        return (*order_zones(loads.values(), tier=job.rank), *sorted(last))
 
 
 ACK_TIMEOUT_MS = 200.0
--- a/src/hemlocktrestle/scheduler/_core.py
+++ b/src/hemlocktrestle/scheduler/_core.py
@@ -196,7 +196,13 @@
         # grant is the only estimate of the gap.
         gap_ms = self._grant_gap_ms or now_ms - self._last_grant_ms
         wait_ms = saturated(queued_count * gap_ms)
-        return PoolSummary(self.pool, queued_count, wait_ms, saturated(free_slots))
+        return PoolSummary(
+            self.pool,
+            queued_count,
+            wait_ms,
+            saturated(free_slots),
+            self._standing.highest_tier(now_ms),
+        )
 
     def report_queue(self, now_ms: float) -> list[TierReport]:
         """Return what became of requests that waited since the last report."""
@@ -339,7 +345,7 @@
 
     def _shed_kind(self, waiting: QueuedAsk, now_ms: float) -> ErrorKind | None:
         """Return why a request may not lengthen the queue, or ``None`` if it may."""
-        if not self._standing.is_standing_before(waiting, now_ms):
+        if waiting.ask.tier < self._standing.highest_tier(now_ms):
             return None
         self._standing.record_refused(waiting, now_ms)
         return ErrorKind.SHED
--- a/src/hemlocktrestle/scheduler/_standing.py
+++ b/src/hemlocktrestle/scheduler/_standing.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable
 
 from hemlocktrestle.scheduler._queue import QueuedAsk
+from hemlocktrestle.wire import NO_TIER
 
 SHORT_WAIT_SHARE = 0.05
 """Share of a caller's time up to which a wait is short, the target of RFC 8289."""
@@ -30,6 +31,7 @@
         self._is_standing = False
         self._last_short_ms = -math.inf
         self._last_long_ms = -math.inf
+        self._interval_ms = 0.0
 
     def record_short(self, now_ms: float) -> None:
         """Record that nobody has had to wait for long."""
@@ -44,15 +46,16 @@
             now_ms: the time of the process.
         """
         self._last_long_ms = now_ms
+        self._interval_ms = stays_ms
         if now_ms - self._last_short_ms >= stays_ms:
             self._is_standing = True
 
-    def is_standing(self, stays_ms: float, now_ms: float) -> bool:
+    def is_standing(self, now_ms: float) -> bool:
         """Tell whether the queue stands.
 
         It does until nobody had to wait for long in the time that a caller stays.
         """
-        if now_ms - self._last_long_ms >= stays_ms:
+        if now_ms - self._last_long_ms >= self._interval_ms:
             self._is_standing = False
         return self._is_standing
 
@@ -91,13 +94,15 @@
             if tier <= waiting.ask.tier
         )
 
-    def is_standing_before(self, waiting: QueuedAsk, now_ms: float) -> bool:
-        """Tell whether the queue of a request's tier or of a higher one stands."""
-        return any(
-            queue.is_standing(waiting.stays_ms, now_ms)
-            for tier, queue in self._by_tier.items()
-            if tier <= waiting.ask.tier
+    def highest_tier(self, now_ms: float) -> int:
+        """Return the highest tier whose queue stands, ``NO_TIER`` if there is none.
+
+        For the tiers below it the queue stands, too.
+        """
+        standing = (
+            tier for tier, queue in self._by_tier.items() if queue.is_standing(now_ms)
         )
+        return min(standing, default=NO_TIER)
 
 
 def short_wait_ms(waiting: QueuedAsk) -> float:
--- a/src/hemlocktrestle/wire/__init__.py
+++ b/src/hemlocktrestle/wire/__init__.py
@@ -14,6 +14,7 @@
     frame_bytes,
 )
 from hemlocktrestle.wire._messages import (
+    NO_TIER,
     PROTOCOL_VERSION,
     ConfigurationNews,
     CustomerDemand,
@@ -54,6 +55,7 @@
     "FRAME_BYTES_MAX",
     "MESSAGE_TYPES",
     "NO_PART_LIMIT",
+    "NO_TIER",
     "PROTOCOL_VERSION",
     "TIERS",
     "Ask",
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -35,13 +35,22 @@
     boot_id: str
 
 
+NO_TIER = 0xFFFF_FFFF
+"""Value of ``standing_tier`` for a queue that does not stand."""
+
+
 class PoolSummary(NamedTuple):
-    """A scheduler's summary of one pool, sent in heartbeats."""
+    """A scheduler's summary of one pool, sent in heartbeats.
+
+    ``standing_tier`` is the rank from which on requests are refused because the queue
+    stands, or ``NO_TIER``.
+    """
 
     pool: str
     queued_count: int
     wait_ms: int
     free_slots: int
+    standing_tier: int = NO_TIER
 
 
 class UpstreamRefusal(NamedTuple):
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -42,6 +42,7 @@
   queuedCount @1 :UInt32;
   waitMs @2 :UInt32;
   freeSlots @3 :UInt32;
+  standingTier @4 :UInt32 = 0xffffffff;
 }
 
 struct Heartbeat {
--- a/tests/edge/test_permit_placer.py
+++ b/tests/edge/test_permit_placer.py
@@ -26,9 +26,16 @@
 from hemlocktrestle.peers import HeldPermit
 from hemlocktrestle.platform import decode_settings
 from hemlocktrestle.relay import CallerRequest, ConnectTimeoutError, RequestBody
-from hemlocktrestle.wire import NO_PART_LIMIT, Ask, LeavingReplica, Permit
+from hemlocktrestle.wire import (
+    NO_PART_LIMIT,
+    Ask,
+    LeavingReplica,
+    Permit,
+    PoolSummary,
+)
 from tests.gateway.records import SERVICES, customer, replica_update, route
 from tests.platform.documents import SETTINGS
+from tests.scheduler.naive import upstream
 from tests.support import TrioTestCase
 
 ROUTE = route()
@@ -134,6 +141,71 @@
                 await placer.obtain(_job(left_ms=left_ms), excluded=frozenset())
 
 
+class _RecordingClient(_GrantingClient):
+    """Grants each permit request and records the regions that may be asked."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.regions: tuple[str, ...] = ()
+
+    async def obtain(
+        self, ask: Ask, *, zones: tuple[str, ...], deadline_at_ms: float
+    ) -> HeldPermit:
+        self.regions = zones
+        return await super().obtain(ask, zones=zones, deadline_at_ms=deadline_at_ms)
+
+
+class RegionTests(TrioTestCase):
+    """Which regions are asked for a permit, and in which order."""
+
+    async def _regions(self, elsewhere: PoolSummary | None) -> tuple[str, ...]:
+        """Return the regions for a request of rank 1; both have a replica."""
+        client: Any = _RecordingClient()
+        placer, _ = _placer(client)
+        membership = placer._fleet.membership
+        records = [
+            upstream("r1")._replace(region=membership.domain, pools=("assistant",)),
+            upstream("r2")._replace(region="south", pools=("assistant",)),
+        ]
+        summaries = {
+            membership.domain: PoolSummary("assistant", 9, 400, 0, standing_tier=0),
+            "south": elsewhere,
+        }
+        self.patch(membership, "all_upstreams", lambda: records)
+        self.patch(
+            membership, "pool_summary", lambda pool, region, now: summaries[region]
+        )
+        await placer.obtain(_job(), excluded=frozenset())
+        first, *others = client.regions
+        self.assertEqual(membership.domain, first)
+        return tuple(others)
+
+    async def test_a_region_whose_queue_stands_only_for_lower_tiers_is_asked(
+        self,
+    ) -> None:
+        """Guards against a refused high tier while another region serves lower work.
+
+        Another region was asked only if it had free slots.
+        """
+        busy = PoolSummary("assistant", 3, 90, 0, standing_tier=2)
+        self.assertEqual(("south",), await self._regions(busy))
+
+    async def test_a_region_that_absorbs_a_burst_is_left_to_its_callers(self) -> None:
+        """Guards against a burst of one region that fills the queue of another."""
+        busy = PoolSummary("assistant", 3, 90, 0)
+        self.assertEqual((), await self._regions(busy))
+
+    async def test_a_region_that_refuses_this_tier_is_not_asked(self) -> None:
+        """Guards against callers who wait for a refusal from far away."""
+        for tier in (0, 1):
+            full = PoolSummary("assistant", 3, 90, 0, standing_tier=tier)
+            self.assertEqual((), await self._regions(full))
+
+    async def test_a_region_that_reports_nothing_is_not_asked(self) -> None:
+        """Guards against callers who wait for a region that is out of reach."""
+        self.assertEqual((), await self._regions(None))
+
+
 class CallersTimeTests(TrioTestCase):
     """What a scheduler is asked for follows from the time that the caller has."""
 
--- a/tests/scheduler/test_standing_queue.py
+++ b/tests/scheduler/test_standing_queue.py
@@ -10,7 +10,7 @@
 
 from hemlocktrestle.errors import ErrorKind
 from hemlocktrestle.scheduler import Outgoing
-from hemlocktrestle.wire import Refusal
+from hemlocktrestle.wire import NO_TIER, Refusal
 from tests.scheduler.pool_play import Caller, PoolPlay, Served, steady
 
 STAYS_MS = 3_000
@@ -183,6 +183,27 @@
         play.play(callers)
 
 
+class SummaryTests(TestCase):
+    """Other regions learn from which tier on requests are refused."""
+
+    def standing_tier(self, callers: list[Caller], at_ms: int) -> int:
+        """Return the tier that is reported after all of this happened."""
+        play = PoolPlay(4, measured_ms=[TAKES_MS])
+        play.play(callers)
+        return play.scheduler.summary(at_ms).standing_tier
+
+    def test_the_highest_tier_that_is_refused_is_reported(self) -> None:
+        """Guards against high-tier requests that are sent to a full region."""
+        tier = self.standing_tier(overload(to_ms=10_000, tier=2), 10_000)
+        self.assertEqual(2, tier)
+
+    def test_a_queue_that_no_longer_stands_is_open_to_all(self) -> None:
+        """Guards against a region that is avoided after its overload."""
+        calm_ms = 10_000 + 3 * STAYS_MS
+        tier = self.standing_tier(overload(to_ms=10_000, tier=2), calm_ms)
+        self.assertEqual(NO_TIER, tier)
+
+
 class _TierCheckedPlay(PoolPlay):
     """A play that fails if a tier is shed beside a lower one or a free slot."""
 
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -29,7 +29,7 @@
     "line",
     120,
     True,
-    (PoolSummary("assistant", 3, 40, 2),),
+    (PoolSummary("assistant", 3, 40, 2, 1), PoolSummary("sorter", 0, 0, 4)),
     leaving=(LeavingReplica("i-1", 1_780_000_000_000),),
 )
 
