Tell callers that a standing queue refuses to come back when it may be clear

Callers saw: refused because a queue stands, and told to come back after 0.2 s, while the same queue refuses for at least as long as a caller stays.

Cause: the time to come back was when the work before them would be done, as for a queue that drains.

Change: while the queue stands, the least time to come back is the interval after which it can be clear; the time that the answer takes is still left.

Test: test_they_are_told_to_come_back_when_it_may_be_over failed before (200 ms).

--- a/src/hemlocktrestle/scheduler/_core.py
+++ b/src/hemlocktrestle/scheduler/_core.py
@@ -365,7 +365,13 @@
         before_ms = self._queue.work_before_ms(waiting)
         forecast = self._forecast(waiting, before_ms, now_ms)
         slot_count = self._upstreams.slot_count(waiting.ask.excluded)
-        return_ms = self._forecaster.return_ms(waiting, forecast, slot_count, now_ms)
+        return_ms = self._forecaster.return_ms(
+            waiting,
+            forecast,
+            slot_count,
+            now_ms,
+            room_ms=self._standing.clears_after_ms(waiting, now_ms),
+        )
         self._queue.remove(ask_id)
         refusal = Refusal(ask_id, kind.value, saturated(return_ms))
         return Outgoing(waiting.vm, refusal, forecast)
--- a/src/hemlocktrestle/scheduler/_forecast.py
+++ b/src/hemlocktrestle/scheduler/_forecast.py
@@ -75,7 +75,13 @@
         )
 
     def return_ms(
-        self, waiting: QueuedAsk, forecast: Forecast, slot_count: int, now_ms: float
+        self,
+        waiting: QueuedAsk,
+        forecast: Forecast,
+        slot_count: int,
+        now_ms: float,
+        *,
+        room_ms: float = 0.0,
     ) -> float:
         """Return after how long a refused caller should come back.
 
@@ -88,9 +94,12 @@
             forecast: when the request would have started.
             slot_count: number of slots that share the work.
             now_ms: the time of the process in milliseconds.
+            room_ms: the earliest time at which there can be room.
         """
         waited_ms = now_ms - waiting.arrived_ms
-        wait_ms = max(forecast.wait_ms or waited_ms, self._returns_from_ms - now_ms)
+        wait_ms = max(
+            forecast.wait_ms or waited_ms, self._returns_from_ms - now_ms, room_ms
+        )
         last_ms = waiting.deadline_ms - waiting.work.total_ms - now_ms
         if last_ms <= 0:
             return wait_ms
--- a/src/hemlocktrestle/scheduler/_standing.py
+++ b/src/hemlocktrestle/scheduler/_standing.py
@@ -104,6 +104,11 @@
         )
         return min(standing, default=NO_TIER)
 
+    def clears_after_ms(self, waiting: QueuedAsk, now_ms: float) -> float:
+        """Return the least time after which the queue before a request can be clear."""
+        is_standing = self.highest_tier(now_ms) <= waiting.ask.tier
+        return waiting.stays_ms if is_standing else 0.0
+
 
 def short_wait_ms(waiting: QueuedAsk) -> float:
     """Return the longest wait that is short for a caller."""
--- a/tests/scheduler/test_standing_queue.py
+++ b/tests/scheduler/test_standing_queue.py
@@ -87,6 +87,11 @@
         self.assertGreater(len(refused), 50)
         self.assertLessEqual(max(item.waited_ms for item in refused), TAKES_MS)
 
+    def test_they_are_told_to_come_back_when_it_may_be_over(self) -> None:
+        """Guards against callers who come back to the queue that refused them."""
+        refused = [item for item in self.lasting if item.refused_ms is not None]
+        self.assertLessEqual(STAYS_MS, min(item.retry_after_ms for item in refused))
+
     def test_the_next_callers_do_not_pay_for_it(self) -> None:
         """Guards against a queue that outlives its burst."""
         calm = arrived(self.served, 20_000 + TAKES_MS, 30_000)
