State measured work in permit requests

Cause: a scheduler forecasts from the answers that it has measured itself. The VMs that ask have measured them.

Change: a VM states in each permit request what answers of the route took there; a scheduler goes by that until it has measured the route.

Tests: test_a_scheduler_that_took_over_goes_by_what_vms_measured and test_measured_times_go_with_the_request; neither field was there before.

--- a/src/hemlocktrestle/edge/_permit_placer.py
+++ b/src/hemlocktrestle/edge/_permit_placer.py
@@ -18,6 +18,7 @@
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.membership import ZoneLoad, order_zones
 from hemlocktrestle.peers import HeldPermit, PermitClient
+from hemlocktrestle.scheduler import WorkEstimates
 from hemlocktrestle.wire import NO_PART_LIMIT, NO_TIER, Ask, Pulse, Release
 
 log = logging.getLogger(__name__)
@@ -68,6 +69,7 @@
         self._fleet = fleet
         self._fallback = fallback
         self._held: dict[str, HeldPermit] = {}
+        self._work = WorkEstimates()
         self._ask_count = 0
 
     async def obtain(self, job: Job, *, excluded: frozenset[str]) -> Placement:
@@ -165,6 +167,8 @@
             job.metadata.prompt_tokens,
             tokens,
         )
+        if release.sent and not release.failure:
+            self._work.learn(job.route.name, release)
         self._permit_client.release(held, release)
 
     def _permit_request(
@@ -173,7 +177,7 @@
         self._ask_count += 1
         metadata, route = job.metadata, job.route
         is_engine = job.service.engine is not None
-        return Ask(
+        ask = Ask(
             ask_id=f"{self._fleet.process_name}/{self._ask_count}",
             pool=job.service.name,
             customer=job.customer_name,
@@ -193,6 +197,10 @@
             # Retries of a request were counted with its first permit request.
             amount=job.amount if is_engine and not excluded else 0,
         )
+        work = self._work.expect(ask)
+        return ask._replace(
+            first_ms=saturated(work.first_ms), total_ms=saturated(work.total_ms)
+        )
 
     def _regions(self, job: Job, excluded: frozenset[str]) -> tuple[str, ...]:
         """Return the regions to request a permit from, the shortest wait first.
--- a/src/hemlocktrestle/scheduler/__init__.py
+++ b/src/hemlocktrestle/scheduler/__init__.py
@@ -26,6 +26,7 @@
 from hemlocktrestle.scheduler._queue import QUEUES, AskQueue, QueuedAsk, queue
 from hemlocktrestle.scheduler._slots import SLOT_BOUNDS, SlotBound, slot_bound
 from hemlocktrestle.scheduler._upstream import InFlight, UpstreamModel
+from hemlocktrestle.scheduler._work import WorkEstimates
 
 __all__ = [
     "CHOOSERS",
@@ -47,6 +48,7 @@
     "QueuedAsk",
     "SlotBound",
     "UpstreamModel",
+    "WorkEstimates",
     "chooser",
     "early_refusal",
     "policy",
--- a/src/hemlocktrestle/scheduler/_work.py
+++ b/src/hemlocktrestle/scheduler/_work.py
@@ -29,7 +29,7 @@
 
 
 class WorkEstimates:
-    """Measured times of answers, by route."""
+    """Measured times of answers, by route; kept by schedulers and requesting VMs."""
 
     def __init__(self) -> None:
         self._first_ms = Estimates()
@@ -43,9 +43,13 @@
         self._token_ms.learn(route, rest_ms / max(1, release.output_tokens))
 
     def expect(self, ask: Ask) -> Work:
-        """Return the work that a request is expected to be."""
+        """Return the work that a request is expected to be.
+
+        A scheduler that has not measured the route, such as one that has just taken
+        over, goes by what the requesting VM measured.
+        """
         first = self._first_ms.find(ask.route)
         if not first.is_known:
-            return NO_WORK
+            return Work(ask.first_ms, ask.total_ms)
         token_ms = self._token_ms.find(ask.route).mean
         return Work(first.mean, first.mean + ask.output_tokens * token_ms)
--- a/src/hemlocktrestle/wire/_permit_messages.py
+++ b/src/hemlocktrestle/wire/_permit_messages.py
@@ -20,7 +20,9 @@
     requesting VM will not use; ``aim_ms`` is the time that remains until the caller
     leaves without a first part of the answer, or ``NO_PART_LIMIT``; requests of one
     ``route`` have similar cost; ``amount`` is the charge to the customer's
-    quota, 0 if it was charged before.
+    quota, 0 if it was charged before; ``first_ms`` and ``total_ms`` are the times to
+    the first part and to the end of the answer as the requesting VM measured them on
+    the route, 0 if it has not.
     """
 
     ask_id: str
@@ -36,6 +38,8 @@
     aim_ms: int = NO_PART_LIMIT
     route: str = ""
     amount: int = 0
+    first_ms: int = 0
+    total_ms: int = 0
 
 
 @message("queued")
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -106,6 +106,8 @@
   aimMs @10 :Int64 = -1;
   route @11 :Text;
   amount @12 :UInt32;
+  firstMs @13 :UInt32;
+  totalMs @14 :UInt32;
 }
 
 struct ReplicaNews {
--- a/tests/edge/test_permit_placer.py
+++ b/tests/edge/test_permit_placer.py
@@ -11,7 +11,7 @@
 from hemlocktrestle.edge._fleet import EdgeFleet
 from hemlocktrestle.edge._job import Job
 from hemlocktrestle.edge._permit_placer import FAILURE_BY_END, PermitPlacer
-from hemlocktrestle.edge._placement import Placement
+from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement
 from hemlocktrestle.edge._progress import RequestProgress
 from hemlocktrestle.edge._quota_gate import EdgeQuotas
 from hemlocktrestle.edge._registration import VmEntry
@@ -23,6 +23,7 @@
     RequestMetadata,
     Route,
 )
+from hemlocktrestle.latency._estimate import KNOWN_COUNT_MIN
 from hemlocktrestle.peers import HeldPermit
 from hemlocktrestle.platform import decode_settings
 from hemlocktrestle.relay import CallerRequest, ConnectTimeoutError, RequestBody
@@ -141,6 +142,27 @@
                 await placer.obtain(_job(left_ms=left_ms), excluded=frozenset())
 
 
+class MeasuredWorkTests(TrioTestCase):
+    """A request states what answers of its route took at this VM."""
+
+    async def test_measured_times_go_with_the_request(self) -> None:
+        """Guards against a new scheduler that knows nothing of the work."""
+        client: Any = _GrantingClient()
+        client.release = lambda held, release: None
+        placer, _ = _placer(client)
+        report = AttemptReport(
+            AttemptEnd.RELAYED, first_ms=100.0, total_ms=500.0, event_count=4
+        )
+        for _ in range(KNOWN_COUNT_MIN):
+            job = _job()
+            placement = await placer.obtain(job, excluded=frozenset())
+            placer.release(job, placement, report)
+        await placer.obtain(_job(), excluded=frozenset())
+        self.assertEqual((0, 0), (client.asks[0].first_ms, client.asks[0].total_ms))
+        self.assertEqual(100, client.asks[-1].first_ms)
+        self.assertGreater(client.asks[-1].total_ms, 100)
+
+
 class _RecordingClient(_GrantingClient):
     """Grants each permit request and records the regions that may be asked."""
 
--- a/tests/scheduler/test_forecast.py
+++ b/tests/scheduler/test_forecast.py
@@ -85,6 +85,25 @@
             self.enqueue("busy", route="odd", deadline_ms=60_000)
         self.assertEqual([], self.enqueue("new", route="odd", deadline_ms=3_000))
 
+    def test_a_scheduler_that_took_over_goes_by_what_vms_measured(self) -> None:
+        """Guards against slots for callers who leave, at a scheduler that is new.
+
+        It forecast no work until it had measured answers of its own.
+        """
+        scheduler = new_scheduler()
+        fields: dict[str, Any] = {"first_ms": 1_000, "total_ms": 1_000}
+        for number in range(4):
+            ask = ask_of(f"a{number}", route="report", deadline_ms=60_000, **fields)
+            scheduler.enqueue("v1", ask, 0)
+        late = ask_of("late", route="report", tier=2, deadline_ms=2_000, **fields)
+        refused = refusals(scheduler.enqueue("v1", late, 0))
+        self.assertEqual([("late", UNMEETABLE)], [item[:2] for item in refused])
+
+    def test_its_own_measurements_go_first(self) -> None:
+        """Guards against a VM that is slow itself and makes others be refused."""
+        fields: dict[str, Any] = {"first_ms": 50_000, "total_ms": 50_000}
+        self.assertEqual([], self.enqueue("sound", deadline_ms=4_000, **fields))
+
     def test_a_high_tier_keeps_its_place_while_lower_work_is_queued(self) -> None:
         """Guards against a high tier that is refused while a lower one is kept."""
         self.enqueue("low", deadline_ms=60_000, tier=2)
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -23,7 +23,9 @@
 from hemlocktrestle.wire._registry import MESSAGE_TYPES
 from tests.odd_values import JSON_VALUES
 
-ASK = Ask("r1.0", "assistant", "clinics", 1, 2.5, 100, 50, 2**63, 9000, ("e1", "e2"))
+ASK = Ask(
+    "r1.0", "assistant", "clinics", 1, 2.5, 100, 50, 2**63, 9000, ("e1", "e2")
+)._replace(first_ms=120, total_ms=2_400)
 HEARTBEAT = Heartbeat(
     7,
     "line",
