Keep a silent stream until its engine has agreed to resume it

Callers of the zone daemon saw: a stream that pauses for 7 s is cut after 5 s, though its engine goes on.

Cause: after 5 s of silence the read was cancelled, which ends the connection, and only then was the engine asked for the rest. One that cannot resume leaves nothing.

Change: the connection itself tells that nothing arrives, and goes on waiting while the engine is asked on another one; the read ends once the engine has agreed. A caller's own slowness still does not count.

--- a/src/hemlocktrestle/adapters/_http_client.py
+++ b/src/hemlocktrestle/adapters/_http_client.py
@@ -1,5 +1,6 @@
 """HTTP client for upstreams, which never sends a request twice."""
 
+import math
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
@@ -94,13 +95,15 @@
             headers = tuple((name.lower(), value) for name, value in response.headers)
             _check_echo(call, headers)
             connection: NotifyingStream = response.extensions["network_stream"]
-            # The connection returns to the pool, without the callback of this call.
+            # The connection returns to the pool, without the callbacks of this call.
             stack.callback(setattr, connection, "before_read", None)
+            stack.callback(connection.watch_silence, math.inf, None)
             yield UpstreamAnswer(
                 response.status,
                 headers,
                 _body_chunks(response, call),
                 partial(_set_before_read, connection),
+                connection.watch_silence,
             )
 
     async def is_reachable(self, address: str) -> bool:
--- a/src/hemlocktrestle/adapters/_upstream_stream.py
+++ b/src/hemlocktrestle/adapters/_upstream_stream.py
@@ -1,12 +1,14 @@
-"""Connections to upstreams with a callback before each read."""
+"""Connections to upstreams with callbacks before each read and while it waits."""
 
+import math
 from collections.abc import Iterable
 from ssl import SSLContext
 from typing import Any
 
 import httpcore
+import trio
 
-from hemlocktrestle.ports import BeforeWait
+from hemlocktrestle.ports import BeforeWait, OnSilence
 
 
 class NotifyingStream(httpcore.AsyncNetworkStream):
@@ -22,13 +24,26 @@
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
+        self._silence_s = math.inf
+        self._on_silence: OnSilence | None = None
         self.before_read: BeforeWait | None = None
 
+    def watch_silence(self, silence_s: float, action: OnSilence | None) -> None:
+        """Set the action to await each time that nothing arrived for so long."""
+        self._silence_s, self._on_silence = silence_s, action
+
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Await ``before_read`` if it is set, then read."""
         if self.before_read is not None:
             await self.before_read()
-        return await self._stream.read(max_bytes, timeout)
+        if self._on_silence is None:
+            return await self._stream.read(max_bytes, timeout)
+        until_s = trio.current_time() + (math.inf if timeout is None else timeout)
+        while True:
+            left_s = max(0.0, until_s - trio.current_time())
+            with trio.move_on_after(self._silence_s):
+                return await self._stream.read(max_bytes, left_s)
+            await self._on_silence()
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write bytes."""
--- a/src/hemlocktrestle/daemon/_stream_resume.py
+++ b/src/hemlocktrestle/daemon/_stream_resume.py
@@ -1,6 +1,5 @@
 """Resumes a stream of server-sent events over a new connection when it breaks."""
 
-import math
 import re
 from collections import deque
 from collections.abc import Sequence
@@ -27,7 +26,7 @@
 """Pause before the second attempt in a row, in seconds; it doubles with each one."""
 
 STREAM_SILENCE_S_MAX = 5.0
-"""Longest silence of a resumable stream before it counts as broken, in seconds."""
+"""Silence of a resumable stream after which it is asked for anew, in seconds."""
 
 EVENT_BYTES_MAX = 1024 * 1024
 """Largest event that is buffered until it is complete, in bytes."""
@@ -123,7 +122,7 @@
         self._recent_pieces: deque[bytes] = deque(maxlen=RECENT_PIECES_MAX)
         self._seen_ids: Sequence[bytes] = ()
         self._before_wait: BeforeWait = _no_action
-        self._silence_scope = trio.CancelScope()
+        self._successor: UpstreamAnswer | None = None
         self.resumed_count = 0
 
     def before_wait(self, action: BeforeWait) -> None:
@@ -132,19 +131,15 @@
         Its duration depends on the caller, so it does not count as silence of the
         engine.
         """
-
-        async def uncounted() -> None:
-            self._silence_scope.deadline = math.inf
-            await action()
-            self._silence_scope.deadline = trio.current_time() + STREAM_SILENCE_S_MAX
-
-        self._before_wait = uncounted
+        self._before_wait = action
         self._read_from(self._answer)
 
     def _read_from(self, answer: UpstreamAnswer) -> None:
         self._answer = answer
         if answer.before_wait is not None:
             answer.before_wait(self._before_wait)
+        if answer.on_silence is not None:
+            answer.on_silence(STREAM_SILENCE_S_MAX, self._search_successor)
 
     def __aiter__(self) -> Self:
         return self
@@ -173,11 +168,30 @@
     async def _next_piece(self) -> bytes:
         if self._answer.before_wait is None:
             await self._before_wait()
-        if self._identity.stream_id is None or not self._recent_pieces:
-            return await anext(self._answer.body)
-        with trio.move_on_after(STREAM_SILENCE_S_MAX) as self._silence_scope:
-            return await anext(self._answer.body)
-        raise RequestError(ErrorKind.UPSTREAM_SILENT, "stream fell silent")
+        return await anext(self._answer.body)
+
+    async def _search_successor(self) -> None:
+        """Ask a silent engine for the rest of the stream on a new connection.
+
+        The old connection is given up only once the engine has agreed.
+
+        Raises:
+            RequestError: ``UPSTREAM_SILENT``; a successor was found.
+        """
+        ids = self._recent_ids()
+        if not self._may_resume(ids):
+            return
+        self.resumed_count += 1
+        self._successor = await self._request_remainder(ids[-1])
+        if self._successor is not None:
+            raise RequestError(ErrorKind.UPSTREAM_SILENT, "stream fell silent")
+
+    def _may_resume(self, ids: Sequence[bytes]) -> bool:
+        return (
+            self._identity.stream_id is not None
+            and bool(ids)
+            and self.resumed_count < RESUME_ATTEMPTS_MAX
+        )
 
     async def _on_end(self) -> bytes:
         rest = self._splitter.pop_remainder()
@@ -199,19 +213,17 @@
         await self._before_wait()
         self._splitter.pop_remainder()
         ids = self._recent_ids()
+        answer, self._successor = self._successor, None
         pause_s = 0.0
-        while self.resumed_count < RESUME_ATTEMPTS_MAX:
-            if self._identity.stream_id is None or not ids:
-                break
+        while answer is None:
+            if not self._may_resume(ids):
+                raise error
             self.resumed_count += 1
             await trio.sleep(pause_s)
             pause_s = 2 * pause_s or RESUME_PAUSE_S
             answer = await self._request_remainder(ids[-1])
-            if answer is not None:
-                self._read_from(answer)
-                self._seen_ids = ids
-                return
-        raise error
+        self._read_from(answer)
+        self._seen_ids = ids
 
     def _recent_ids(self) -> list[bytes]:
         return _ID_LINE.findall(b"".join(self._recent_pieces))
--- a/src/hemlocktrestle/ports/_upstream.py
+++ b/src/hemlocktrestle/ports/_upstream.py
@@ -77,17 +77,26 @@
 """Callback that a response body awaits each time before it waits for more bytes."""
 
 
+OnSilence = Callable[[], Awaitable[None]]
+"""Callback that a response body awaits while nothing arrives.
+
+The body goes on waiting after it, unless it raises.
+"""
+
+
 class UpstreamAnswer(NamedTuple):
     """Status and headers of an answer, and the chunks of its body as they arrive.
 
     ``before_wait`` sets the callback that the body awaits before it waits for more
-    bytes; it is ``None`` if the client does not support such a callback.
+    bytes, ``on_silence`` the one that it awaits each time that nothing has arrived
+    for so many seconds; they are ``None`` if the client does not support them.
     """
 
     status: int
     headers: Headers
     body: AsyncIterator[bytes]
     before_wait: Callable[[BeforeWait], None] | None = None
+    on_silence: Callable[[float, OnSilence], None] | None = None
 
 
 class UpstreamClient(Protocol):
