Count the queue of a new scheduler as short when it is first seen

Callers would have seen: the first burst at a new scheduler, or of a tier that it has not seen, is refused at the first look at which its oldest request has waited for more than a twentieth of its caller's time, though there is time for all.

Cause: a tier that was never seen counted as never short, so that its queue stood at once.

Change: it counts as short when it is first seen.

Test: test_the_first_burst_at_a_new_scheduler_is_served failed before (2 of 4 callers got a slot).

--- a/src/hemlocktrestle/scheduler/_standing.py
+++ b/src/hemlocktrestle/scheduler/_standing.py
@@ -10,7 +10,6 @@
 """
 
 import math
-from collections import defaultdict
 from collections.abc import Iterable
 
 from hemlocktrestle.scheduler._queue import QueuedAsk
@@ -24,12 +23,15 @@
     """Whether the queue of one tier stands; all times are in milliseconds.
 
     ``is_long`` tells whether its oldest request had waited for long when last seen.
+
+    Args:
+        now_ms: the time of the process.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, now_ms: float) -> None:
         self.is_long = False
         self._is_standing = False
-        self._last_short_ms = -math.inf
+        self._last_short_ms = now_ms
         self._last_long_ms = -math.inf
         self._interval_ms = 0.0
 
@@ -64,7 +66,7 @@
     """The queue of a pool, tier by tier."""
 
     def __init__(self) -> None:
-        self._by_tier: dict[int, StandingQueue] = defaultdict(StandingQueue)
+        self._by_tier: dict[int, StandingQueue] = {}
 
     def observe(self, queued: Iterable[QueuedAsk], now_ms: float) -> None:
         """Learn from how long the oldest request of each tier has waited."""
@@ -75,16 +77,17 @@
                 oldest[waiting.ask.tier] = waiting
         for tier in self._by_tier.keys() - oldest.keys():
             self._by_tier[tier].record_short(now_ms)
-        for tier, waiting in oldest.items():
+        for waiting in oldest.values():
+            queue = self._queue_of(waiting, now_ms)
             if now_ms - waiting.arrived_ms <= short_wait_ms(waiting):
-                self._by_tier[tier].record_short(now_ms)
+                queue.record_short(now_ms)
             else:
-                self._by_tier[tier].record_long(waiting.stays_ms, now_ms)
-                self._by_tier[tier].is_long = True
+                queue.record_long(waiting.stays_ms, now_ms)
+                queue.is_long = True
 
     def record_refused(self, waiting: QueuedAsk, now_ms: float) -> None:
         """Learn from a request that was refused because the queue stands."""
-        self._by_tier[waiting.ask.tier].record_long(waiting.stays_ms, now_ms)
+        self._queue_of(waiting, now_ms).record_long(waiting.stays_ms, now_ms)
 
     def is_long_before(self, waiting: QueuedAsk) -> bool:
         """Tell whether a request of the same or a higher tier has waited for long."""
@@ -109,6 +112,9 @@
         is_standing = self.highest_tier(now_ms) <= waiting.ask.tier
         return waiting.stays_ms if is_standing else 0.0
 
+    def _queue_of(self, waiting: QueuedAsk, now_ms: float) -> StandingQueue:
+        return self._by_tier.setdefault(waiting.ask.tier, StandingQueue(now_ms))
+
 
 def short_wait_ms(waiting: QueuedAsk) -> float:
     """Return the longest wait that is short for a caller."""
--- a/tests/scheduler/test_standing_queue.py
+++ b/tests/scheduler/test_standing_queue.py
@@ -115,6 +115,17 @@
         served = play.play(self.burst(0, 28))
         self.assertEqual(28, len(started(served)))
 
+    def test_the_first_burst_at_a_new_scheduler_is_served(self) -> None:
+        """Guards against a queue that is taken to stand when it is first seen."""
+        play = PoolPlay(1, measured_ms=[200])
+        served = play.play(
+            [
+                Caller(f"a{number}", at_ms, 1_000, 200)
+                for number, at_ms in enumerate((10, 10, 150, 150))
+            ]
+        )
+        self.assertEqual(4, len(started(served)))
+
     def test_bursts_with_pauses_are_served(self) -> None:
         """Guards against bursts that are taken for an overload that lasts."""
         play = PoolPlay(4, measured_ms=[TAKES_MS])
