Move the log lines of schedulers to a module of their own

No decision changes.

tests/scheduler, tests/peers and the two files of tests/edge on permits: 111 passed.

--- a/src/hemlocktrestle/peers/_scheduler_task.py
+++ b/src/hemlocktrestle/peers/_scheduler_task.py
@@ -1,6 +1,5 @@
 """The task that owns the VM's pool schedulers and answers permit requests."""
 
-import logging
 from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
@@ -10,9 +9,9 @@
 from hemlocktrestle.documents import saturated
 from hemlocktrestle.errors import ErrorKind
 from hemlocktrestle.membership import Membership
+from hemlocktrestle.peers._scheduler_log import log_queue, log_refusal
 from hemlocktrestle.scheduler import (
     POLICY_DEFAULT,
-    Forecast,
     Outgoing,
     PoolScheduler,
     policy_named,
@@ -37,9 +36,6 @@
 bounds the memory without dropping anything.
 """
 
-# Operators filter logs by this name; it is older than the module's.
-log = logging.getLogger("hemlocktrestle.peers._keeper_task")
-
 TICK_INTERVAL_S = 0.1
 """Interval between checks of deadlines, in seconds."""
 
@@ -304,7 +300,7 @@
                     self._hand_back(pool, scheduler)
                 self._send(scheduler, scheduler.tick(self._now_ms()))
                 if ticks % TICKS_PER_REPORT == 0:
-                    self._log_queue(scheduler)
+                    log_queue(scheduler, self._now_ms())
 
     def _hand_back(self, pool: str, scheduler: PoolScheduler) -> None:
         """Return queued requests of a pool that another VM schedules now.
@@ -330,7 +326,12 @@
         while waiting:
             vm, message, forecast = waiting.popleft()
             if isinstance(message, Refusal):
-                self._log_refusal(scheduler, vm, message, forecast)
+                log_refusal(
+                    scheduler,
+                    Outgoing(vm, message, forecast),
+                    inbox_wait_ms=self._inbox_wait_ms,
+                    now_ms=self._now_ms(),
+                )
                 self._refund(message.ask_id)
             elif isinstance(message, Permit):
                 self._charged.pop(message.ask_id, None)
@@ -343,58 +344,6 @@
         if ask is not None:
             self._gate.refund(ask)
 
-    def _log_queue(self, scheduler: PoolScheduler) -> None:
-        for report in scheduler.report_queue(self._now_ms()):
-            log.info(
-                "pool_queue",
-                extra={
-                    "pool": scheduler.pool,
-                    "tier": report.tier,
-                    "queued_count": report.queued_count,
-                    "oldest_ms": round(report.oldest_ms),
-                    "granted_count": report.granted_count,
-                    "waited_ms": round(report.waited_ms),
-                    "forecast_ms": round(report.forecast_ms),
-                    "left_ms": round(report.left_ms),
-                    "refused_count": report.refused_count,
-                },
-            )
-
-    def _log_refusal(
-        self,
-        scheduler: PoolScheduler,
-        vm: str,
-        refusal: Refusal,
-        forecast: Forecast | None,
-    ) -> None:
-        inputs = {}
-        if forecast is not None:
-            inputs = {
-                "wait_ms": round(forecast.wait_ms),
-                "work_ms": round(forecast.work.total_ms),
-                "left_ms": round(forecast.left_ms),
-                "retry_after_ms": refusal.retry_after_ms,
-            }
-        log.info(
-            "ask_refused",
-            extra={
-                "ask": refusal.ask_id,
-                "holder": vm,
-                "reason": refusal.kind,
-                "pool": scheduler.pool,
-                "queued_count": scheduler.queued_count,
-                **inputs,
-                "inbox_ms": round(self._inbox_wait_ms),
-                "oldest_in_hand_ms": round(
-                    scheduler.oldest_in_flight_ms(self._now_ms())
-                ),
-                "in_hand": {
-                    model.record.name: f"{len(model.in_flight)}/{model.slots}"
-                    for model in scheduler.models()
-                },
-            },
-        )
-
 
 _HANDLERS: dict[type, Callable[..., None]] = {
     Ask: SchedulerTask._handle_ask,
--- a/src/hemlocktrestle/scheduler/_core.py
+++ b/src/hemlocktrestle/scheduler/_core.py
@@ -123,8 +123,8 @@
         self._queue.push(waiting)
         self._deadlines.push((waiting.give_up_ms, ask.ask_id))
         outgoing = self._grant(now_ms)
-        if self.policy.forecasts_starts and self.is_queued(ask.ask_id):
-            outgoing += self._refuse_if_in_vain(waiting, now_ms)
+        if self.is_queued(ask.ask_id):
+            outgoing += self._on_queued(waiting, now_ms)
         while len(self._queue) > self.policy.queued_count_max:
             outgoing += self._shed_last(now_ms)
         return outgoing
@@ -298,11 +298,14 @@
             return []
         return [self._refuse(waiting, ErrorKind.SHED, now_ms)]
 
-    def _refuse_if_in_vain(self, waiting: QueuedAsk, now_ms: float) -> list[Outgoing]:
+    def _on_queued(self, waiting: QueuedAsk, now_ms: float) -> list[Outgoing]:
         """Refuse a request that was just queued if its wait serves nobody.
 
         While a lower tier is queued, it keeps its place until its time is up.
         """
+        if not self.policy.forecasts_starts:
+            self._meter.record_queued(waiting, 0.0)
+            return []
         before_ms = self._queue.work_before_ms(waiting)
         forecast = self._forecast(waiting, before_ms, now_ms)
         self._meter.record_queued(waiting, forecast.wait_ms)
