Shed at once in the zone daemon, too, while its queue stands

Callers of the zone daemon saw the same: under an overload that lasts, all are held until nearly their whole deadline and a third of them is then refused.

Cause: the policies goodput and tail bound their queue by deadlines alone, like the edge's policy. Evidence: played with half as many callers again as four slots can answer (3,000 ms, 400 ms each), those served have waited 2,727 ms in the mean, the others are refused after 2,821 ms (tail 2,729 and 2,860 ms).

Change: while the queue stands and somebody has waited for long, each request that is queued sheds the last one of the lowest tier. 161 ms and at once now (tail 186 ms), as many served (140, 105). Policies with forecasts decide as before.

Test: PolicyWithoutForecastTests.test_callers_are_not_held_in_a_queue_that_stands failed before (2,888 ms); three others of the class passed before and pass now. tests/daemon, processes, entry, peers, adapters, observer, bench, golden and proofs: 276 passed, 4 xpassed.

--- a/src/hemlocktrestle/peers/_scheduler_task.py
+++ b/src/hemlocktrestle/peers/_scheduler_task.py
@@ -146,7 +146,8 @@
         """Return the age of the oldest queued request, by pool, in milliseconds."""
         now_ms = self._now_ms()
         return {
-            pool: scheduler.oldest_queued_ms(now_ms)
+            pool: now_ms
+            - min((item.arrived_ms for item in scheduler.queued_asks()), default=now_ms)
             for pool, scheduler in self._schedulers.items()
         }
 
--- a/src/hemlocktrestle/scheduler/_core.py
+++ b/src/hemlocktrestle/scheduler/_core.py
@@ -168,8 +168,8 @@
             if waiting is not None:
                 kind = ErrorKind.DEADLINE_IN_QUEUE
                 outgoing.append(self._refuse(waiting, kind, now_ms))
+        self._standing.observe(self._queue.queued_asks(), now_ms)
         if self.policy.forecasts_starts:
-            self._standing.observe(self._queue.queued_asks(), now_ms)
             outgoing += self._refuse_in_vain(now_ms)
         if now_ms - self._stragglers_checked_ms >= STRAGGLER_CHECK_MS:
             self._stragglers_checked_ms = now_ms
@@ -208,11 +208,6 @@
         """Return what became of requests that waited since the last report."""
         return self._meter.report(self._queue.queued_asks(), now_ms)
 
-    def oldest_queued_ms(self, now_ms: float) -> float:
-        """Return how long the oldest queued request has waited, 0 if there is none."""
-        arrivals_ms = (waiting.arrived_ms for waiting in self._queue.queued_asks())
-        return now_ms - min(arrivals_ms, default=now_ms)
-
     def oldest_in_flight_ms(self, now_ms: float) -> float:
         """Return the age of the oldest request in flight, 0 if there is none.
 
@@ -305,7 +300,7 @@
         """
         if not self.policy.forecasts_starts:
             self._meter.record_queued(waiting, 0.0)
-            return []
+            return self._shed_if_standing(waiting, now_ms)
         before_ms = self._queue.work_before_ms(waiting)
         forecast = self._forecast(waiting, before_ms, now_ms)
         self._meter.record_queued(waiting, forecast.wait_ms)
@@ -316,6 +311,13 @@
             kind = self._shed_kind(waiting, now_ms)
         return [] if kind is None else [self._refuse(waiting, kind, now_ms)]
 
+    def _shed_if_standing(self, waiting: QueuedAsk, now_ms: float) -> list[Outgoing]:
+        """Shed a request for one that was queued, if the queue before that stands."""
+        if not self._standing.is_long_before(waiting):
+            return []
+        kind = self._shed_kind(waiting, now_ms)
+        return [] if kind is None else self._shed_last(now_ms)
+
     def _refuse_in_vain(self, now_ms: float) -> list[Outgoing]:
         """Refuse the requests whose wait serves nobody, from the lowest tier up."""
         outgoing: list[Outgoing] = []
--- a/tests/scheduler/pool_play.py
+++ b/tests/scheduler/pool_play.py
@@ -22,6 +22,7 @@
         stays_ms: how long the caller stays without a first part.
         takes_ms: how long its answer takes.
         tier: rank of its tier.
+        deadline_ms: how long it waits for the whole answer.
     """
 
     name: str
@@ -29,6 +30,7 @@
     stays_ms: int
     takes_ms: int
     tier: int = 1
+    deadline_ms: int = 60_000
 
     @property
     def route(self) -> str:
@@ -41,7 +43,7 @@
             self.name,
             tier=self.tier,
             route=self.route,
-            deadline_ms=60_000,
+            deadline_ms=self.deadline_ms,
             aim_ms=self.stays_ms,
         )
 
@@ -76,10 +78,17 @@
     Args:
         slots: requests that the pool's upstream runs at once.
         measured_ms: times of answers that the scheduler has measured before.
+        policy: name of the scheduler's policy.
     """
 
-    def __init__(self, slots: int, *, measured_ms: Iterable[int] = ()) -> None:
-        self.scheduler = PoolScheduler("assistant", policy=policy_named("time_left"))
+    def __init__(
+        self,
+        slots: int,
+        *,
+        measured_ms: Iterable[int] = (),
+        policy: str = "time_left",
+    ) -> None:
+        self.scheduler = PoolScheduler("assistant", policy=policy_named(policy))
         record = upstream("u1")._replace(slots=slots)
         self.scheduler.set_upstreams([record], 0)
         self.served: dict[str, Served] = {}
--- a/tests/scheduler/test_queue_meter.py
+++ b/tests/scheduler/test_queue_meter.py
@@ -23,7 +23,6 @@
         """Guards against a queue that stands and is not seen in the logs."""
         (report,) = self.scheduler.report_queue(1_400)
         self.assertEqual((1, 1, 400, 0), report[:4])
-        self.assertEqual(400, self.scheduler.oldest_queued_ms(1_400))
 
     def test_grants_are_reported_with_their_forecast_and_the_time_left(self) -> None:
         """Guards against forecasts that err and are not seen in the logs."""
--- a/tests/scheduler/test_standing_queue.py
+++ b/tests/scheduler/test_standing_queue.py
@@ -99,6 +99,53 @@
         self.assertEqual(0, max(item.waited_ms for item in calm))
 
 
+class PolicyWithoutForecastTests(TestCase):
+    """The policies of the zone daemon, whose callers state a deadline only."""
+
+    def play(self, policy: str, callers: list[Caller]) -> list[Served]:
+        """Return what becomes of callers who stay until their deadline."""
+        return PoolPlay(4, measured_ms=[TAKES_MS], policy=policy).play(
+            [caller._replace(deadline_ms=caller.stays_ms) for caller in callers]
+        )
+
+    def test_callers_are_not_held_in_a_queue_that_stands(self) -> None:
+        """Guards against the same in the zone daemon: waits of the whole deadline."""
+        for policy in ("goodput", "tail"):
+            served = self.play(policy, overload(to_ms=20_000))
+            lasting = arrived(served, 2 * STAYS_MS, 20_000)
+            waits_ms = [item.waited_ms for item in lasting]
+            self.assertLessEqual(max(waits_ms), 2 * TAKES_MS, policy)
+
+    def test_as_many_are_answered_as_the_slots_can(self) -> None:
+        """Guards against slots that idle because too many were refused."""
+        lasting = arrived(
+            self.play("goodput", overload(to_ms=20_000)), 2 * STAYS_MS, 20_000
+        )
+        wanted = 4 * (20_000 - 2 * STAYS_MS) // TAKES_MS
+        self.assertGreaterEqual(len(started(lasting)), 0.95 * wanted)
+
+    def test_a_high_tier_is_kept_and_a_low_one_shed(self) -> None:
+        """Guards against a refused high tier beside lower work that is kept."""
+        high = steady(
+            "high",
+            from_ms=0,
+            to_ms=20_000,
+            every_ms=TAKES_MS,
+            stays_ms=STAYS_MS,
+            takes_ms=TAKES_MS,
+            tier=0,
+        )
+        served = self.play("goodput", [*overload(to_ms=20_000, tier=2), *high])
+        found = [item for item in served if item.caller.tier == 0]
+        self.assertEqual(len(found), len(started(found)))
+
+    def test_a_burst_that_drains_is_served(self) -> None:
+        """Guards against callers that are refused though there is time for them."""
+        callers = [Caller(f"a{i}", 0, STAYS_MS, TAKES_MS) for i in range(24)]
+        served = self.play("goodput", callers)
+        self.assertEqual(24, len(started(served)))
+
+
 class BurstTests(TestCase):
     """A burst that can be answered within its callers' time is answered."""
 
