Name the cause of shed and late requests in explain

hemlocktrestle explain said of both that they were refused before they were sent. It gives what the refusal followed from: the slots taken and the time to come back, or the expected wait, the work and the time left.

tests/cli and tests/errors pass; test_each_outcome_has_a_cause has both outcomes.

--- a/src/hemlocktrestle/cli/_explain.py
+++ b/src/hemlocktrestle/cli/_explain.py
@@ -121,6 +121,24 @@
     )
 
 
+def _describe_shed(lines: list[Line], end: Line) -> str:
+    refusal = _last_event(lines, "ask_refused")
+    return (
+        f"More requests waited at {refusal.get('vm', 'the keeper')} than its slots can "
+        f"answer ({refusal.get('in_hand')}); it was told to come back after "
+        f"{refusal.get('retry_after_ms')} ms."
+    )
+
+
+def _describe_unmeetable(lines: list[Line], end: Line) -> str:
+    refusal = _last_event(lines, "ask_refused")
+    return (
+        f"Its answer would have come too late: a wait of {refusal.get('wait_ms')} ms "
+        f"and {refusal.get('work_ms')} ms of work were expected, its caller had "
+        f"{refusal.get('left_ms')} ms left."
+    )
+
+
 def _describe_over_quota(lines: list[Line], end: Line) -> str:
     spent = _last_event(lines, "quota_spent")
     return (
@@ -171,6 +189,8 @@
 _CAUSES = {
     "answered": _describe_answered,
     "deadline_in_queue": _describe_queue_timeout,
+    "deadline_unmeetable": _describe_unmeetable,
+    "shed": _describe_shed,
     "rate_limited": _describe_over_quota,
     "upstream_broken": _describe_failed_attempt,
     "upstream_silent": _describe_failed_attempt,
--- a/src/hemlocktrestle/errors/_meanings.py
+++ b/src/hemlocktrestle/errors/_meanings.py
@@ -18,7 +18,8 @@
     ErrorKind.DEADLINE_IN_QUEUE: "The deadline passed while the request waited.",
     ErrorKind.RATE_LIMITED: "The caller sends more requests than its rate allows.",
     ErrorKind.CONCURRENCY_LIMITED: "The caller has too many requests open.",
-    ErrorKind.SHED: "The request gave way to more valuable ones.",
+    ErrorKind.SHED: "The request gave way to more valuable ones, or came while more "
+    "of them waited than can be answered.",
     ErrorKind.NO_UPSTREAM: "No upstream takes this work at present.",
     ErrorKind.SCHEDULER_GONE: "The VM that queued the request went away.",
     ErrorKind.SETTINGS_UNREADY: "The VM has not read its settings yet.",
--- a/tests/cli/test_platform_commands.py
+++ b/tests/cli/test_platform_commands.py
@@ -137,6 +137,8 @@
         """Each outcome is described, also an unknown one and a log that ends early."""
         outcomes = {
             "answered": "answered with",
+            "shed": "told to come back after",
+            "deadline_unmeetable": "come too late",
             "rate_limited": "quota",
             "upstream_broken": "not repeated",
             "deadline_running": "Its time ended",
