--- a/tests/edge/test_waiting_processes.py
+++ b/tests/edge/test_waiting_processes.py
@@ -1,7 +1,7 @@
 """Tests of an edge process whose replica is busy, as the waiting callers see it."""
 
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import trio
 from testtools import TestCase
@@ -16,6 +16,18 @@
 BUSY_MS = 700.0
 """Work of the request whose slot becomes free, in milliseconds."""
 
+STAYS_MS = 2_000
+"""How long the callers of an overload stay, in milliseconds."""
+
+WORK_MS = 200.0
+"""Work of their requests, in milliseconds."""
+
+ARRIVAL_MS = int(WORK_MS / REPLICA_SLOTS * 2 / 3)
+"""Time between their arrivals, in milliseconds."""
+
+OVERLOAD_MS = 8_000
+"""How long the overload lasts, in milliseconds."""
+
 
 def request(name: str, *, left_ms: int, path: str = "/log/1") -> bytes:
     """Return a request that may run only once, as a caller sends it."""
@@ -114,3 +126,42 @@
             self.assertEqual(["high", "low"], self.order(platform))
 
         self.run_busy(check, configuration(objective_ms=200))
+
+
+class Told(NamedTuple):
+    """What a caller was told, and when, in milliseconds after it asked."""
+
+    status: bytes
+    after_ms: float
+
+
+class LastingOverloadTests(TestCase):
+    """Half as many callers again as the replica's slots can answer, for 8 s."""
+
+    def test_callers_are_not_held_for_most_of_their_time(self) -> None:
+        """Guards against a queue that grows to its callers' whole time and stays."""
+        told: list[Told] = []
+
+        async def call(edge: Edge, name: str) -> None:
+            started_s = trio.current_time()
+            caller = await connect(edge)
+            await caller.send_all(request(name, left_ms=STAYS_MS))
+            answer = await read_answer(caller)
+            after_ms = (trio.current_time() - started_s) * 1000
+            told.append(Told(answer[9:12], after_ms))
+
+        async def run() -> None:
+            async with running_edge() as (edge, platform), trio.open_nursery() as calls:
+                platform.configure(configuration())
+                await edge.logged("configuration_taken", version=9)
+                await edge.logged("replicas_changed")
+                platform.replica.work_ms = WORK_MS
+                for number in range(OVERLOAD_MS // ARRIVAL_MS):
+                    calls.start_soon(call, edge, f"a{number}")
+                    await trio.sleep(ARRIVAL_MS / 1000)
+                    if number * ARRIVAL_MS < 2 * STAYS_MS:
+                        told.clear()
+
+        trio.run(run)
+        self.assertEqual({b"200", b"503"}, {item.status for item in told})
+        self.assertLessEqual(max(item.after_ms for item in told), STAYS_MS / 2)
