--- a/tests/scheduler/test_standing_queue.py
+++ b/tests/scheduler/test_standing_queue.py
@@ -30,6 +30,18 @@
     )
 
 
+HIGH_TIER = steady(
+    "high",
+    from_ms=0,
+    to_ms=20_000,
+    every_ms=TAKES_MS,
+    stays_ms=STAYS_MS,
+    takes_ms=TAKES_MS,
+    tier=0,
+)
+"""Callers of the highest tier that a quarter of the slots can answer."""
+
+
 def arrived(served: list[Served], from_ms: int, to_ms: int) -> list[Served]:
     """Return the callers that arrived within a span."""
     return [item for item in served if from_ms <= item.caller.arrives_ms < to_ms]
@@ -126,16 +138,7 @@
 
     def test_a_high_tier_is_kept_and_a_low_one_shed(self) -> None:
         """Guards against a refused high tier beside lower work that is kept."""
-        high = steady(
-            "high",
-            from_ms=0,
-            to_ms=20_000,
-            every_ms=TAKES_MS,
-            stays_ms=STAYS_MS,
-            takes_ms=TAKES_MS,
-            tier=0,
-        )
-        served = self.play("goodput", [*overload(to_ms=20_000, tier=2), *high])
+        served = self.play("goodput", [*overload(to_ms=20_000, tier=2), *HIGH_TIER])
         found = [item for item in served if item.caller.tier == 0]
         self.assertEqual(len(found), len(started(found)))
 
@@ -210,17 +213,8 @@
 
     def test_a_high_tier_is_unaffected_by_an_overload_of_a_low_one(self) -> None:
         """Guards against high-tier callers that are refused for low-tier work."""
-        high = steady(
-            "high",
-            from_ms=0,
-            to_ms=20_000,
-            every_ms=TAKES_MS,
-            stays_ms=STAYS_MS,
-            takes_ms=TAKES_MS,
-            tier=0,
-        )
         play = PoolPlay(4, measured_ms=[TAKES_MS])
-        served = play.play([*overload(to_ms=20_000, tier=2), *high])
+        served = play.play([*overload(to_ms=20_000, tier=2), *HIGH_TIER])
         found = [item for item in served if item.caller.tier == 0]
         self.assertEqual(len(found), len(started(found)))
         self.assertLessEqual(max(item.waited_ms for item in found), TAKES_MS)
