Count the runs of a soaked replica once

Cause: a replica that is draining may crash; both faults remove it, and its runs were listed for each removal. Evidence: the two runs of each reported request are one, with the same time to the nanosecond, and the VM's log has one attempt. The product did nothing wrong; it shows on the untouched code, too.

Change: a replica is removed once. The checks are as they were.

--- a/tests/soak/_deployment.py
+++ b/tests/soak/_deployment.py
@@ -303,8 +303,12 @@
         return replica
 
     def remove_replica(self, replica: Replica) -> None:
-        """Stop a replica at once, with its open connections."""
-        self.replicas.pop(replica.standin.replica_id, None)
+        """Stop a replica at once, with its open connections.
+
+        A replica that drains may crash meanwhile; it is removed once.
+        """
+        if self.replicas.pop(replica.standin.replica_id, None) is None:
+            return
         self.removed_replicas.append(replica)
         replica.ended_s = trio.current_time()
         replica.scope.cancel()
--- a/tests/soak/test_edge.py
+++ b/tests/soak/test_edge.py
@@ -36,6 +36,7 @@
     1008: Regression("a replica's connection that closed at once left no answer"),
     1037: Regression("a replica's connection that closed at once left no answer"),
     5033: Regression("a replica without framing crashed between two events"),
+    7046: Regression("the runs of a replica that crashed as it drained counted twice"),
 }
 
 
