--- a/bench/results.py
+++ b/bench/results.py
@@ -124,6 +124,52 @@
     return plays
 
 
+class FailedDay(NamedTuple):
+    """A day of a score or hunt that fell short of the gate or broke a rule.
+
+    Args:
+        entry_id: id of the journal's entry.
+        site: name of the site.
+        commit: commit that was played.
+        name: the day, with its seed.
+        reasons: each broken rule and each missed figure beside its floor.
+    """
+
+    entry_id: str
+    site: str
+    commit: str
+    name: str
+    reasons: tuple[str, ...]
+
+
+def read_failed_days(folder: Path) -> list[FailedDay]:
+    """Return the failed days of a folder's scores and hunts, by file name."""
+    failed = []
+    for path in sorted(folder.glob("*.json")):
+        entry = json.loads(path.read_text(encoding="utf-8"))
+        if entry["cmd"] not in {"score", "hunt"}:
+            continue
+        for day in entry["days"]:
+            reasons = (*day["rules"], *day["short"])
+            if reasons:
+                commit = (entry.get("head") or "")[:7]
+                failed.append(
+                    FailedDay(entry["id"], entry["site"], commit, day["name"], reasons)
+                )
+    return failed
+
+
+def failed_days_table(failed: list[FailedDay]) -> str:
+    """Return a table of failed days."""
+    rows = ["| entry | site | commit | day | failed by |", "|---|---|---|---|---|"]
+    for day in failed:
+        reasons = "; ".join(day.reasons)
+        rows.append(
+            f"| {day.entry_id} | {day.site} | {day.commit} | {day.name} | {reasons} |"
+        )
+    return "\n".join(rows)
+
+
 def day_table(plays: list[Play]) -> str:
     """Return a table of the latest plays of each day of a site."""
     rows = [
@@ -140,8 +186,8 @@
     return "\n".join(rows)
 
 
-def page(scores: list[Score], plays: list[Play]) -> str:
-    """Return the page that shows some scores, and the latest plays of each day."""
+def page(scores: list[Score], plays: list[Play], failed: list[FailedDay]) -> str:
+    """Return the page of scores, the latest plays of each day, and failed days."""
     parts = [HEAD]
     for site in sorted({score.site for score in scores}):
         rounds = [score for score in scores if score.site == site]
@@ -163,6 +209,11 @@
     for site in sorted({play.site for play in plays}):
         parts.append(f"\n## Days of {site}\n")
         parts.append(day_table([play for play in plays if play.site == site]))
+    parts.append("\n# Failed days of scores and hunts\n")
+    parts.append(
+        "A day that falls short of the gate fails like one that breaks a rule.\n"
+    )
+    parts.append(failed_days_table(failed))
     return "\n".join(parts) + "\n"
 
 
@@ -223,8 +274,9 @@
     plots.mkdir(exist_ok=True)
     for site in sorted({score.site for score in scores}):
         draw(site, [score for score in scores if score.site == site], plots)
+    journal = ROOT / "journal"
     (ROOT / "docs" / "RESULTS.md").write_text(
-        page(scores, read_plays(ROOT / "journal")), encoding="utf-8"
+        page(scores, read_plays(journal), read_failed_days(journal)), encoding="utf-8"
     )
     print(f"{len(scores)} scores")
     return 0
