--- a/src/hemlocktrestle/cli/_platform_commands.py
+++ b/src/hemlocktrestle/cli/_platform_commands.py
@@ -7,7 +7,7 @@
 
 from hemlocktrestle.cli._context import Context
 from hemlocktrestle.cli._registry import command
-from hemlocktrestle.edge._registration import VM_PREFIX
+from hemlocktrestle.edge.store._registration import VM_PREFIX
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import Configuration, urgency_rank
 from hemlocktrestle.platform import (
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -11,28 +11,28 @@
 
 import trio
 
-from hemlocktrestle.edge._crash_monitor import CrashMonitor
 from hemlocktrestle.edge._fleet import EdgeFleet
-from hemlocktrestle.edge._job import Job
-from hemlocktrestle.edge._listeners import (
+from hemlocktrestle.edge._metrics import EdgeMetrics, Gauges, LabelledGauges
+from hemlocktrestle.edge._stall_monitor import StallMonitor
+from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.edge.attempts._crash_monitor import CrashMonitor
+from hemlocktrestle.edge.callers._job import Job
+from hemlocktrestle.edge.callers._listeners import (
     INTERNAL_DESCRIPTORS,
     CallerListener,
     address_of,
     listen,
     serve_answers,
 )
-from hemlocktrestle.edge._local_placer import LocalPlacer
-from hemlocktrestle.edge._metrics import EdgeMetrics, Gauges, LabelledGauges
-from hemlocktrestle.edge._permit_placer import ACK_TIMEOUT_MS, PermitPlacer
-from hemlocktrestle.edge._placement import AttemptReport, Placement
-from hemlocktrestle.edge._quota_gate import EdgeQuotas
-from hemlocktrestle.edge._registration import BusyRecorder, VmEntry, VmRegistrar
-from hemlocktrestle.edge._request_log import log_request_ended
-from hemlocktrestle.edge._server import EdgeServer, ServedRequest
-from hemlocktrestle.edge._stall_monitor import StallMonitor
-from hemlocktrestle.edge._state import EdgeState, now_ms
-from hemlocktrestle.edge._store_task import StoreHealth
-from hemlocktrestle.edge._watchers import ConfigurationWatcher, ReplicaWatcher
+from hemlocktrestle.edge.callers._quota_gate import EdgeQuotas
+from hemlocktrestle.edge.callers._request_log import log_request_ended
+from hemlocktrestle.edge.callers._server import EdgeServer, ServedRequest
+from hemlocktrestle.edge.placing._local_placer import LocalPlacer
+from hemlocktrestle.edge.placing._permit_placer import ACK_TIMEOUT_MS, PermitPlacer
+from hemlocktrestle.edge.placing._placement import AttemptReport, Placement
+from hemlocktrestle.edge.store._registration import BusyRecorder, VmEntry, VmRegistrar
+from hemlocktrestle.edge.store._store_task import StoreHealth
+from hemlocktrestle.edge.store._watchers import ConfigurationWatcher, ReplicaWatcher
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.gateway import FleetSnapshot
 from hemlocktrestle.peers import PeerNetwork, PermitClient, SchedulerTask
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -4,12 +4,12 @@
 
 import trio
 
-from hemlocktrestle.edge._configuration_exchange import ConfigurationExchange
-from hemlocktrestle.edge._part_gate import PartGate
-from hemlocktrestle.edge._registration import VmEntry
-from hemlocktrestle.edge._replica_exchange import ReplicaExchange
 from hemlocktrestle.edge._state import EdgeState, now_ms
-from hemlocktrestle.edge._vm_list import VmList
+from hemlocktrestle.edge.attempts._part_gate import PartGate
+from hemlocktrestle.edge.replicas._replica_exchange import ReplicaExchange
+from hemlocktrestle.edge.store._configuration_exchange import ConfigurationExchange
+from hemlocktrestle.edge.store._registration import VmEntry
+from hemlocktrestle.edge.store._vm_list import VmList
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.gateway import (
     Configuration,
--- a/src/hemlocktrestle/edge/_metrics.py
+++ b/src/hemlocktrestle/edge/_metrics.py
@@ -7,9 +7,9 @@
 from prometheus_client.core import GaugeMetricFamily
 from prometheus_client.registry import Collector
 
-from hemlocktrestle.edge._job import Job
-from hemlocktrestle.edge._placement import AttemptReport, Placement
-from hemlocktrestle.edge._server import ServedRequest
+from hemlocktrestle.edge.callers._job import Job
+from hemlocktrestle.edge.callers._server import ServedRequest
+from hemlocktrestle.edge.placing._placement import AttemptReport, Placement
 from hemlocktrestle.latency import Latencies
 
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -5,8 +5,8 @@
 
 import trio
 
-from hemlocktrestle.edge._replica_notices import ReplicaNotices
-from hemlocktrestle.edge._shutdown import Phase, Shutdown
+from hemlocktrestle.edge.callers._shutdown import Phase, Shutdown
+from hemlocktrestle.edge.replicas._replica_notices import ReplicaNotices
 from hemlocktrestle.gateway import (
     AnswerTimes,
     CallerLimits,
--- a/src/hemlocktrestle/edge/_attempt.py
+++ b/src/hemlocktrestle/edge/attempts/_attempt.py
@@ -7,13 +7,13 @@
 
 import trio
 
-from hemlocktrestle.edge._answer_body import AnswerBody
-from hemlocktrestle.edge._attempt_log import log_replica_silent
-from hemlocktrestle.edge._job import Job
-from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement
-from hemlocktrestle.edge._progress import RequestProgress
-from hemlocktrestle.edge._silence import SilenceMonitor, SuccessorSearch
 from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.edge.attempts._attempt_log import log_replica_silent
+from hemlocktrestle.edge.attempts._silence import SilenceMonitor, SuccessorSearch
+from hemlocktrestle.edge.callers._answer_body import AnswerBody
+from hemlocktrestle.edge.callers._job import Job
+from hemlocktrestle.edge.callers._progress import RequestProgress
+from hemlocktrestle.edge.placing._placement import AttemptEnd, AttemptReport, Placement
 from hemlocktrestle.errors import ErrorKind, RequestError, first_leaf, forget_frames
 from hemlocktrestle.gateway import (
     AnswerClass,
--- a/src/hemlocktrestle/edge/_attempt_log.py
+++ b/src/hemlocktrestle/edge/attempts/_attempt_log.py
@@ -2,8 +2,8 @@
 
 import logging
 
-from hemlocktrestle.edge._placement import Placement
-from hemlocktrestle.edge._progress import RequestProgress
+from hemlocktrestle.edge.callers._progress import RequestProgress
+from hemlocktrestle.edge.placing._placement import Placement
 from hemlocktrestle.errors import RequestError
 
 log = logging.getLogger(__name__)
--- a/src/hemlocktrestle/edge/_attempt_sequence.py
+++ b/src/hemlocktrestle/edge/attempts/_attempt_sequence.py
@@ -7,11 +7,11 @@
 
 import trio
 
-from hemlocktrestle.edge._attempt import Attempt
-from hemlocktrestle.edge._job import Job
-from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placer
-from hemlocktrestle.edge._progress import RequestProgress
 from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.edge.attempts._attempt import Attempt
+from hemlocktrestle.edge.callers._job import Job
+from hemlocktrestle.edge.callers._progress import RequestProgress
+from hemlocktrestle.edge.placing._placement import AttemptEnd, AttemptReport, Placer
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.relay import CallerConnection
 
--- a/src/hemlocktrestle/edge/_crash_monitor.py
+++ b/src/hemlocktrestle/edge/attempts/_crash_monitor.py
@@ -5,10 +5,10 @@
 
 import trio
 
-from hemlocktrestle.edge._job import Job
-from hemlocktrestle.edge._part_gate import PartGate
-from hemlocktrestle.edge._placement import AttemptReport, Placement
 from hemlocktrestle.edge._state import now_ms
+from hemlocktrestle.edge.attempts._part_gate import PartGate
+from hemlocktrestle.edge.callers._job import Job
+from hemlocktrestle.edge.placing._placement import AttemptReport, Placement
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.peers import PeerNetwork
 from hemlocktrestle.quarantine import CrashLog, CrashReport, QuarantineRegistry
--- a/src/hemlocktrestle/edge/_part_gate.py
+++ b/src/hemlocktrestle/edge/attempts/_part_gate.py
@@ -4,10 +4,10 @@
 
 import trio
 
-from hemlocktrestle.edge._job import Job
-from hemlocktrestle.edge._part_trials import PartTrials
-from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement
 from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.edge.attempts._part_trials import PartTrials
+from hemlocktrestle.edge.callers._job import Job
+from hemlocktrestle.edge.placing._placement import AttemptEnd, AttemptReport, Placement
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.quarantine import (
     PartChanges,
--- a/src/hemlocktrestle/edge/_part_trials.py
+++ b/src/hemlocktrestle/edge/attempts/_part_trials.py
@@ -10,8 +10,8 @@
 
 import trio
 
-from hemlocktrestle.edge._job import Job
 from hemlocktrestle.edge._state import now_ms
+from hemlocktrestle.edge.callers._job import Job
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import AnswerTimes
 from hemlocktrestle.quarantine import PartQuarantine, QuarantinedPart
--- /dev/null
+++ b/src/hemlocktrestle/edge/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Serving callers: listeners, admission, the answer and the shutdown."""
--- a/src/hemlocktrestle/edge/_request_log.py
+++ b/src/hemlocktrestle/edge/callers/_request_log.py
@@ -2,8 +2,8 @@
 
 import logging
 
-from hemlocktrestle.edge._server import ServedRequest
 from hemlocktrestle.edge._state import now_ms
+from hemlocktrestle.edge.callers._server import ServedRequest
 
 log = logging.getLogger(__name__)
 
--- a/src/hemlocktrestle/edge/_server.py
+++ b/src/hemlocktrestle/edge/callers/_server.py
@@ -9,18 +9,23 @@
 import trio
 import xxhash
 
-from hemlocktrestle.edge._answer import error_answer
-from hemlocktrestle.edge._attempt import Attempt, SealedAnswer
-from hemlocktrestle.edge._attempt_log import log_answer_cut
-from hemlocktrestle.edge._attempt_sequence import AttemptSequence
-from hemlocktrestle.edge._job import Job
-from hemlocktrestle.edge._notice_placer import NoticePlacer
-from hemlocktrestle.edge._part_gate import PartGate
-from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement, Placer
-from hemlocktrestle.edge._progress import RequestProgress
-from hemlocktrestle.edge._quarantine_placer import QuarantinePlacer
-from hemlocktrestle.edge._quota_gate import EdgeQuotas, over_quota
 from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.edge.attempts._attempt import Attempt, SealedAnswer
+from hemlocktrestle.edge.attempts._attempt_log import log_answer_cut
+from hemlocktrestle.edge.attempts._attempt_sequence import AttemptSequence
+from hemlocktrestle.edge.attempts._part_gate import PartGate
+from hemlocktrestle.edge.callers._answer import error_answer
+from hemlocktrestle.edge.callers._job import Job
+from hemlocktrestle.edge.callers._progress import RequestProgress
+from hemlocktrestle.edge.callers._quota_gate import EdgeQuotas, over_quota
+from hemlocktrestle.edge.placing._notice_placer import NoticePlacer
+from hemlocktrestle.edge.placing._placement import (
+    AttemptEnd,
+    AttemptReport,
+    Placement,
+    Placer,
+)
+from hemlocktrestle.edge.placing._quarantine_placer import QuarantinePlacer
 from hemlocktrestle.errors import ANSWERS, ErrorKind, RequestError, forget_frames
 from hemlocktrestle.gateway import (
     EventSequence,
--- a/src/hemlocktrestle/edge/_local_placer.py
+++ b/src/hemlocktrestle/edge/placing/_local_placer.py
@@ -5,14 +5,14 @@
 
 import random
 
-from hemlocktrestle.edge._job import Job
-from hemlocktrestle.edge._placement import (
+from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.edge.callers._job import Job
+from hemlocktrestle.edge.placing._placement import (
     CONNECT_FAILURES,
     AttemptEnd,
     AttemptReport,
     Placement,
 )
-from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import ReplicaRecord
 
--- a/src/hemlocktrestle/edge/_notice_placer.py
+++ b/src/hemlocktrestle/edge/placing/_notice_placer.py
@@ -2,11 +2,16 @@
 
 import logging
 
-from hemlocktrestle.edge._attempt import SPEED_REPORT_EVENTS
-from hemlocktrestle.edge._job import Job
-from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement, Placer
-from hemlocktrestle.edge._replica_notices import Obstacle
 from hemlocktrestle.edge._state import EdgeState
+from hemlocktrestle.edge.attempts._attempt import SPEED_REPORT_EVENTS
+from hemlocktrestle.edge.callers._job import Job
+from hemlocktrestle.edge.placing._placement import (
+    AttemptEnd,
+    AttemptReport,
+    Placement,
+    Placer,
+)
+from hemlocktrestle.edge.replicas._replica_notices import Obstacle
 from hemlocktrestle.errors import ErrorKind, RequestError
 
 log = logging.getLogger(__name__)
--- a/src/hemlocktrestle/edge/_permit_placer.py
+++ b/src/hemlocktrestle/edge/placing/_permit_placer.py
@@ -5,16 +5,16 @@
 
 from hemlocktrestle.documents import saturated
 from hemlocktrestle.edge._fleet import EdgeFleet
-from hemlocktrestle.edge._job import Job
-from hemlocktrestle.edge._local_placer import LocalPlacer
-from hemlocktrestle.edge._placement import (
+from hemlocktrestle.edge._state import now_ms
+from hemlocktrestle.edge.callers._job import Job
+from hemlocktrestle.edge.callers._quota_gate import EdgeQuotas, over_quota
+from hemlocktrestle.edge.placing._local_placer import LocalPlacer
+from hemlocktrestle.edge.placing._placement import (
     UNSENT_ENDS,
     AttemptEnd,
     AttemptReport,
     Placement,
 )
-from hemlocktrestle.edge._quota_gate import EdgeQuotas, over_quota
-from hemlocktrestle.edge._state import now_ms
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.membership import ZoneLoad, order_zones
 from hemlocktrestle.peers import HeldPermit, PermitClient
--- a/src/hemlocktrestle/edge/_placement.py
+++ b/src/hemlocktrestle/edge/placing/_placement.py
@@ -3,7 +3,7 @@
 from enum import Enum
 from typing import NamedTuple, Protocol
 
-from hemlocktrestle.edge._job import Job
+from hemlocktrestle.edge.callers._job import Job
 from hemlocktrestle.gateway import BORN_UNKNOWN
 
 
--- a/src/hemlocktrestle/edge/_quarantine_placer.py
+++ b/src/hemlocktrestle/edge/placing/_quarantine_placer.py
@@ -3,9 +3,14 @@
 from collections.abc import Callable
 from contextlib import ExitStack
 
-from hemlocktrestle.edge._job import Job
-from hemlocktrestle.edge._part_gate import PartGate
-from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement, Placer
+from hemlocktrestle.edge.attempts._part_gate import PartGate
+from hemlocktrestle.edge.callers._job import Job
+from hemlocktrestle.edge.placing._placement import (
+    AttemptEnd,
+    AttemptReport,
+    Placement,
+    Placer,
+)
 
 
 class QuarantinePlacer:
--- /dev/null
+++ b/src/hemlocktrestle/edge/replicas/__init__.py
@@ -0,0 +1,1 @@
+"""News of replicas that VMs tell one another."""
--- a/src/hemlocktrestle/edge/_replica_exchange.py
+++ b/src/hemlocktrestle/edge/replicas/_replica_exchange.py
@@ -14,7 +14,7 @@
 
 from hemlocktrestle.documents import check
 from hemlocktrestle.edge._state import EdgeState, now_ms
-from hemlocktrestle.edge._store_task import OWN_READ_MS
+from hemlocktrestle.edge.store._store_task import OWN_READ_MS
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.gateway import ReplicaRecord, ReplicaUpdate
 from hemlocktrestle.peers import PeerNetwork
--- a/src/hemlocktrestle/edge/_replica_notices.py
+++ b/src/hemlocktrestle/edge/replicas/_replica_notices.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from hemlocktrestle.edge._job import Job
-from hemlocktrestle.edge._placement import Placement
+from hemlocktrestle.edge.callers._job import Job
+from hemlocktrestle.edge.placing._placement import Placement
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import (
     AnswerMetadata,
--- /dev/null
+++ b/src/hemlocktrestle/edge/store/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that read and write the platform's store."""
--- a/src/hemlocktrestle/edge/_configuration_exchange.py
+++ b/src/hemlocktrestle/edge/store/_configuration_exchange.py
@@ -11,8 +11,8 @@
 from typing import NamedTuple
 
 from hemlocktrestle.edge._state import EdgeState, now_ms
-from hemlocktrestle.edge._store_task import OWN_READ_MS
-from hemlocktrestle.edge._watchers import apply_configuration
+from hemlocktrestle.edge.store._store_task import OWN_READ_MS
+from hemlocktrestle.edge.store._watchers import apply_configuration
 from hemlocktrestle.peers import PeerNetwork
 from hemlocktrestle.wire import ConfigurationNews, Heartbeat, Message, TreeFetch
 
--- a/src/hemlocktrestle/edge/_registration.py
+++ b/src/hemlocktrestle/edge/store/_registration.py
@@ -17,7 +17,7 @@
     decode_json,
 )
 from hemlocktrestle.edge._state import now_ms
-from hemlocktrestle.edge._store_task import StoreHealth, StoreTask
+from hemlocktrestle.edge.store._store_task import StoreHealth, StoreTask
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.platform import PlatformStore, StoreError
 
--- a/src/hemlocktrestle/edge/_vm_list.py
+++ b/src/hemlocktrestle/edge/store/_vm_list.py
@@ -4,8 +4,8 @@
 
 import xxhash
 
-from hemlocktrestle.edge._registration import VmEntry
 from hemlocktrestle.edge._state import now_ms
+from hemlocktrestle.edge.store._registration import VmEntry
 from hemlocktrestle.wire import Heartbeat
 
 CONFIRMATION_MS_MAX = 1_800.0
--- a/src/hemlocktrestle/edge/_watchers.py
+++ b/src/hemlocktrestle/edge/store/_watchers.py
@@ -6,9 +6,9 @@
 
 import trio
 
-from hemlocktrestle.edge._replica_exchange import ReplicaExchange
 from hemlocktrestle.edge._state import EdgeState, now_ms
-from hemlocktrestle.edge._store_task import StoreHealth, StoreTask
+from hemlocktrestle.edge.replicas._replica_exchange import ReplicaExchange
+from hemlocktrestle.edge.store._store_task import StoreHealth, StoreTask
 from hemlocktrestle.errors import RequestError
 from hemlocktrestle.gateway import ReplicaRecord, ReplicaUpdate
 from hemlocktrestle.platform import (
--- a/tests/edge/test_attempt.py
+++ b/tests/edge/attempts/test_attempt.py
@@ -5,8 +5,8 @@
 import trio
 import trio.testing
 
+from tests.edge.callers.test_server import STREAM, WHOLE, event, stream_of
 from tests.edge.harness import EdgeHarness, answer_after
-from tests.edge.test_server import STREAM, WHOLE, event, stream_of
 from tests.gateway.records import configuration, replica
 from tests.standins.http import Connection, Request
 from tests.support import TrioTestCase
--- a/tests/edge/test_crash_monitor.py
+++ b/tests/edge/attempts/test_crash_monitor.py
@@ -5,10 +5,10 @@
 import trio
 import trio.testing
 
-from hemlocktrestle.edge import _crash_monitor
-from hemlocktrestle.edge._crash_monitor import CrashMonitor
-from hemlocktrestle.edge._part_gate import PartGate
 from hemlocktrestle.edge._state import now_ms
+from hemlocktrestle.edge.attempts import _crash_monitor
+from hemlocktrestle.edge.attempts._crash_monitor import CrashMonitor
+from hemlocktrestle.edge.attempts._part_gate import PartGate
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.quarantine import QuarantineRegistry
 from hemlocktrestle.relay import ConnectTimeoutError
--- a/tests/edge/test_part_processes.py
+++ b/tests/edge/attempts/test_part_processes.py
@@ -10,8 +10,8 @@
 from testtools import TestCase
 
 from tests.cluster import HANG_TIMEOUT_S
+from tests.edge.attempts.test_prompt_parts import POISON, crash, prompt
 from tests.edge.test_processes import fetch
-from tests.edge.test_prompt_parts import POISON, crash, prompt
 from tests.soak._deployment import KEY, Deployment
 from tests.standins.http import Connection, Request, serve
 from tests.standins.replica import ReplicaStandIn
--- a/tests/edge/test_part_trials.py
+++ b/tests/edge/attempts/test_part_trials.py
@@ -6,11 +6,10 @@
 
 import trio
 
-from hemlocktrestle.edge._part_trials import TRIAL_MS_MAX
 from hemlocktrestle.edge._state import now_ms
+from hemlocktrestle.edge.attempts._part_trials import TRIAL_MS_MAX
 from hemlocktrestle.wire import PartTrial
-from tests.edge.harness import EdgeHarness, Reply, Script, answer_after
-from tests.edge.test_prompt_parts import (
+from tests.edge.attempts.test_prompt_parts import (
     POISON,
     REPLICAS,
     Mesh,
@@ -18,7 +17,8 @@
     prompt,
     suspicion,
 )
-from tests.edge.test_server import STREAM, event
+from tests.edge.callers.test_server import STREAM, event
+from tests.edge.harness import EdgeHarness, Reply, Script, answer_after
 from tests.gateway.records import configuration, replica
 from tests.standins.http import Connection, Request
 from tests.support import TrioTestCase
--- a/tests/edge/test_prompt_parts.py
+++ b/tests/edge/attempts/test_prompt_parts.py
@@ -5,17 +5,17 @@
 
 import trio
 
-from hemlocktrestle.edge import _crash_monitor
-from hemlocktrestle.edge._crash_monitor import CrashMonitor
-from hemlocktrestle.edge._part_gate import PartGate
-from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement
 from hemlocktrestle.edge._state import now_ms
+from hemlocktrestle.edge.attempts import _crash_monitor
+from hemlocktrestle.edge.attempts._crash_monitor import CrashMonitor
+from hemlocktrestle.edge.attempts._part_gate import PartGate
+from hemlocktrestle.edge.placing._placement import AttemptEnd, AttemptReport, Placement
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import ReplicaUpdate
 from hemlocktrestle.quarantine import QuarantineRegistry
 from hemlocktrestle.wire import Heartbeat, Message, Suspicion, decode, encode
+from tests.edge.callers.test_server import STREAM, stream_of
 from tests.edge.harness import EdgeHarness, Script, answer_ok
-from tests.edge.test_server import STREAM, stream_of
 from tests.gateway.records import configuration, replica
 from tests.standins.http import Connection, Request
 from tests.support import TrioTestCase
--- a/tests/edge/test_quarantine_return.py
+++ b/tests/edge/attempts/test_quarantine_return.py
@@ -1,8 +1,8 @@
 """Tests of when callers whose request crashes replicas may come back."""
 
 from hemlocktrestle.quarantine._registry import QUARANTINE_MS
+from tests.edge.callers.test_server import ONCE
 from tests.edge.harness import EdgeHarness, close_without_answer
-from tests.edge.test_server import ONCE
 from tests.support import TrioTestCase
 
 
--- a/tests/edge/test_repeated_crashes.py
+++ b/tests/edge/attempts/test_repeated_crashes.py
@@ -5,7 +5,7 @@
 from hemlocktrestle.edge._state import now_ms
 from hemlocktrestle.quarantine import QuarantineEntry, QuarantineRegistry
 from hemlocktrestle.wire import Suspicion
-from tests.edge.test_prompt_parts import Mesh
+from tests.edge.attempts.test_prompt_parts import Mesh
 from tests.support import TrioTestCase
 
 FINGERPRINT = "f1"
--- a/tests/edge/test_replica_answers.py
+++ b/tests/edge/attempts/test_replica_answers.py
@@ -5,7 +5,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hemlocktrestle.edge._placement import AttemptEnd
+from hemlocktrestle.edge.placing._placement import AttemptEnd
+from tests.edge.callers.test_server import ONCE, STREAM, WHOLE, event, stream_of
 from tests.edge.harness import (
     EdgeHarness,
     Reply,
@@ -13,7 +14,6 @@
     answer_ok,
     reset_on_close,
 )
-from tests.edge.test_server import ONCE, STREAM, WHOLE, event, stream_of
 from tests.gateway.records import configuration, replica
 from tests.standins.http import Connection, Request
 from tests.support import TrioTestCase
--- a/tests/edge/test_silent_replica.py
+++ b/tests/edge/attempts/test_silent_replica.py
@@ -8,11 +8,12 @@
 
 import trio
 
-from hemlocktrestle.edge import _attempt
-from hemlocktrestle.edge._placement import UNSENT_ENDS, AttemptEnd
 from hemlocktrestle.edge._state import now_ms
+from hemlocktrestle.edge.attempts import _attempt
+from hemlocktrestle.edge.placing._placement import UNSENT_ENDS, AttemptEnd
 from hemlocktrestle.gateway import RetryBudget
 from hemlocktrestle.latency._estimate import KNOWN_COUNT_MIN
+from tests.edge.callers.test_server import STREAM, WHOLE, event, stream_of
 from tests.edge.harness import (
     EdgeHarness,
     Reply,
@@ -22,7 +23,6 @@
     answer_status,
     never_answer,
 )
-from tests.edge.test_server import STREAM, WHOLE, event, stream_of
 from tests.gateway.records import configuration, replica
 from tests.standins.http import Connection, Request
 from tests.support import TrioTestCase
--- /dev/null
+++ b/tests/edge/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of hemlocktrestle.edge.callers."""
--- a/tests/edge/test_answer.py
+++ b/tests/edge/callers/test_answer.py
@@ -4,12 +4,12 @@
 
 from testtools import TestCase
 
-from hemlocktrestle.edge._answer import (
+from hemlocktrestle.edge.callers._answer import (
     RETRY_AFTER_MS_MIN,
     SPREAD_SHARE,
     error_answer,
 )
-from hemlocktrestle.edge._quota_gate import over_quota
+from hemlocktrestle.edge.callers._quota_gate import over_quota
 from hemlocktrestle.errors import ErrorKind, RequestError
 
 
--- a/tests/edge/test_endless_bytes.py
+++ b/tests/edge/callers/test_endless_bytes.py
@@ -6,10 +6,10 @@
 
 import trio
 
-from hemlocktrestle.edge._placement import AttemptEnd
+from hemlocktrestle.edge.placing._placement import AttemptEnd
+from tests.edge.attempts.test_replica_answers import raw
+from tests.edge.callers.test_server import ONCE, STREAM, WHOLE, stream_of
 from tests.edge.harness import EdgeHarness, Script, sealed
-from tests.edge.test_replica_answers import raw
-from tests.edge.test_server import ONCE, STREAM, WHOLE, stream_of
 from tests.gateway.records import configuration, replica
 from tests.standins.http import Connection, Request
 from tests.support import TrioTestCase
--- a/tests/edge/test_listeners.py
+++ b/tests/edge/callers/test_listeners.py
@@ -7,13 +7,13 @@
 import trio
 from testtools import TestCase
 
-from hemlocktrestle.edge._listeners import (
+from hemlocktrestle.edge._state import EdgeState
+from hemlocktrestle.edge.callers._listeners import (
     IDLE_CLOSE_S,
     CallerListener,
     address_of,
     listen,
 )
-from hemlocktrestle.edge._state import EdgeState
 from hemlocktrestle.gateway import FleetSnapshot
 from hemlocktrestle.platform import decode_settings
 from hemlocktrestle.relay import BodyMemoryBudget, CallerConnection, CallerRequest
--- a/tests/edge/test_owed_answers.py
+++ b/tests/edge/callers/test_owed_answers.py
@@ -7,14 +7,22 @@
 
 import trio
 
-from hemlocktrestle.edge import _attempt
-from hemlocktrestle.edge._attempt_sequence import (
+from hemlocktrestle.edge._state import now_ms
+from hemlocktrestle.edge.attempts import _attempt
+from hemlocktrestle.edge.attempts._attempt_sequence import (
     CONNECTS_MAX,
     OWED_FACTOR,
     SENDS_MAX,
 )
-from hemlocktrestle.edge._placement import AttemptEnd
-from hemlocktrestle.edge._state import now_ms
+from hemlocktrestle.edge.placing._placement import AttemptEnd
+from tests.edge.attempts.test_silent_replica import (
+    EVENT_LINES,
+    JOBS,
+    REFUSES,
+    SilentReplicaCase,
+    paused_stream,
+)
+from tests.edge.callers.test_server import STREAM, WHOLE, event, stream_of
 from tests.edge.harness import (
     EdgeHarness,
     Reply,
@@ -22,14 +30,6 @@
     answer_status,
     never_answer,
 )
-from tests.edge.test_server import STREAM, WHOLE, event, stream_of
-from tests.edge.test_silent_replica import (
-    EVENT_LINES,
-    JOBS,
-    REFUSES,
-    SilentReplicaCase,
-    paused_stream,
-)
 from tests.gateway.records import configuration, replica
 from tests.standins.http import Connection, Request
 
--- a/tests/edge/test_shutdown.py
+++ b/tests/edge/callers/test_shutdown.py
@@ -6,7 +6,7 @@
 import trio
 import trio.testing
 
-from hemlocktrestle.edge._shutdown import Phase, Shutdown
+from hemlocktrestle.edge.callers._shutdown import Phase, Shutdown
 from hemlocktrestle.gateway import RequestKind, Target
 from tests.edge.harness import (
     EdgeHarness,
@@ -205,7 +205,7 @@
 
     async def test_a_failure_is_relayed(self) -> None:
         """Guards against a second run that the end of the process cuts."""
-        with self.assertLogs("hemlocktrestle.edge._attempt_sequence") as logs:
+        with self.assertLogs("hemlocktrestle.edge.attempts._attempt_sequence") as logs:
             reply, harness = await self.answer(answer_status(500))
         reasons = [getattr(record, "reason", "") for record in logs.records]
         self.assertEqual(["shutdown"], [reason for reason in reasons if reason])
--- a/tests/edge/test_waiting_processes.py
+++ b/tests/edge/callers/test_waiting_processes.py
@@ -6,8 +6,12 @@
 import trio
 from testtools import TestCase
 
+from tests.edge.callers.test_shutdown_processes import (
+    REPLICA_SLOTS,
+    connect,
+    read_answer,
+)
 from tests.edge.test_processes import ONE_SERVICE, Edge, Platform, running_edge
-from tests.edge.test_shutdown_processes import REPLICA_SLOTS, connect, read_answer
 from tests.platform.documents import changed
 
 LONG_MS = 60_000.0
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -9,14 +9,14 @@
 import trio.testing
 from testtools import TestCase
 
-from hemlocktrestle.edge import _attempt
-from hemlocktrestle.edge._job import Job
-from hemlocktrestle.edge._local_placer import LocalPlacer
-from hemlocktrestle.edge._part_gate import PartGate
-from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement
-from hemlocktrestle.edge._quota_gate import EdgeQuotas
-from hemlocktrestle.edge._server import EdgeServer, ServedRequest
 from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.edge.attempts import _attempt
+from hemlocktrestle.edge.attempts._part_gate import PartGate
+from hemlocktrestle.edge.callers._job import Job
+from hemlocktrestle.edge.callers._quota_gate import EdgeQuotas
+from hemlocktrestle.edge.callers._server import EdgeServer, ServedRequest
+from hemlocktrestle.edge.placing._local_placer import LocalPlacer
+from hemlocktrestle.edge.placing._placement import AttemptEnd, AttemptReport, Placement
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import (
     Configuration,
--- a/tests/edge/test_permit_placer.py
+++ b/tests/edge/placing/test_permit_placer.py
@@ -6,16 +6,16 @@
 from testtools import ExpectedException
 from testtools.matchers import MatchesStructure
 
-from hemlocktrestle.edge import _attempt
-from hemlocktrestle.edge._attempt import Attempt
 from hemlocktrestle.edge._fleet import EdgeFleet
-from hemlocktrestle.edge._job import Job
-from hemlocktrestle.edge._permit_placer import FAILURE_BY_END, PermitPlacer
-from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement
-from hemlocktrestle.edge._progress import RequestProgress
-from hemlocktrestle.edge._quota_gate import EdgeQuotas
-from hemlocktrestle.edge._registration import VmEntry
 from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.edge.attempts import _attempt
+from hemlocktrestle.edge.attempts._attempt import Attempt
+from hemlocktrestle.edge.callers._job import Job
+from hemlocktrestle.edge.callers._progress import RequestProgress
+from hemlocktrestle.edge.callers._quota_gate import EdgeQuotas
+from hemlocktrestle.edge.placing._permit_placer import FAILURE_BY_END, PermitPlacer
+from hemlocktrestle.edge.placing._placement import AttemptEnd, AttemptReport, Placement
+from hemlocktrestle.edge.store._registration import VmEntry
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import (
     FleetSnapshot,
--- a/tests/edge/test_stale_placements.py
+++ b/tests/edge/placing/test_stale_placements.py
@@ -1,6 +1,6 @@
 """Tests of placements by a scheduler that knows less than the VM that sends."""
 
-from hemlocktrestle.edge._placement import AttemptEnd
+from hemlocktrestle.edge.placing._placement import AttemptEnd
 from hemlocktrestle.gateway import ReplicaUpdate
 from tests.edge.harness import EdgeHarness, answer_ok
 from tests.gateway.records import replica_update
--- a/tests/edge/test_replica_exchange.py
+++ b/tests/edge/replicas/test_replica_exchange.py
@@ -7,11 +7,11 @@
 import trio
 
 from hemlocktrestle.edge._fleet import EdgeFleet
-from hemlocktrestle.edge._registration import VmEntry
-from hemlocktrestle.edge._replica_exchange import ReplicaExchange
 from hemlocktrestle.edge._state import EdgeState, now_ms
-from hemlocktrestle.edge._store_task import StoreHealth
-from hemlocktrestle.edge._watchers import ReplicaWatcher
+from hemlocktrestle.edge.replicas._replica_exchange import ReplicaExchange
+from hemlocktrestle.edge.store._registration import VmEntry
+from hemlocktrestle.edge.store._store_task import StoreHealth
+from hemlocktrestle.edge.store._watchers import ReplicaWatcher
 from hemlocktrestle.gateway import FleetSnapshot
 from hemlocktrestle.platform import PlatformStore, decode_settings
 from hemlocktrestle.wire import (
--- a/tests/edge/test_replica_notices.py
+++ b/tests/edge/replicas/test_replica_notices.py
@@ -4,8 +4,9 @@
 
 import trio
 
-from hemlocktrestle.edge._placement import AttemptEnd
+from hemlocktrestle.edge.placing._placement import AttemptEnd
 from hemlocktrestle.gateway import ReplicaRecord, RequestKind
+from tests.edge.callers.test_server import STREAM, WHOLE, event
 from tests.edge.harness import (
     EdgeHarness,
     Script,
@@ -13,7 +14,6 @@
     close_without_answer,
     sealed,
 )
-from tests.edge.test_server import STREAM, WHOLE, event
 from tests.gateway.records import (
     configuration,
     customer,
--- a/tests/edge/test_replica_pauses.py
+++ b/tests/edge/replicas/test_replica_pauses.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from hemlocktrestle.edge._placement import AttemptEnd
+from hemlocktrestle.edge.placing._placement import AttemptEnd
 from hemlocktrestle.gateway import RequestKind
 from tests.edge.harness import (
     EdgeHarness,
@@ -12,7 +12,7 @@
     answer_ok,
     close_without_answer,
 )
-from tests.edge.test_replica_notices import answer, listed
+from tests.edge.replicas.test_replica_notices import answer, listed
 from tests.gateway.records import configuration, replica_update, route
 from tests.standins.http import Connection, Request
 from tests.support import TrioTestCase
--- a/tests/edge/test_configuration_exchange.py
+++ b/tests/edge/store/test_configuration_exchange.py
@@ -4,10 +4,10 @@
 
 import trio
 
-from hemlocktrestle.edge._configuration_exchange import ConfigurationExchange
 from hemlocktrestle.edge._state import EdgeState, now_ms
-from hemlocktrestle.edge._store_task import StoreHealth
-from hemlocktrestle.edge._watchers import ConfigurationWatcher
+from hemlocktrestle.edge.store._configuration_exchange import ConfigurationExchange
+from hemlocktrestle.edge.store._store_task import StoreHealth
+from hemlocktrestle.edge.store._watchers import ConfigurationWatcher
 from hemlocktrestle.gateway import FleetSnapshot
 from hemlocktrestle.platform import PlatformStore, decode_settings
 from hemlocktrestle.wire import ConfigurationNews, Heartbeat, Message, TreeFetch
--- a/tests/edge/test_registration.py
+++ b/tests/edge/store/test_registration.py
@@ -7,9 +7,13 @@
 from hypothesis import given
 from testtools import TestCase
 
-from hemlocktrestle.edge._registration import VmEntry, VmRegistrar, decode_vm_entry
 from hemlocktrestle.edge._state import EdgeState
-from hemlocktrestle.edge._store_task import StoreHealth
+from hemlocktrestle.edge.store._registration import (
+    VmEntry,
+    VmRegistrar,
+    decode_vm_entry,
+)
+from hemlocktrestle.edge.store._store_task import StoreHealth
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import FleetSnapshot
 from hemlocktrestle.platform import PlatformStore, decode_settings
--- a/tests/edge/test_vm_list.py
+++ b/tests/edge/store/test_vm_list.py
@@ -2,8 +2,8 @@
 
 import trio
 
-from hemlocktrestle.edge._registration import VmEntry
-from hemlocktrestle.edge._vm_list import CONFIRMED_VMS_MIN, VmList
+from hemlocktrestle.edge.store._registration import VmEntry
+from hemlocktrestle.edge.store._vm_list import CONFIRMED_VMS_MIN, VmList
 from hemlocktrestle.wire import Heartbeat
 from tests.support import TrioTestCase
 
--- a/tests/edge/test_watchers.py
+++ b/tests/edge/store/test_watchers.py
@@ -6,10 +6,10 @@
 
 import trio
 
-from hemlocktrestle.edge._replica_exchange import ReplicaExchange
 from hemlocktrestle.edge._state import EdgeState
-from hemlocktrestle.edge._store_task import StoreHealth
-from hemlocktrestle.edge._watchers import ConfigurationWatcher, ReplicaWatcher
+from hemlocktrestle.edge.replicas._replica_exchange import ReplicaExchange
+from hemlocktrestle.edge.store._store_task import StoreHealth
+from hemlocktrestle.edge.store._watchers import ConfigurationWatcher, ReplicaWatcher
 from hemlocktrestle.gateway import FleetSnapshot
 from hemlocktrestle.platform import PlatformStore, decode_settings
 from tests.odd_values import NESTING
--- a/tests/edge/test_fleet.py
+++ b/tests/edge/test_fleet.py
@@ -6,8 +6,8 @@
 import trio
 
 from hemlocktrestle.edge._fleet import EdgeFleet
-from hemlocktrestle.edge._registration import VmEntry
 from hemlocktrestle.edge._state import EdgeState, now_ms
+from hemlocktrestle.edge.store._registration import VmEntry
 from hemlocktrestle.gateway import FleetSnapshot, Incarnation
 from hemlocktrestle.peers import SchedulerTask
 from hemlocktrestle.platform import decode_settings
--- a/tests/edge/test_metrics.py
+++ b/tests/edge/test_metrics.py
@@ -2,7 +2,6 @@
 
 from testtools.matchers import Contains, Not
 
-from hemlocktrestle.edge._job import Job
 from hemlocktrestle.edge._metrics import (
     OTHERS,
     SERIES_MAX,
@@ -10,8 +9,9 @@
     Gauges,
     LabelledGauges,
 )
-from hemlocktrestle.edge._placement import AttemptEnd, AttemptReport, Placement
-from hemlocktrestle.edge._server import ServedRequest
+from hemlocktrestle.edge.callers._job import Job
+from hemlocktrestle.edge.callers._server import ServedRequest
+from hemlocktrestle.edge.placing._placement import AttemptEnd, AttemptReport, Placement
 from tests.edge.harness import EdgeHarness, answer_ok
 from tests.gateway.records import configuration, customer, route
 from tests.support import TrioTestCase
