Send nothing to a replica whose address another one answers at

Ruled out: full replicas (no 503 among the refusals seen to 15 s) and choices without a scheduler (none logged).

Change: a refusal as misdirected that names another replica marks the registered one as displaced, for as long as its registration stays as it is and for 10 s at most. Its VM holds back placements on it, and heartbeats tell schedulers and other VMs, as for replicas that leave. What is heard from others does not extend a mark.

--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -304,6 +304,8 @@
         """Probe replicas that could not be reached, until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
+                if self.replica_notices.forget_displaced():
+                    self.sync()
                 for record in self.membership.probes_due(now_ms()):
                     nursery.start_soon(self._probe, record)
                 await sleep_until_multiple(PROBE_CHECK_S)
--- a/src/hemlocktrestle/edge/replicas/_replica_notices.py
+++ b/src/hemlocktrestle/edge/replicas/_replica_notices.py
@@ -13,6 +13,7 @@
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import (
     AnswerMetadata,
+    DisplacedReplicas,
     Incarnation,
     LeavingIncarnations,
     Pause,
@@ -32,13 +33,17 @@
 PAUSE_STATUS = 503
 """Status of a refusal that may ask for a pause."""
 
+MISDIRECTED_STATUS = 421
+"""Status with which another replica refuses what names the one before it."""
+
 
 class Obstacle(NamedTuple):
     """Why no request may be sent to a replica.
 
     Args:
         reason: ``draining``, ``gone`` or ``moved`` as registered, ``leaving`` or
-            ``paused`` as it said itself, or ``returning`` after a pause.
+            ``paused`` as it said itself, ``displaced`` as another replica at its
+            address said, or ``returning`` after a pause.
         age_ms: for how long this is known, 0 if it was registered.
         left_ms: how long a pause lasts, ``None`` for a replica that leaves.
     """
@@ -63,8 +68,12 @@
         self._now_ms = now_ms
         self.leaving = LeavingIncarnations()
         self.pauses = ReplicaPauses()
+        self.displaced = DisplacedReplicas(registry.find)
         self.on_learned: Callable[[str], None] = lambda source: None
-        """Called with the VM that told, or an empty string, when a replica leaves."""
+        """Called with the VM that told, or an empty string, when a replica leaves.
+
+        Also when it turns out to be gone.
+        """
 
     def on_answer(
         self, placement: Placement, status: int, metadata: AnswerMetadata
@@ -75,20 +84,38 @@
             self._record_leaving(
                 incarnation, request_id=metadata.request_id, status=status
             )
+        if status == MISDIRECTED_STATUS and metadata.replica_id not in {
+            "",
+            placement.replica_id,
+        }:
+            self._record_displaced(
+                placement.replica_id,
+                placement.address,
+                successor=metadata.replica_id,
+                request_id=metadata.request_id,
+            )
         if status == PAUSE_STATUS and metadata.pause_ms is not None:
             self._record_pause(placement, metadata.pause_ms, metadata.request_id)
 
     def on_news(self, vm: str, replicas: Iterable[LeavingReplica]) -> None:
-        """Record the replicas that leave as another VM knows."""
-        for replica in replicas:
-            self._record_leaving(Incarnation(*replica), source=vm)
+        """Record the replicas that leave or are gone as another VM knows."""
+        for replica_id, born_ms, left_address in replicas:
+            if not left_address:
+                self._record_leaving(Incarnation(replica_id, born_ms), source=vm)
+            elif self._registry.incarnation(replica_id).born_ms == born_ms:
+                self._record_displaced(replica_id, left_address, source=vm)
 
     def shared(self) -> tuple[LeavingReplica, ...]:
-        """Return the replicas that leave though their registration says ready."""
-        return tuple(
+        """Return the replicas that leave or are gone, but are registered as ready."""
+        leaving = [
             LeavingReplica(record.replica_id, record.born_ms)
-            for record in self._leaving_records()[:SHARED_COUNT_MAX]
-        )
+            for record in self._leaving_records()
+        ]
+        gone = [
+            LeavingReplica(record.replica_id, record.born_ms, record.address)
+            for record in self._displaced_records()
+        ]
+        return tuple([*leaving, *gone][:SHARED_COUNT_MAX])
 
     def unusable_ids(self, service: str, excluded: frozenset[str]) -> frozenset[str]:
         """Return a service's registered replicas that no request may be sent to.
@@ -127,9 +154,17 @@
         )
 
     def is_leaving(self, record: ReplicaRecord) -> bool:
-        """Tell whether a registered replica said that it leaves."""
+        """Tell whether a registered replica said that it leaves, or is gone."""
         incarnation = Incarnation(record.replica_id, record.born_ms)
-        return self.leaving.learned_ms(incarnation, self._now_ms()) is not None
+        now = self._now_ms()
+        return (
+            self.leaving.learned_ms(incarnation, now) is not None
+            or self.displaced.learned_ms(record.replica_id, now) is not None
+        )
+
+    def forget_displaced(self) -> bool:
+        """Forget outdated marks; return whether a replica is to be tried again."""
+        return self.displaced.forget(self._now_ms())
 
     def obstacle(
         self, placement: Placement, service: str, excluded: frozenset[str]
@@ -169,6 +204,9 @@
         learned_ms = self.leaving.learned_ms(incarnation, now)
         if learned_ms is not None:
             return Obstacle("leaving", now - learned_ms)
+        learned_ms = self.displaced.learned_ms(replica_id, now)
+        if learned_ms is not None:
+            return Obstacle("displaced", now - learned_ms)
         pause = self._pause(replica_id)
         if pause is not None and pause.is_paused(now):
             left_ms = pause.until_ms - now
@@ -188,6 +226,7 @@
         """Return the obstacles of a service's registered replicas, by id."""
         noticed = {known.replica_id for known in self.leaving}
         noticed.update(self.pauses.names())
+        noticed.update(self.displaced)
         lasting: dict[str, Obstacle] = {}
         returning: dict[str, Obstacle] = {}
         for name in sorted(noticed):
@@ -221,6 +260,20 @@
             if record is not None and not record.is_draining and self.is_leaving(record)
         ]
 
+    def _displaced_records(self) -> list[ReplicaRecord]:
+        """Return the replicas that are registered as ready but are gone."""
+        now = self._now_ms()
+        records = [
+            self._registry.find(name)
+            for name in self.displaced
+            if self.displaced.learned_ms(name, now) is not None
+        ]
+        return [
+            record
+            for record in records
+            if record is not None and not record.is_draining
+        ]
+
     def _is_listed(self, incarnation: Incarnation) -> bool:
         record = self._registry.find(incarnation.replica_id)
         return record is not None and record.born_ms == incarnation.born_ms
@@ -251,6 +304,32 @@
         )
         self.on_learned(source)
 
+    def _record_displaced(
+        self,
+        replica_id: str,
+        address: str,
+        *,
+        successor: str = "",
+        request_id: str = "",
+        source: str = "",
+    ) -> None:
+        """Record that another replica answers at the address of a registered one."""
+        if not self.displaced.record(
+            replica_id, address, self._now_ms(), is_witness=not source
+        ):
+            return
+        log.info(
+            "replica_displaced",
+            extra={
+                "replica": replica_id,
+                "address": address,
+                "successor": successor,
+                "source": source or "answer",
+                "request": request_id,
+            },
+        )
+        self.on_learned(source)
+
     def _record_pause(
         self, placement: Placement, stated_ms: float, request_id: str
     ) -> None:
--- a/src/hemlocktrestle/gateway/__init__.py
+++ b/src/hemlocktrestle/gateway/__init__.py
@@ -20,6 +20,7 @@
     choose_service,
     urgency_rank,
 )
+from hemlocktrestle.gateway._displaced import DisplacedReplicas
 from hemlocktrestle.gateway._event_sequence import ID_DIGITS_MAX, EventSequence
 from hemlocktrestle.gateway._events import EventSplitter, StreamEvent
 from hemlocktrestle.gateway._fleet_demand import FleetDemand
@@ -55,6 +56,7 @@
     "Configuration",
     "Customer",
     "Demand",
+    "DisplacedReplicas",
     "EngineLimits",
     "EventSequence",
     "EventSplitter",
--- a/src/hemlocktrestle/gateway/_request.py
+++ b/src/hemlocktrestle/gateway/_request.py
@@ -60,6 +60,7 @@
         is_leaving: whether the replica states that it leaves.
         pause_ms: how long the replica asks for a pause, ``None`` if it does not; any
             number, and NaN for what is none.
+        replica_id: the replica that answers, empty if it does not say.
     """
 
     is_sealed: bool
@@ -69,3 +70,4 @@
     is_event_stream: bool
     is_leaving: bool = False
     pause_ms: float | None = None
+    replica_id: str = ""
--- a/src/hemlocktrestle/platform/_headers.py
+++ b/src/hemlocktrestle/platform/_headers.py
@@ -20,6 +20,7 @@
 _SEAL = b"x-response-seal"
 _NOT_EXECUTED = b"x-not-executed"
 _LEAVING = b"server-leaving"
+_REPLICA = b"x-instance-id"
 # Seconds, also fractions.
 _PAUSE = b"retry-after"
 
@@ -141,6 +142,7 @@
                 name == _LEAVING and value.strip() == b"1" for name, value in headers
             ),
             pause_ms=_stated_ms(_text(lines, _PAUSE)) if _PAUSE in lines else None,
+            replica_id=_text(lines, _REPLICA),
         )
 
     def forwarded_answer_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -75,13 +75,16 @@
 
 
 class LeavingReplica(NamedTuple):
-    """An incarnation of a replica that said in an answer that it leaves.
+    """An incarnation of a replica that leaves or has gone.
 
     ``born_ms`` is the wall-clock time of its start, 0 if it is not known.
+    ``left_address`` is where another replica answered in its place; if it is empty,
+    the replica said in an answer that it leaves.
     """
 
     replica_id: str
     born_ms: int
+    left_address: str = ""
 
 
 class SoundPart(NamedTuple):
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -67,6 +67,7 @@
 struct LeavingReplica {
   replicaId @0 :Text;
   bornMs @1 :UInt64;
+  leftAddress @2 :Text;
 }
 
 struct SoundPart {
