--- a/src/hemlocktrestle/cli/_platform_commands.py
+++ b/src/hemlocktrestle/cli/_platform_commands.py
@@ -9,7 +9,7 @@
 from hemlocktrestle.cli._registry import command
 from hemlocktrestle.edge.store._registration import VM_PREFIX
 from hemlocktrestle.errors import ErrorKind, RequestError
-from hemlocktrestle.gateway import Configuration, urgency_rank
+from hemlocktrestle.gateway import Configuration, StoreRevision, urgency_rank
 from hemlocktrestle.platform import (
     CONFIGURATION_KEY,
     REGISTRATIONS_PREFIX,
@@ -29,7 +29,7 @@
     return RequestError(ErrorKind.STORE_UNAVAILABLE, str(error))
 
 
-async def _read_configuration(address: str) -> tuple[Configuration, int]:
+async def _read_configuration(address: str) -> tuple[Configuration, StoreRevision]:
     """Read the configuration in force and its revision."""
     try:
         async with PlatformStore(address) as store:
@@ -62,7 +62,7 @@
     found, revision = await _read_configuration(context.options.at)
     shown = {
         "version": found.version,
-        "store_revision": revision,
+        **revision.log_fields(),
         "routes": len(found.routes),
         "services": sorted(found.services),
         "customers": sorted(found.customers),
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -288,6 +288,7 @@
             store_is_lost=lambda: float(health.is_lost),
             store_answered_age_ms=health.age_ms,
             store_calls=lambda: self._store.call_count,
+            store_era=lambda: max(0, self.state.store_era),
             vms_heard=lambda: self._fleet().reporting_count,
             stalls=lambda: self._stall_monitor.count,
             log_lines_dropped=dropped_count,
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -88,6 +88,7 @@
         self.part_gate = PartGate(state)
         self.quarantine = QuarantineRegistry()
         self.scheduler_task: SchedulerTask | None = None
+        state.on_store_restored.append(self._on_store_restored)
 
     @property
     def network(self) -> PeerNetwork | None:
@@ -101,6 +102,8 @@
 
     def apply_busy_customers(self, customers: set[str]) -> None:
         """Apply the set of customers that the store lists as busy."""
+        if self._vm_list.is_returning:
+            customers = customers | self._state.stored_busy_customers
         self._state.stored_busy_customers = customers
 
     def customers_to_record(self) -> set[str]:
@@ -174,6 +177,12 @@
         if self.network is not None and self.exchange.is_relay:
             self.network.send_heartbeats()
 
+    def _on_store_restored(self) -> None:
+        """Keep the VMs that the store may have lost, and tell the others its era."""
+        self._vm_list.begin_era()
+        if self.network is not None and self.exchange.is_relay:
+            self.network.send_heartbeats()
+
     def _on_leaving_learned(self, source: str) -> None:
         """Give a replica that leaves no more permits, and tell the other VMs.
 
@@ -228,7 +237,7 @@
                 self._startup_share(now), now
             )
         return Heartbeat(
-            max(0, self._state.configuration_revision),
+            max(0, self._state.configuration_revision.number),
             "",
             int(min(now - self._state.configuration_confirmed_ms, AGE_MS_MAX)),
             self._state.is_draining,
@@ -239,11 +248,13 @@
             vm_count,
             self._startup_share(now),
             startup_share,
-            self.replica_exchange.follows_store,
+            self.replica_exchange.reads_store,
             self._vm_list.digest,
             self.replica_notices.shared(),
             self.part_gate.sound_parts(),
             self._sound_requests(now),
+            max(0, self._state.store_era),
+            max(0, self._state.configuration_revision.era),
         )
 
     def on_heartbeat(self, vm: str, message: Message) -> None:
@@ -251,6 +262,8 @@
         if not isinstance(message, Heartbeat):
             return
         now = now_ms()
+        if message.store_era:
+            self._state.observe_store_era(message.store_era, source=vm)
         self.exchange.on_heartbeat(vm, message)
         self.replica_exchange.on_heartbeat(vm, message)
         self._vm_list.on_heartbeat(vm, message)
--- a/src/hemlocktrestle/edge/_metrics.py
+++ b/src/hemlocktrestle/edge/_metrics.py
@@ -52,6 +52,7 @@
     store_is_lost: Callable[[], float]
     store_answered_age_ms: Callable[[], float]
     store_calls: Callable[[], float]
+    store_era: Callable[[], float]
     vms_heard: Callable[[], float]
     stalls: Callable[[], float]
     log_lines_dropped: Callable[[], float]
@@ -84,6 +85,7 @@
     "store_is_lost": "Whether the last call to the store failed.",
     "store_answered_age_ms": "Time since the store last answered.",
     "store_calls": "Calls to the store since the start.",
+    "store_era": "Number of restores that the store states, 0 if it states none.",
     "vms_heard": "VMs whose demand is known, this one included.",
     "stalls": "Times for which nothing in this process ran, since the start.",
     "log_lines_dropped": "Log lines that were not written, since the start.",
--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -1,5 +1,6 @@
 """Shared state of one edge process."""
 
+import logging
 import math
 from collections.abc import Callable
 
@@ -8,6 +9,8 @@
 from hemlocktrestle.edge.callers._shutdown import Phase, Shutdown
 from hemlocktrestle.edge.replicas._replica_notices import ReplicaNotices
 from hemlocktrestle.gateway import (
+    NO_ERA,
+    NO_REVISION,
     AnswerTimes,
     CallerLimits,
     Configuration,
@@ -19,6 +22,8 @@
 from hemlocktrestle.platform import EdgeSettings, HeaderCodec
 from hemlocktrestle.relay import BodyMemoryBudget
 
+log = logging.getLogger(__name__)
+
 BODY_MEMORY_SHARE = 0.25
 """Share of the memory limit that buffered bodies may use, in each direction.
 
@@ -48,11 +53,15 @@
         self.header_codec = HeaderCodec()
         self.configuration: Configuration | None = None
         self.configuration_document = b""
-        self.configuration_revision = -1
+        self.configuration_revision = NO_REVISION
         self.configuration_confirmed_ms = -math.inf
         self.on_configuration: Callable[[], None] = lambda: None
         self.replicas = ReplicaRegistry()
         self.replica_notices = ReplicaNotices(self.replicas, now_ms=now_ms)
+        self.store_era = NO_ERA
+        """Highest era of the store that this VM or another one has seen."""
+        self.on_store_restored: list[Callable[[], None]] = []
+        """Called after ``store_era`` has risen, the first era excepted."""
         self.has_loaded_replicas = False
         self.has_loaded_vms = False
         self.quotas = QuotaTracker(now_ms())
@@ -96,6 +105,34 @@
             and not self.is_draining
         )
 
+    def observe_store_era(self, era: int, *, source: str) -> None:
+        """Take note of an era that the store or another VM stated.
+
+        Args:
+            era: the era.
+            source: the task or the VM that learned it, for the log.
+        """
+        previous = self.store_era
+        if era <= previous:
+            return
+        self.store_era = era
+        unconfirmed_count = self.replicas.begin_era(era, now_ms())
+        if previous == NO_ERA:
+            return
+        configuration = self.configuration
+        log.warning(
+            "store_restored",
+            extra={
+                "store_era": era,
+                "previous_era": previous,
+                "source": source,
+                "replicas_to_confirm": unconfirmed_count,
+                "version_kept": configuration.version if configuration else 0,
+            },
+        )
+        for notify in self.on_store_restored:
+            notify()
+
     def retries_remaining(self) -> dict[str, float]:
         """Return the retries that this VM may still send, by service."""
         vm_count = self.fleet().vm_count
--- a/src/hemlocktrestle/edge/replicas/_replica_exchange.py
+++ b/src/hemlocktrestle/edge/replicas/_replica_exchange.py
@@ -16,7 +16,12 @@
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.edge.store._store_task import OWN_READ_MS
 from hemlocktrestle.errors import RequestError
-from hemlocktrestle.gateway import ReplicaRecord, ReplicaUpdate
+from hemlocktrestle.gateway import (
+    NO_REVISION,
+    ReplicaRecord,
+    ReplicaUpdate,
+    StoreRevision,
+)
 from hemlocktrestle.peers import PeerNetwork
 from hemlocktrestle.wire import (
     Heartbeat,
@@ -40,12 +45,14 @@
         confirmed_ms: when the store last answered it.
         sequence: number of its last batch; ``None`` if one is missing.
         fetched_ms: when its replicas were last fetched.
+        store_era: the era of the store that it knows.
     """
 
     follows_store: bool = False
     confirmed_ms: float = -math.inf
     sequence: int | None = None
     fetched_ms: float = -math.inf
+    store_era: int = 0
 
 
 class ReplicaExchange:
@@ -75,8 +82,14 @@
         self._sequence = 0
         self.network: PeerNetwork | None = None
         self.follows_store = False
-        self.revision = 0
+        self.revision = NO_REVISION
         """Revision of the store up to which this VM has read all changes itself."""
+        state.on_store_restored.append(self._forget_batches)
+
+    @property
+    def reads_store(self) -> bool:
+        """Whether this VM watches the replicas in the store's newest era."""
+        return self.follows_store and self.revision.era >= self._state.store_era
 
     def set_relays(self, vms: tuple[str, ...]) -> None:
         """Set the relays of this VM's region."""
@@ -123,9 +136,7 @@
         if self.network is None or (source and not self.is_relay):
             return
         self._sequence += 1
-        batch = ReplicaBatch(
-            self._sequence, self.revision, False, tuple(map(_news_of, updates))
-        )
+        batch = self._batch(updates, is_full=False)
         recipient = self._is_recipient if self.is_relay else _is_any
         self.network.broadcast(batch, skip=source, to=recipient)
 
@@ -136,6 +147,7 @@
         source = source._replace(
             follows_store=heartbeat.follows_replicas,
             confirmed_ms=now - heartbeat.tree_age_ms,
+            store_era=heartbeat.store_era,
         )
         self._sources[vm] = source
         if self.network is None or not self._has_to_fetch(vm):
@@ -151,9 +163,7 @@
         if not isinstance(message, ReplicaFetch) or self.network is None:
             return
         updates = self._state.replicas.all_updates()
-        batch = ReplicaBatch(
-            self._sequence, self.revision, True, tuple(map(_news_of, updates))
-        )
+        batch = self._batch(updates, is_full=True)
         if self.network.reply(vm, batch) or self.network.send(vm, batch):
             log.info("replicas_sent", extra={"peer": vm, "count": len(updates)})
 
@@ -161,10 +171,13 @@
         """Apply the changes, or all replicas, that another VM sent."""
         if not isinstance(message, ReplicaBatch):
             return
+        if message.era:
+            self._state.observe_store_era(message.era, source=vm)
         registry = self._state.replicas
         updates = [_update_of(news) for news in message.replicas]
         if message.is_full:
-            registry.apply_listing(updates, revision=message.revision, now_ms=now_ms())
+            revision = StoreRevision(message.era, message.revision)
+            registry.apply_listing(updates, revision=revision, now_ms=now_ms())
         else:
             for update in updates:
                 registry.apply_update(update)
@@ -181,8 +194,29 @@
         """Forget what a VM sent: changes may have been lost with the link."""
         self._sources.pop(vm, None)
 
+    def _forget_batches(self) -> None:
+        """Fetch all replicas again: batches of the era before do not count."""
+        self._sources = {
+            vm: source._replace(sequence=None, fetched_ms=-math.inf)
+            for vm, source in self._sources.items()
+        }
+
+    def _batch(self, updates: list[ReplicaUpdate], *, is_full: bool) -> ReplicaBatch:
+        revision = self.revision
+        return ReplicaBatch(
+            self._sequence,
+            max(0, revision.number),
+            is_full,
+            tuple(map(_news_of, updates)),
+            max(0, revision.era),
+        )
+
     def _record_sequence(self, vm: str, batch: ReplicaBatch) -> None:
         source = self._sources.get(vm, _Source())
+        if batch.era < self._state.store_era:
+            self._sources[vm] = source._replace(sequence=None)
+            return
+        source = source._replace(store_era=max(source.store_era, batch.era))
         is_next = source.sequence is not None and batch.sequence == source.sequence + 1
         sequence = batch.sequence if batch.is_full or is_next else None
         self._sources[vm] = source._replace(sequence=sequence)
@@ -191,7 +225,10 @@
         """Tell whether all that a VM has read from the store is known here."""
         source = self._sources.get(vm)
         return (
-            source is not None and source.follows_store and source.sequence is not None
+            source is not None
+            and source.follows_store
+            and source.sequence is not None
+            and source.store_era >= self._state.store_era
         )
 
     def _has_to_fetch(self, vm: str) -> bool:
@@ -200,11 +237,14 @@
         They are if it is a relay of the region, or if this VM cannot follow the store
         and has no other VM that does.
         """
-        if self._is_complete(vm) or not self._sources[vm].follows_store:
+        source = self._sources[vm]
+        if self._is_complete(vm) or not source.follows_store:
+            return False
+        if source.store_era < self._state.store_era:
             return False
         if vm in self._relays and not self.is_relay:
             return True
-        return not self.follows_store and not any(map(self._is_complete, self._sources))
+        return not self.reads_store and not any(map(self._is_complete, self._sources))
 
     def _log_changes(self, updates: list[ReplicaUpdate], source: str) -> None:
         records = self._state.replicas.replicas()
@@ -212,7 +252,10 @@
         log.info(
             "replicas_changed",
             extra={
-                "changes": {update.replica_id: update.revision for update in updates},
+                "changes": {
+                    update.replica_id: update.revision.number for update in updates
+                },
+                "store_era": self._state.store_era,
                 "source": source or "store",
                 "ready_count": len(records) - len(draining),
                 "draining": draining,
@@ -226,11 +269,12 @@
 
 def _news_of(update: ReplicaUpdate) -> ReplicaNews:
     record = update.record
+    era, number = update.revision
     if record is None:
-        return ReplicaNews(update.replica_id, update.revision, True)
+        return ReplicaNews(update.replica_id, number, True, era=era)
     return ReplicaNews(
         update.replica_id,
-        update.revision,
+        number,
         False,
         record.service,
         record.address,
@@ -239,6 +283,7 @@
         record.is_draining,
         record.cold_ms,
         record.born_ms,
+        era=era,
     )
 
 
@@ -251,6 +296,7 @@
     A VM of an earlier version also forwards entries that cannot be used.
     """
     record = None
+    revision = StoreRevision(news.era, news.revision)
     if not news.is_gone:
         fields = ReplicaRecord(
             replica_id=news.replica_id,
@@ -269,6 +315,6 @@
         except RequestError as error:
             log.warning(
                 "registration_refused",
-                extra={"reason": error.message, "store_revision": news.revision},
+                extra={"reason": error.message, **revision.log_fields()},
             )
-    return ReplicaUpdate(news.replica_id, news.revision, record)
+    return ReplicaUpdate(news.replica_id, revision, record)
--- a/src/hemlocktrestle/edge/store/_configuration_exchange.py
+++ b/src/hemlocktrestle/edge/store/_configuration_exchange.py
@@ -13,6 +13,7 @@
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.edge.store._store_task import OWN_READ_MS
 from hemlocktrestle.edge.store._watchers import apply_configuration
+from hemlocktrestle.gateway import NO_REVISION, StoreRevision
 from hemlocktrestle.peers import PeerNetwork
 from hemlocktrestle.wire import ConfigurationNews, Heartbeat, Message, TreeFetch
 
@@ -36,10 +37,14 @@
 
 
 class _Report(NamedTuple):
-    """What a VM last reported: its revision, and when the store confirmed it."""
+    """What a VM last reported: its revision, and when the store confirmed it.
 
-    revision: int
+    ``store_era`` is the era of the store that it knows.
+    """
+
+    revision: StoreRevision
     confirmed_ms: float
+    store_era: int
 
 
 class ConfigurationExchange:
@@ -59,10 +64,10 @@
         self._region_of = region_of
         self._relays: tuple[str, ...] = ()
         self._reports: dict[str, _Report] = {}
-        self._behind_at_revision: int | None = None
+        self._behind_at_revision: StoreRevision | None = None
         self._behind_since_ms = 0.0
         self._fetched_ms = -math.inf
-        self._received_revision = -1
+        self._received_revision = NO_REVISION
         self.network: PeerNetwork | None = None
         self.bytes_sent = 0
 
@@ -93,6 +98,7 @@
             return False
         return any(
             now - report.confirmed_ms <= self._confirmation_ms_max
+            and report.store_era >= self._state.store_era
             for report in self._reports.values()
         )
 
@@ -107,9 +113,11 @@
     def on_heartbeat(self, vm: str, heartbeat: Heartbeat) -> None:
         """Fetch the configuration of a VM that has had a newer one for some time."""
         now = now_ms()
-        revision = heartbeat.tree_revision
+        revision = StoreRevision(heartbeat.tree_era, heartbeat.tree_revision)
         if vm in self._relays:
-            self._reports[vm] = _Report(revision, now - heartbeat.tree_age_ms)
+            self._reports[vm] = _Report(
+                revision, now - heartbeat.tree_age_ms, heartbeat.store_era
+            )
         own_revision = self._state.configuration_revision
         if self.network is None or revision <= max(
             own_revision, self._received_revision
@@ -121,15 +129,18 @@
             return
         if now - self._fetched_ms < FETCH_TIMEOUT_MS:
             return
-        fetch = TreeFetch(max(0, own_revision), "")
+        fetch = TreeFetch(
+            max(0, own_revision.number), "", after_era=max(0, own_revision.era)
+        )
         if self.network.send(vm, fetch) or self.network.reply(vm, fetch):
             self._fetched_ms = now
             log.info(
                 "configuration_fetched",
                 extra={
                     "peer": vm,
-                    "store_revision": own_revision,
-                    "peer_revision": revision,
+                    **own_revision.log_fields(),
+                    "peer_era": revision.era,
+                    "peer_revision": revision.number,
                     "behind_ms": round(now - self._behind_since_ms),
                 },
             )
@@ -139,10 +150,11 @@
         state = self._state
         if not isinstance(message, TreeFetch) or self.network is None:
             return
-        if message.after_revision >= state.configuration_revision:
+        revision = state.configuration_revision
+        if StoreRevision(message.after_era, message.after_revision) >= revision:
             return
         news = ConfigurationNews(
-            state.configuration_revision, state.configuration_document
+            revision.number, state.configuration_document, revision.era
         )
         if self.network.reply(vm, news) or self.network.send(vm, news):
             self.bytes_sent += len(state.configuration_document)
@@ -152,9 +164,10 @@
         if not isinstance(message, ConfigurationNews):
             return
         # One that is refused must not be fetched again.
-        self._received_revision = max(self._received_revision, message.revision)
+        revision = StoreRevision(message.era, message.revision)
+        self._received_revision = max(self._received_revision, revision)
         self._fetched_ms = -math.inf
-        apply_configuration(self._state, message.document, message.revision, source=vm)
+        apply_configuration(self._state, message.document, revision, source=vm)
 
     def _is_behind(self) -> bool:
         known = max(self._state.configuration_revision, self._received_revision)
--- a/src/hemlocktrestle/edge/store/_registration.py
+++ b/src/hemlocktrestle/edge/store/_registration.py
@@ -19,7 +19,13 @@
 from hemlocktrestle.edge._state import now_ms
 from hemlocktrestle.edge.store._store_task import StoreHealth, StoreTask
 from hemlocktrestle.errors import ErrorKind, RequestError
-from hemlocktrestle.platform import PlatformStore, StoreError
+from hemlocktrestle.gateway import StoreRevision
+from hemlocktrestle.platform import (
+    Lease,
+    PlatformStore,
+    StoreError,
+    StoreErrorKind,
+)
 
 log = logging.getLogger(__name__)
 
@@ -88,6 +94,9 @@
 class VmRegistrar(StoreTask):
     """Registers this VM in the store and reads the entries of the other VMs.
 
+    A lease of an earlier era is neither renewed nor ended: its id may have been given
+    to another holder since.  Its entry is written again with a new lease.
+
     Args:
         entry: this VM.
         store: the platform's store.
@@ -114,39 +123,59 @@
         self._on_vms = on_vms
         self._on_busy = on_busy
         self._is_current = is_current
-        self._lease = 0
+        self._revision: StoreRevision | None = None
+        self._restored = trio.Event()
+        health.on_restored(self._on_restored)
 
     async def deregister(self) -> None:
         """Remove this VM's entry and stop renewing it."""
         self.is_finished = True
-        if not self._lease:
-            # The store has granted none yet; 0 stands for keys without a lease.
+        revision = self._revision
+        if revision is None or revision.era != self._health.era:
+            # There is none, or one of the era before, which expires with its lease.
             return
         try:
-            await self._store.end_lease(self._lease)
+            await self._store.delete(self._key, revision=revision)
         except StoreError as error:
             # The entry expires with its lease.
             log.info("vm_entry_left", extra={"reason": str(error)})
 
+    @property
+    def _key(self) -> str:
+        return VM_PREFIX + self._entry.vm
+
+    def _on_restored(self) -> None:
+        self._restored.set()
+
     async def _run_until_error(self) -> None:
-        self._lease = await self._store.grant_lease(VM_LEASE_MS)
+        self._restored = trio.Event()
+        lease = await self._store.grant_lease(VM_LEASE_MS)
+        self._record_answer(lease.era)
         value = json.dumps(self._entry._asdict()).encode()
-        await self._store.put(VM_PREFIX + self._entry.vm, value, lease=self._lease)
+        revision = await self._store.put(self._key, value, lease=lease.lease_id)
+        self._record_answer(revision.era)
+        self._revision = revision
         # The first read must not be stale: it has to include this VM and those
         # before it, so that no VM takes itself for the only one.
         await self._read_entries(allow_stale=False)
         while True:
-            await trio.sleep(self._jitter.uniform(0.8, 1.2) * VM_RENEW_S)
+            with trio.move_on_after(self._jitter.uniform(0.8, 1.2) * VM_RENEW_S):
+                await self._restored.wait()
             if self.is_finished:
                 return
-            await self._store.renew_lease(self._lease)
-            self._health.record_answer(self.name)
+            if self._health.era != self._era:
+                raise StoreError(
+                    StoreErrorKind.RESTORED, f"lease of era {self._era} is gone"
+                )
+            self._record_answer(await self._store.renew_lease(lease.lease_id))
             if not self._is_current():
                 await self._read_entries(allow_stale=True)
 
     async def _read_entries(self, *, allow_stale: bool) -> None:
         page = await self._store.list(OWN_PREFIX, allow_stale=allow_stale)
-        self._health.record_answer(self.name)
+        if allow_stale and page.revision.era < self._health.era:
+            return
+        self._record_answer(page.revision.era)
         entries = []
         busy: set[str] = set()
         for item in page.items:
@@ -197,7 +226,7 @@
         self._window_ms = window_ms
 
     async def _run_until_error(self) -> None:
-        lease = 0
+        lease: Lease | None = None
         granted_ms = 0.0
         while True:
             await trio.sleep(BUSY_CHECK_S)
@@ -206,9 +235,14 @@
                 continue
             # A lease lasts two windows and is used for one, so that each write
             # remains for at least a window.
-            if now_ms() - granted_ms > self._window_ms:
+            if (
+                lease is None
+                or lease.era != self._health.era
+                or now_ms() - granted_ms > self._window_ms
+            ):
                 lease = await self._store.grant_lease(int(2 * self._window_ms))
+                self._record_answer(lease.era)
                 granted_ms = now_ms()
             value = json.dumps(sorted(customers)).encode()
-            await self._store.put(self._key, value, lease=lease)
-            self._health.record_answer(self.name)
+            revision = await self._store.put(self._key, value, lease=lease.lease_id)
+            self._record_answer(revision.era)
--- a/src/hemlocktrestle/edge/store/_store_task.py
+++ b/src/hemlocktrestle/edge/store/_store_task.py
@@ -3,6 +3,7 @@
 import logging
 import math
 import random
+from collections.abc import Callable
 
 import trio
 
@@ -53,6 +54,19 @@
             log.warning("store_lost", extra={"caller": caller, "reason": str(error)})
         self._state.replicas.on_store_lost()
 
+    def on_restored(self, notify: Callable[[], None]) -> None:
+        """Have a function called when the store was restored."""
+        self._state.on_store_restored.append(notify)
+
+    @property
+    def era(self) -> int:
+        """Highest era of the store that is known."""
+        return self._state.store_era
+
+    def observe_era(self, caller: str, era: int) -> None:
+        """Record the era that an answer stated."""
+        self._state.observe_store_era(era, source=caller)
+
     def record_answer(self, caller: str) -> None:
         """Record an answered call."""
         self._answered_ms[caller] = now_ms()
@@ -63,7 +77,12 @@
 
 
 _REPORTED_BY_STORE = frozenset(
-    {StoreErrorKind.HISTORY_LOST, StoreErrorKind.LEASE_ENDED}
+    {
+        StoreErrorKind.HISTORY_LOST,
+        StoreErrorKind.LEASE_ENDED,
+        StoreErrorKind.OUTDATED,
+        StoreErrorKind.RESTORED,
+    }
 )
 """Errors that the store itself reported: it is reachable, so it is not lost."""
 
@@ -71,7 +90,8 @@
 class StoreTask:
     """A task that starts again whenever a call to the store fails.
 
-    ``name`` identifies the task in logs and metrics.
+    It does so, too, when the store was restored: revisions and leases that the task
+    holds belong to one era.  ``name`` identifies the task in logs and metrics.
     """
 
     name = ""
@@ -81,22 +101,51 @@
         self._store = store
         self._health = health
         self._jitter = random.Random()
+        self._era: int | None = None
 
     async def run(self) -> None:
         """Run until cancelled, or until the task is finished."""
         while not self.is_finished:
+            self._era = None
             try:
                 await self._run_until_error()
             except StoreError as error:
+                if error.era is not None:
+                    self._health.observe_era(self.name, error.era)
                 if error.kind in _REPORTED_BY_STORE:
                     # The store answers, but what this task knew of it is outdated.
                     log.info(
                         "store_followed_anew",
                         extra={"caller": self.name, "reason": str(error)},
                     )
+                    if error.kind is StoreErrorKind.OUTDATED:
+                        await trio.sleep(self._jitter.uniform(RETRY_S_MIN, RETRY_S_MAX))
                     continue
                 self._health.record_failure(self.name, error)
                 await trio.sleep(self._jitter.uniform(RETRY_S_MIN, RETRY_S_MAX))
 
+    def _record_answer(self, era: int) -> None:
+        """Record an answered call.
+
+        Args:
+            era: the era that the answer states.
+
+        Raises:
+            StoreError: of kind ``OUTDATED`` if another era is known to follow it, and
+                ``RESTORED`` if what this task holds belongs to an earlier one.
+        """
+        self._health.observe_era(self.name, era)
+        known = self._health.era
+        if era < known:
+            raise StoreError(
+                StoreErrorKind.OUTDATED, f"answer of era {era}, {known} is known"
+            )
+        if self._era is not None and era != self._era:
+            raise StoreError(
+                StoreErrorKind.RESTORED, f"answer of era {era} after {self._era}"
+            )
+        self._era = era
+        self._health.record_answer(self.name)
+
     async def _run_until_error(self) -> None:
         raise NotImplementedError
--- a/src/hemlocktrestle/edge/store/_vm_list.py
+++ b/src/hemlocktrestle/edge/store/_vm_list.py
@@ -1,11 +1,12 @@
 """The registered VMs, and whether a relay of the region knows the same ones."""
 
+import math
 from typing import NamedTuple
 
 import xxhash
 
 from hemlocktrestle.edge._state import now_ms
-from hemlocktrestle.edge.store._registration import VmEntry
+from hemlocktrestle.edge.store._registration import VM_LEASE_MS, VmEntry
 from hemlocktrestle.wire import Heartbeat
 
 CONFIRMATION_MS_MAX = 1_800.0
@@ -40,12 +41,23 @@
         self._reports: dict[str, _Report] = {}
         self.entries: dict[str, VmEntry] = {}
         self.digest = 0
+        self._returned_by_ms = -math.inf
         self.replace([])
 
+    @property
+    def is_returning(self) -> bool:
+        """Whether entries may be missing that a restored store has lost."""
+        return now_ms() < self._returned_by_ms
+
+    def begin_era(self) -> None:
+        """Keep entries that a restored store lacks, for as long as their leases."""
+        self._returned_by_ms = now_ms() + VM_LEASE_MS
+
     def replace(self, entries: list[VmEntry]) -> bool:
         """Replace the entries, and return whether any differs."""
         before = self.entries
-        self.entries = {entry.vm: entry for entry in entries}
+        kept = before if self.is_returning else {}
+        self.entries = {**kept, **{entry.vm: entry for entry in entries}}
         self.entries[self._own_entry.vm] = self._own_entry
         if self.entries == before:
             return False
--- a/src/hemlocktrestle/edge/store/_watchers.py
+++ b/src/hemlocktrestle/edge/store/_watchers.py
@@ -10,7 +10,7 @@
 from hemlocktrestle.edge.replicas._replica_exchange import ReplicaExchange
 from hemlocktrestle.edge.store._store_task import StoreHealth, StoreTask
 from hemlocktrestle.errors import RequestError
-from hemlocktrestle.gateway import ReplicaRecord, ReplicaUpdate
+from hemlocktrestle.gateway import ReplicaRecord, ReplicaUpdate, StoreRevision
 from hemlocktrestle.platform import (
     CONFIGURATION_KEY,
     REGISTRATIONS_PREFIX,
@@ -58,6 +58,13 @@
 The store allows so many reads a second for all VMs, so changes are batched.
 """
 
+REFETCH_S_MIN = 0.5
+REFETCH_S_MAX = 1.0
+"""Range of the time that a relay has to bring the replicas of a restored store.
+
+In seconds; VMs that it does not serve must not all read the store at once.
+"""
+
 CONFIRMATION_CHECK_S = 0.5
 """Time between checks for expired entries that have not returned, in seconds."""
 
@@ -120,7 +127,7 @@
         item, revision = await self._store.get(
             CONFIGURATION_KEY, timeout_s=self._answer_timeout_s()
         )
-        self._record_answer()
+        self._record_answer(revision.era)
         if item is not None:
             self._apply(item)
         while True:
@@ -128,21 +135,24 @@
                 await sleep_until_multiple(RELAY_CHECK_S)
                 continue
             # A relay may have brought newer ones than this watch has seen.
-            after = max(revision, self._state.configuration_revision)
+            after = revision.number
+            known = self._state.configuration_revision
+            if known.era == revision.era:
+                after = max(after, known.number)
             watched = await self._store.watch(
                 CONFIGURATION_KEY,
                 after=after,
                 wait_ms=int(self._confirm_s() * 1000),
                 timeout_s=self._answer_timeout_s(),
             )
-            self._record_answer()
+            self._record_answer(watched.revision.era)
             revision = watched.revision
             for event in watched.events:
                 if isinstance(event, Item) and event.key == CONFIGURATION_KEY:
                     self._apply(event)
 
-    def _record_answer(self) -> None:
-        self._health.record_answer(self.name)
+    def _record_answer(self, era: int) -> None:
+        super()._record_answer(era)
         self._state.configuration_confirmed_ms = now_ms()
 
     def _apply(self, item: Item) -> None:
@@ -150,10 +160,13 @@
 
 
 def apply_configuration(
-    state: EdgeState, document: bytes, revision: int, *, source: str
+    state: EdgeState, document: bytes, revision: StoreRevision, *, source: str
 ) -> bool:
     """Apply a configuration, unless it is invalid or the one in force is as new.
 
+    A store that came back from an older copy may hold an earlier version, which is
+    not applied.  The version in force, written again, is confirmed at its revision.
+
     Args:
         state: shared state of the process.
         document: the operator's document.
@@ -170,11 +183,23 @@
     except RequestError as error:
         log.error(
             "configuration_refused",
-            extra={"reason": error.message, "store_revision": revision},
+            extra={"reason": error.message, **revision.log_fields()},
         )
         return False
     known = state.configuration
-    if known is not None and configuration.version <= known.version:
+    if known is not None and configuration.version < known.version:
+        log.warning(
+            "configuration_older",
+            extra={
+                "version": configuration.version,
+                "version_in_force": known.version,
+                **revision.log_fields(),
+                "source": source,
+            },
+        )
+        return False
+    if known is not None and configuration.version == known.version:
+        state.configuration_revision = revision
         return False
     state.configuration = configuration
     state.configuration_document = document
@@ -183,7 +208,7 @@
         "configuration_taken",
         extra={
             "version": configuration.version,
-            "store_revision": revision,
+            **revision.log_fields(),
             "source": source,
             "document_bytes": len(document),
             "route_count": len(configuration.routes),
@@ -236,7 +261,7 @@
 
     async def _follow(self) -> None:
         page = await self._store.list(REGISTRATIONS_PREFIX)
-        self._health.record_answer(self.name)
+        self._record_answer(page.revision.era)
         registry = self._state.replicas
         registry.apply_listing(
             [_decode_update(item) for item in page.items],
@@ -252,13 +277,13 @@
             exchange.follows_store = True
             watched = await self._store.watch(
                 REGISTRATIONS_PREFIX,
-                after=exchange.revision,
+                after=exchange.revision.number,
                 wait_ms=max(
                     WATCH_WAIT_MS_MIN, int(known_within_s * REPLICAS_WAIT_SHARE * 1000)
                 ),
                 timeout_s=known_within_s * (1 - REPLICAS_WAIT_SHARE),
             )
-            self._health.record_answer(self.name)
+            self._record_answer(watched.revision.era)
             exchange.revision = watched.revision
             for event in watched.events:
                 if isinstance(event, RemovedItem):
@@ -271,7 +296,11 @@
                 await trio.sleep(known_within_s * BATCH_SHARE)
         exchange.follows_store = False
         while exchange.is_relayed:
+            era = self._health.era
             await sleep_until_multiple(RELAY_CHECK_S)
+            if era != self._health.era:
+                # The relay brings the replicas of the restored store in a moment.
+                await trio.sleep(self._jitter.uniform(REFETCH_S_MIN, REFETCH_S_MAX))
 
 
 def _decode_update(item: Item) -> ReplicaUpdate:
@@ -282,6 +311,6 @@
     except RequestError as error:
         log.warning(
             "registration_refused",
-            extra={"reason": error.message, "store_revision": item.revision},
+            extra={"reason": error.message, **item.revision.log_fields()},
         )
     return ReplicaUpdate(replica_id, item.revision, record)
--- a/src/hemlocktrestle/gateway/__init__.py
+++ b/src/hemlocktrestle/gateway/__init__.py
@@ -42,10 +42,13 @@
     RequestMetadata,
 )
 from hemlocktrestle.gateway._retry_budget import RetryBudget
+from hemlocktrestle.gateway._store_revision import NO_ERA, NO_REVISION, StoreRevision
 
 __all__ = [
     "BORN_UNKNOWN",
     "ID_DIGITS_MAX",
+    "NO_ERA",
+    "NO_REVISION",
     "STORE_RECOVERY_GRACE_MS",
     "AnswerClass",
     "AnswerMetadata",
@@ -76,6 +79,7 @@
     "RetryBudget",
     "Route",
     "Service",
+    "StoreRevision",
     "StreamEvent",
     "Target",
     "answer_due_ms",
--- a/src/hemlocktrestle/gateway/_replicas.py
+++ b/src/hemlocktrestle/gateway/_replicas.py
@@ -12,6 +12,7 @@
     SignedMilliseconds,
 )
 from hemlocktrestle.gateway._leaving import BORN_UNKNOWN, Incarnation
+from hemlocktrestle.gateway._store_revision import NO_ERA, StoreRevision
 
 STORE_RECOVERY_GRACE_MS = 2_200.0
 """Time after the store's recovery in which expired entries return, in milliseconds.
@@ -51,9 +52,14 @@
     """
 
     replica_id: str
-    revision: int
+    revision: StoreRevision
     record: ReplicaRecord | None
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the replica takes new work."""
+        return self.record is not None and not self.record.is_draining
+
 
 class ReplicaRegistry:
     """The replicas that are considered live.
@@ -61,12 +67,19 @@
     Changes in the store apply at once, with one exception: an entry that disappears
     while the store is unavailable, or soon after, may only have expired.
     It is kept until the replica had time to register again.
+
+    After a restore of the store, the facts of the era before hold as long, whether
+    the older copy lacks a replica or lists one that has left since.  Then the new era
+    alone counts.
     """
 
     def __init__(self) -> None:
         self._updates: dict[str, ReplicaUpdate] = {}
         self._last_born_ms: dict[str, int] = {}
-        self._unconfirmed: dict[str, int] = {}
+        self._unconfirmed: dict[str, StoreRevision] = {}
+        self._held: dict[str, ReplicaUpdate] = {}
+        self._era = NO_ERA
+        self._settled_from_ms: float | None = None
         self._trusted_from_ms = float("-inf")
         self._is_store_lost = False
         self._pending_updates: list[ReplicaUpdate] = []
@@ -81,14 +94,37 @@
             self._is_store_lost = False
             self._trusted_from_ms = now_ms + STORE_RECOVERY_GRACE_MS
 
+    def begin_era(self, era: int, now_ms: float) -> int:
+        """Take note that the store was restored; facts of earlier eras are refused.
+
+        Args:
+            era: the era that has begun, above the last one.
+            now_ms: the time.
+
+        Returns:
+            The number of replicas that the new era has to confirm.
+        """
+        is_first = self._era == NO_ERA and not self._updates
+        self._era = era
+        if is_first:
+            return 0
+        # What was missing or held in an era that is over is read again.
+        self._unconfirmed.clear()
+        self._held.clear()
+        self._settled_from_ms = now_ms + STORE_RECOVERY_GRACE_MS
+        self._trusted_from_ms = max(self._trusted_from_ms, self._settled_from_ms)
+        return len(self.replicas())
+
     def apply_listing(
         self,
         entries: Iterable[ReplicaUpdate],
         *,
-        revision: int,
+        revision: StoreRevision,
         now_ms: float,
     ) -> None:
         """Apply a full listing of the store, read at a revision or later."""
+        if revision.era < self._era:
+            return
         seen = set()
         for update in entries:
             seen.add(update.replica_id)
@@ -99,8 +135,14 @@
     def apply_update(self, update: ReplicaUpdate) -> None:
         """Apply an update of the store or of another VM, unless it is older."""
         known = self._updates.get(update.replica_id)
+        if update.revision.era < self._era:
+            return
         if known is not None and update.revision <= known.revision:
             return
+        if known is not None and self._has_to_wait(update, known):
+            self._held[update.replica_id] = update
+            return
+        self._held.pop(update.replica_id, None)
         self._unconfirmed.pop(update.replica_id, None)
         self._updates[update.replica_id] = update
         if update.record is not None:
@@ -108,26 +150,57 @@
         if known is None or known.record != update.record:
             self._pending_updates.append(update)
 
-    def apply_removal(self, replica_id: str, revision: int, now_ms: float) -> None:
+    def apply_removal(
+        self, replica_id: str, revision: StoreRevision, now_ms: float
+    ) -> None:
         """Apply the removal of a replica's entry from the store."""
         known = self._updates.get(replica_id)
-        if known is None or known.record is None or revision < known.revision:
+        if known is None or revision.era < self._era or revision < known.revision:
+            return
+        self._held.pop(replica_id, None)
+        if known.record is None:
+            self._updates[replica_id] = known._replace(revision=revision)
             return
         if self._is_store_lost or now_ms < self._trusted_from_ms:
             self._unconfirmed.setdefault(replica_id, revision)
         else:
             self.apply_update(
-                ReplicaUpdate(replica_id, max(revision, known.revision + 1), None)
+                ReplicaUpdate(replica_id, max(revision, known.revision.next()), None)
             )
 
     def drop_unconfirmed(self, now_ms: float) -> None:
-        """Remove the missing entries once their grace period is over."""
+        """Remove the missing entries once their grace period is over.
+
+        What the store has listed against earlier facts is applied then, too.
+        """
+        if self._settled_from_ms is not None and now_ms >= self._settled_from_ms:
+            self._settled_from_ms = None
+            held, self._held = self._held, {}
+            for update in held.values():
+                self.apply_update(update)
         if self._is_store_lost or now_ms < self._trusted_from_ms:
             return
         for replica_id, revision in list(self._unconfirmed.items()):
             del self._unconfirmed[replica_id]
             self.apply_removal(replica_id, revision, now_ms)
 
+    def _has_to_wait(self, update: ReplicaUpdate, known: ReplicaUpdate) -> bool:
+        """Tell whether the store's older copy may list what has changed since.
+
+        That is so for a replica that is known to leave, or to have started later;
+        what was written since the copy is written again.
+        """
+        is_unsettled = (
+            self._settled_from_ms is not None
+            and known.revision.era < update.revision.era
+        )
+        if not is_unsettled or update.record is None:
+            return False
+        last_born_ms = self._last_born_ms.get(update.replica_id, BORN_UNKNOWN)
+        if known.is_ready:
+            return update.record.born_ms < last_born_ms
+        return update.is_ready and update.record.born_ms <= last_born_ms
+
     def replicas(self) -> list[ReplicaRecord]:
         """Return all replicas that are considered live, including draining ones."""
         return [
--- a/src/hemlocktrestle/platform/__init__.py
+++ b/src/hemlocktrestle/platform/__init__.py
@@ -21,6 +21,7 @@
 )
 from hemlocktrestle.platform._store_records import (
     Item,
+    Lease,
     Page,
     RemovedItem,
     StoreError,
@@ -35,6 +36,7 @@
     "EdgeSettings",
     "HeaderCodec",
     "Item",
+    "Lease",
     "Page",
     "PlatformStore",
     "RemovedItem",
--- a/src/hemlocktrestle/platform/_store.py
+++ b/src/hemlocktrestle/platform/_store.py
@@ -2,31 +2,41 @@
 
 import base64
 import json
-import logging
 import socket
+from collections.abc import Sequence
 from contextlib import AsyncExitStack
 from types import TracebackType
-from typing import Any, NotRequired, Self, TypeVar
+from typing import Any, Self
 from urllib.parse import quote, urlencode
 
 import httpcore
 import trio
-from pydantic import TypeAdapter
-from typing_extensions import TypedDict
 
-from hemlocktrestle.documents import Revision, Text, check, parse_json
+from hemlocktrestle.documents import parse_json
 from hemlocktrestle.errors import RequestError
+from hemlocktrestle.gateway import StoreRevision
+from hemlocktrestle.platform._store_answers import (
+    CHANGE,
+    CHANGES,
+    HEAD,
+    LEASE,
+    PAGE,
+    WRITTEN,
+    StoreAnswer,
+    changes,
+    checked,
+    era_of,
+    item_of,
+)
 from hemlocktrestle.platform._store_records import (
     Item,
+    Lease,
     Page,
-    RemovedItem,
     StoreError,
     StoreErrorKind,
     WatchResult,
 )
 
-log = logging.getLogger(__name__)
-
 CONFIGURATION_KEY = "op/config"
 """Key of the operator's configuration."""
 
@@ -83,46 +93,6 @@
 }
 
 
-class _Head(TypedDict):
-    currentRev: NotRequired[Revision]
-
-
-class _Page(TypedDict):
-    items: list[Any]
-    currentRev: Revision
-    hasMore: NotRequired[bool | None]
-
-
-class _Changes(TypedDict):
-    events: list[Any]
-    currentRev: Revision
-
-
-class _Written(TypedDict):
-    revision: Revision
-
-
-class _Lease(TypedDict):
-    lease: Revision
-
-
-class _Change(TypedDict):
-    key: Text
-    revision: Revision
-    value: NotRequired[Any]
-    tombstone: NotRequired[bool | None]
-
-
-_Answer = TypeVar("_Answer")
-
-_HEAD: TypeAdapter[_Head] = TypeAdapter(_Head)
-_PAGE: TypeAdapter[_Page] = TypeAdapter(_Page)
-_CHANGES: TypeAdapter[_Changes] = TypeAdapter(_Changes)
-_WRITTEN: TypeAdapter[_Written] = TypeAdapter(_Written)
-_LEASE: TypeAdapter[_Lease] = TypeAdapter(_Lease)
-_CHANGE: TypeAdapter[_Change] = TypeAdapter(_Change)
-
-
 class PlatformStore:
     """Client of the platform's store.
 
@@ -163,7 +133,7 @@
 
     async def get(
         self, key: str, *, timeout_s: float = CALL_TIMEOUT_S
-    ) -> tuple[Item | None, int]:
+    ) -> tuple[Item | None, StoreRevision]:
         """Read one key.
 
         Args:
@@ -173,17 +143,19 @@
         Returns:
             The item, or ``None`` if the key is absent, and the store's revision.
         """
-        status, raw = await self._call(
+        call = "GET /kv-key"
+        answer = await self._call(
             "GET",
             "/kv-key",
             {"key": key},
             ok=(200, 404),
             read_timeout_s=timeout_s,
         )
-        revision = _checked(_HEAD, raw, "GET /kv-key").get("currentRev", 0)
-        if status != 200:
+        number = checked(HEAD, answer.raw, call).get("currentRev", 0)
+        revision = StoreRevision(answer.era, number)
+        if answer.status != 200:
             return None, revision
-        item = _item(_checked(_CHANGE, raw, "GET /kv-key"))
+        item = item_of(checked(CHANGE, answer.raw, call), answer.era)
         return (item if isinstance(item, Item) else None), revision
 
     async def list(self, prefix: str, *, allow_stale: bool = False) -> Page:
@@ -193,20 +165,30 @@
             prefix: prefix of the keys.
             allow_stale: whether a result that is some seconds old is acceptable,
                 which does not count toward the store's rate limit.
+
+        Raises:
+            StoreError: of kind ``RESTORED`` if the pages are of several eras.
         """
         query: dict[str, Any] = {"prefix": prefix}
         if allow_stale:
             query["staleOk"] = 1
         items: list[Item] = []
-        revision: int | None = None
+        revision: StoreRevision | None = None
         while True:
-            _, raw = await self._call("GET", "/kv-range", query)
-            body = _checked(_PAGE, raw, "GET /kv-range")
-            found = _changes(body["items"])
+            answer = await self._call("GET", "/kv-range", query)
+            body = checked(PAGE, answer.raw, "GET /kv-range")
+            found = changes(body["items"], answer.era)
             items += [item for item in found if isinstance(item, Item)]
             # Later pages may miss changes made after the first page was read, so a
             # watch has to start at the revision of the first page.
-            revision = body["currentRev"] if revision is None else revision
+            if revision is None:
+                revision = StoreRevision(answer.era, body["currentRev"])
+            if answer.era != revision.era:
+                raise StoreError(
+                    StoreErrorKind.RESTORED,
+                    "GET /kv-range: pages of several eras",
+                    era=answer.era,
+                )
             if not body.get("hasMore") or not body["items"]:
                 return Page(tuple(items), revision)
             if not found or query.get("after") == found[-1].key:
@@ -233,31 +215,58 @@
         """
         query = {"prefix": prefix, "after": after, "waitMs": wait_ms}
         limit_s = wait_ms / 1000 + timeout_s
-        _, raw = await self._call("GET", "/kv-watch", query, read_timeout_s=limit_s)
-        body = _checked(_CHANGES, raw, "GET /kv-watch")
-        return WatchResult(tuple(_changes(body["events"])), body["currentRev"])
+        answer = await self._call("GET", "/kv-watch", query, read_timeout_s=limit_s)
+        body = checked(CHANGES, answer.raw, "GET /kv-watch")
+        return WatchResult(
+            tuple(changes(body["events"], answer.era)),
+            StoreRevision(answer.era, body["currentRev"]),
+        )
 
-    async def put(self, key: str, value: bytes, *, lease: int = 0) -> int:
+    async def put(self, key: str, value: bytes, *, lease: int = 0) -> StoreRevision:
         """Write one key unconditionally and return its revision."""
         encoded = base64.b64encode(value).decode()
         put = {"key": key, "value": encoded, "lease": lease}
-        _, raw = await self._call(
-            "POST", "/kv-txn", body={"expect": [], "puts": [put], "deletes": []}
-        )
-        return _checked(_WRITTEN, raw, "POST /kv-txn")["revision"]
+        return await self._transact(puts=[put])
 
-    async def grant_lease(self, ttl_ms: int) -> int:
-        """Create a lease and return its id."""
-        _, raw = await self._call("POST", "/kv-lease", body={"ttlMs": ttl_ms})
-        return _checked(_LEASE, raw, "POST /kv-lease")["lease"]
+    async def delete(self, key: str, *, revision: StoreRevision) -> None:
+        """Remove one key.
 
-    async def renew_lease(self, lease: int) -> None:
-        """Renew a lease; its time starts anew when the store gets the call."""
-        await self._call("POST", f"/kv-keep/{lease}")
+        Args:
+            key: the key.
+            revision: the revision of its value.
 
-    async def end_lease(self, lease: int) -> None:
-        """Revoke a lease, which removes its keys."""
-        await self._call("DELETE", f"/kv-lease-end/{lease}", ok=(200, 204, 404))
+        Raises:
+            StoreError: of kind ``CONDITION_FAILED`` if it has another value by now.
+        """
+        expected = {"key": key, "revision": revision.number}
+        await self._transact(expect=[expected], deletes=[key])
+
+    async def grant_lease(self, ttl_ms: int) -> Lease:
+        """Create a lease."""
+        answer = await self._call("POST", "/kv-lease", body={"ttlMs": ttl_ms})
+        lease = checked(LEASE, answer.raw, "POST /kv-lease")["lease"]
+        return Lease(lease, answer.era)
+
+    async def renew_lease(self, lease: int) -> int:
+        """Renew a lease; its time starts anew when the store gets the call.
+
+        Returns:
+            The store's era.  If it is not the lease's, the lease that was renewed may
+            be another one, to which its id was given since.
+        """
+        return (await self._call("POST", f"/kv-keep/{lease}")).era
+
+    async def _transact(
+        self,
+        *,
+        expect: Sequence[dict[str, Any]] = (),
+        puts: Sequence[dict[str, Any]] = (),
+        deletes: Sequence[str] = (),
+    ) -> StoreRevision:
+        body = {"expect": list(expect), "puts": list(puts), "deletes": list(deletes)}
+        answer = await self._call("POST", "/kv-txn", body=body)
+        number = checked(WRITTEN, answer.raw, "POST /kv-txn")["revision"]
+        return StoreRevision(answer.era, number)
 
     async def _call(
         self,
@@ -268,7 +277,7 @@
         body: dict[str, Any] | None = None,
         ok: tuple[int, ...] = (200, 204),
         read_timeout_s: float = CALL_TIMEOUT_S,
-    ) -> tuple[int, Any]:
+    ) -> StoreAnswer:
         self.call_count += 1
         url = self._url + path
         if query:
@@ -299,13 +308,15 @@
             raise StoreError(
                 StoreErrorKind.UNREACHABLE, f"{method} {path}: {reason}"
             ) from error
+        call = f"{method} {path}"
+        era = era_of(response.headers, call)
         if response.status not in ok:
             kind = _STATUS_KINDS.get(response.status, StoreErrorKind.MALFORMED)
-            raise StoreError(kind, f"{method} {path}: status {response.status}")
+            raise StoreError(kind, f"{call}: status {response.status}", era=era)
         if not answered:
-            return response.status, {}
+            return StoreAnswer(response.status, era, {})
         try:
-            return response.status, parse_json(answered, source=f"{method} {path}")
+            return StoreAnswer(response.status, era, parse_json(answered, source=call))
         except RequestError as error:
             raise StoreError(StoreErrorKind.MALFORMED, error.message) from error
 
@@ -325,44 +336,3 @@
     if scope.cancelled_caught:
         raise StoreError(StoreErrorKind.UNREACHABLE, f"{call}: answer does not end")
     return bytes(body)
-
-
-def _checked(adapter: TypeAdapter[_Answer], raw: Any, call: str) -> _Answer:
-    """Return an answer of the store with its type checked.
-
-    Raises:
-        StoreError: of kind ``MALFORMED``; the message names the field.
-    """
-    try:
-        return check(adapter, raw, source=call)
-    except RequestError as error:
-        raise StoreError(StoreErrorKind.MALFORMED, error.message) from error
-
-
-def _changes(raws: list[Any]) -> list[Item | RemovedItem]:
-    """Return the items that can be read, in their order; log the others."""
-    found = []
-    for raw in raws:
-        try:
-            found.append(_item(check(_CHANGE, raw, source="item")))
-        except RequestError as error:
-            log.warning("store_item_unreadable", extra={"reason": error.message})
-    return found
-
-
-def _item(raw: _Change) -> Item | RemovedItem:
-    """Return an item, or its removal.
-
-    A value that is not base64 counts as empty, which is no document of any kind:
-    whoever reads the item refuses its latest value and does not keep an earlier one.
-    """
-    if raw.get("tombstone"):
-        return RemovedItem(raw["key"], raw["revision"])
-    try:
-        value = base64.b64decode(raw.get("value", ""))
-    except (ValueError, TypeError) as error:
-        log.warning(
-            "store_value_unreadable", extra={"key": raw["key"], "reason": str(error)}
-        )
-        value = b""
-    return Item(raw["key"], value, raw["revision"])
--- a/src/hemlocktrestle/platform/_store_records.py
+++ b/src/hemlocktrestle/platform/_store_records.py
@@ -3,6 +3,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from hemlocktrestle.gateway import StoreRevision
+
 
 class StoreErrorKind(Enum):
     """Why a call to the store failed."""
@@ -14,6 +16,8 @@
     CONDITION_FAILED = "condition-failed"
     LEASE_ENDED = "lease-ended"
     MALFORMED = "nonsense"
+    OUTDATED = "outdated"
+    RESTORED = "restored"
 
 
 class StoreError(Exception):
@@ -22,11 +26,22 @@
     Args:
         kind: why it failed.
         message: text for the log.
+        era: era of the store that the answer states, ``None`` if there was none.
     """
 
-    def __init__(self, kind: StoreErrorKind, message: str) -> None:
+    def __init__(
+        self, kind: StoreErrorKind, message: str, *, era: int | None = None
+    ) -> None:
         super().__init__(message)
         self.kind = kind
+        self.era = era
+
+
+class Lease(NamedTuple):
+    """A lease; its id names another one, or none, in a later era of the store."""
+
+    lease_id: int
+    era: int
 
 
 class Item(NamedTuple):
@@ -34,25 +49,25 @@
 
     key: str
     value: bytes
-    revision: int
+    revision: StoreRevision
 
 
 class RemovedItem(NamedTuple):
     """A key that was removed, with the store revision of the removal."""
 
     key: str
-    revision: int
+    revision: StoreRevision
 
 
 class Page(NamedTuple):
     """All items under a prefix, and the store revision of the first page read."""
 
     items: tuple[Item, ...]
-    revision: int
+    revision: StoreRevision
 
 
 class WatchResult(NamedTuple):
     """Changes under a prefix, and the revision after which to watch next."""
 
     events: tuple[Item | RemovedItem, ...]
-    revision: int
+    revision: StoreRevision
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -115,6 +115,8 @@
 
     ``follows_replicas`` tells whether the sender watches the replicas in the store;
     ``vms_digest`` is a digest of the entries of the VMs that it knows.
+    ``store_era`` is the highest era of the store that the sender knows, ``tree_era``
+    that of ``tree_revision``; a VM of an earlier version sends none.
     ``leaving`` are the replicas that leave though their registration does not say so.
     ``sound_parts`` are parts of prompts that crashes are blamed on, but that the
     sender saw in answered requests.  ``sound_requests`` are such requests themselves.
@@ -136,6 +138,8 @@
     leaving: tuple[LeavingReplica, ...] = ()
     sound_parts: tuple[SoundPart, ...] = ()
     sound_requests: tuple[SoundRequest, ...] = ()
+    store_era: int = 0
+    tree_era: int = 0
 
 
 @message("treeFetch")
@@ -143,6 +147,7 @@
     """Requests the changes after a revision, or one page of a snapshot.
 
     ``snapshot_revision`` and ``first_name`` tell where the next page starts.
+    ``after_era`` is the era of the store that the revision belongs to.
     """
 
     after_revision: int
@@ -150,6 +155,7 @@
     is_snapshot: bool = False
     snapshot_revision: int = 0
     first_name: str = ""
+    after_era: int = 0
 
 
 @message("treePage")
@@ -231,7 +237,7 @@
 
 @message("replicaNews")
 class ReplicaNews(NamedTuple):
-    """State of one replica at a store revision; the later revision wins."""
+    """State of one replica at a store revision; the later one in the later era wins."""
 
     replica_id: str
     revision: int
@@ -243,6 +249,7 @@
     is_draining: bool = False
     cold_ms: float = 0.0
     born_ms: int = 0
+    era: int = 0
 
 
 @message("replicaBatch")
@@ -251,13 +258,14 @@
 
     ``sequence`` grows by one with each batch of changes, so that a missing one is
     noticed; a full batch has that of the last one.  ``revision`` is the store's up to
-    which the sender knows all changes.
+    which the sender knows all changes, in the era ``era``.
     """
 
     sequence: int
     revision: int
     is_full: bool
     replicas: tuple[ReplicaNews, ...]
+    era: int = 0
 
 
 @message("replicaFetch")
@@ -273,6 +281,7 @@
 
     revision: int
     document: bytes
+    era: int = 0
 
 
 Message = (
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -62,6 +62,8 @@
   leaving @13 :List(LeavingReplica);
   soundParts @14 :List(SoundPart);
   soundRequests @15 :List(SoundRequest);
+  storeEra @16 :UInt64;
+  treeEra @17 :UInt64;
 }
 
 struct LeavingReplica {
@@ -121,6 +123,7 @@
   isDraining @7 :Bool;
   coldMs @8 :Float64;
   bornMs @9 :UInt64;
+  era @10 :UInt64;
 }
 
 struct ReplicaBatch {
@@ -128,6 +131,7 @@
   revision @1 :UInt64;
   isFull @2 :Bool;
   replicas @3 :List(ReplicaNews);
+  era @4 :UInt64;
 }
 
 struct ReplicaFetch {
@@ -137,6 +141,7 @@
 struct ConfigurationNews {
   revision @0 :UInt64;
   document @1 :Data;
+  era @2 :UInt64;
 }
 
 struct Queued {
@@ -198,6 +203,7 @@
   isSnapshot @2 :Bool;
   snapshotRevision @3 :UInt64;
   firstName @4 :Text;
+  afterEra @5 :UInt64;
 }
 
 struct TreePage {
--- a/tests/cli/test_platform_commands.py
+++ b/tests/cli/test_platform_commands.py
@@ -12,7 +12,9 @@
 from hemlocktrestle.cli._context import Context
 from hemlocktrestle.cli._explain import explain, read_lines
 from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.gateway import StoreRevision
 from hemlocktrestle.platform import Item, Page
+from tests.gateway.records import at
 from tests.platform.documents import CONFIGURATION, REGISTRATION, SETTINGS, as_bytes
 from tests.support import TrioTestCase
 
@@ -31,15 +33,15 @@
     async def __aexit__(self, *args: object) -> None:
         return None
 
-    async def get(self, key: str) -> tuple[Item | None, int]:
+    async def get(self, key: str) -> tuple[Item | None, StoreRevision]:
         """Return one item."""
         found = [item for item in self.items if item.key == key]
-        return (found[0] if found else None), 40
+        return (found[0] if found else None), at(40)
 
     async def list(self, prefix: str) -> Page:
         """Return the items under a prefix."""
         return Page(
-            tuple(item for item in self.items if item.key.startswith(prefix)), 40
+            tuple(item for item in self.items if item.key.startswith(prefix)), at(40)
         )
 
 
@@ -56,10 +58,10 @@
             _Store,
             "items",
             (
-                Item("op/config", as_bytes(CONFIGURATION), 30),
-                Item("servers/i-1", as_bytes(REGISTRATION), 31),
-                Item("servers/i-2", b"torn", 32),
-                Item("hemlocktrestle/vms/vm-1", as_bytes(vm), 33),
+                Item("op/config", as_bytes(CONFIGURATION), at(30)),
+                Item("servers/i-1", as_bytes(REGISTRATION), at(31)),
+                Item("servers/i-2", b"torn", at(32)),
+                Item("hemlocktrestle/vms/vm-1", as_bytes(vm), at(33)),
             ),
         )
 
--- a/tests/edge/attempts/test_prompt_parts.py
+++ b/tests/edge/attempts/test_prompt_parts.py
@@ -16,7 +16,7 @@
 from hemlocktrestle.wire import Heartbeat, Message, Suspicion, decode, encode
 from tests.edge.callers.test_server import STREAM, stream_of
 from tests.edge.harness import EdgeHarness, Script, answer_ok
-from tests.gateway.records import configuration, replica
+from tests.gateway.records import at, configuration, replica
 from tests.standins.http import Connection, Request
 from tests.support import TrioTestCase
 
@@ -106,7 +106,7 @@
         async def leave(connection: Connection, request: Request) -> None:
             name = request.headers["x-expect-instance"]
             record = replica(name, service="assistant", is_draining=True)
-            update = ReplicaUpdate(name, 2, record)
+            update = ReplicaUpdate(name, at(2), record)
             harness.state.replicas.apply_update(update)
             await crash(connection, request)
 
--- a/tests/edge/harness.py
+++ b/tests/edge/harness.py
@@ -27,7 +27,7 @@
 from hemlocktrestle.platform import decode_settings
 from hemlocktrestle.quarantine import QuarantineRegistry
 from hemlocktrestle.relay import BodyMemoryBudget, CallerConnection
-from tests.gateway.records import configuration, replica
+from tests.gateway.records import at, configuration, replica
 from tests.platform.documents import SETTINGS
 from tests.standins.http import Connection, GoneError, Request
 
@@ -211,7 +211,7 @@
         self.state.has_loaded_replicas = self.state.has_loaded_vms = True
         listed = records or tuple(replica(name) for name in replicas)
         self.state.replicas.apply_listing(
-            [_replica_update(record) for record in listed], revision=1, now_ms=0
+            [_replica_update(record) for record in listed], revision=at(1), now_ms=0
         )
         self.scripts = dict(replicas)
         self.served: list[ServedRequest] = []
@@ -362,4 +362,4 @@
 
 
 def _replica_update(record: ReplicaRecord) -> ReplicaUpdate:
-    return ReplicaUpdate(record.replica_id, 1, record)
+    return ReplicaUpdate(record.replica_id, at(1), record)
--- a/tests/edge/placing/test_stale_placements.py
+++ b/tests/edge/placing/test_stale_placements.py
@@ -3,7 +3,7 @@
 from hemlocktrestle.edge.placing._placement import AttemptEnd
 from hemlocktrestle.gateway import ReplicaUpdate
 from tests.edge.harness import EdgeHarness, answer_ok
-from tests.gateway.records import replica_update
+from tests.gateway.records import at, replica_update
 from tests.support import TrioTestCase
 
 
@@ -25,7 +25,7 @@
         """The permit is returned unused, and another one asked for."""
         updates = {
             "draining": replica_update("r1", 2, is_draining=True),
-            "gone": ReplicaUpdate("r1", 2, None),
+            "gone": ReplicaUpdate("r1", at(2), None),
             "address used again": replica_update("r1", 2, address="elsewhere"),
         }
         for name, update in updates.items():
--- a/tests/edge/replicas/test_replica_notices.py
+++ b/tests/edge/replicas/test_replica_notices.py
@@ -15,6 +15,7 @@
     sealed,
 )
 from tests.gateway.records import (
+    at,
     configuration,
     customer,
     replica,
@@ -171,7 +172,7 @@
         await harness.send()
         await trio.sleep(300)
         await harness.send()
-        harness.state.replicas.apply_removal("r1", 9, 0)
+        harness.state.replicas.apply_removal("r1", at(9), 0)
         await harness.send()
         self.assertEqual(["r1", "r2", "r2"], harness.reached_replicas())
 
--- a/tests/edge/store/test_configuration_exchange.py
+++ b/tests/edge/store/test_configuration_exchange.py
@@ -8,10 +8,10 @@
 from hemlocktrestle.edge.store._configuration_exchange import ConfigurationExchange
 from hemlocktrestle.edge.store._store_task import StoreHealth
 from hemlocktrestle.edge.store._watchers import ConfigurationWatcher
-from hemlocktrestle.gateway import FleetSnapshot
+from hemlocktrestle.gateway import NO_REVISION, FleetSnapshot
 from hemlocktrestle.platform import PlatformStore, decode_settings
 from hemlocktrestle.wire import ConfigurationNews, Heartbeat, Message, TreeFetch
-from tests.gateway.records import configuration
+from tests.gateway.records import at, configuration
 from tests.platform.documents import CONFIGURATION, SETTINGS, as_bytes, changed
 from tests.platform.test_store import MemoryBackend
 from tests.standins.platform_store import PlatformStoreStandIn
@@ -55,7 +55,7 @@
         state = new_state()
         state.configuration = configuration()
         state.configuration_document = b"document"
-        state.configuration_revision = 40
+        state.configuration_revision = at(40)
         exchange = ConfigurationExchange(state, "vm-1", region_of=REGIONS.get)
         exchange.set_relays(("vm-2", "vm-3"))
         links: Any = _Links()
@@ -109,7 +109,7 @@
     async def test_a_vm_without_a_configuration_asks_anybody(self) -> None:
         """It refuses all requests until it has one."""
         exchange, state, links = self.exchange()
-        state.configuration, state.configuration_revision = None, -1
+        state.configuration, state.configuration_revision = None, NO_REVISION
         exchange.on_heartbeat("vm-9", heartbeat(40))
         self.assertEqual([("vm-9", TreeFetch(0, ""))], links.sent)
 
@@ -125,9 +125,9 @@
         exchange, state, _ = self.exchange()
         document = as_bytes({**CONFIGURATION, "version": 7})
         exchange.on_news("vm-2", ConfigurationNews(39, document))
-        self.assertEqual(40, state.configuration_revision)
+        self.assertEqual(at(40), state.configuration_revision)
         exchange.on_news("vm-2", ConfigurationNews(41, document))
-        self.assertEqual(41, state.configuration_revision)
+        self.assertEqual(at(41), state.configuration_revision)
 
     async def test_a_configuration_that_is_refused_is_not_fetched_again(self) -> None:
         """Guards against a document that crosses the links for ever."""
@@ -136,7 +136,7 @@
         exchange.on_news("vm-3", ConfigurationNews(41, b"no document"))
         await trio.sleep(5)
         exchange.on_heartbeat("vm-3", heartbeat(41))
-        self.assertEqual((40, 1), (state.configuration_revision, len(links.sent)))
+        self.assertEqual((at(40), 1), (state.configuration_revision, len(links.sent)))
 
 
 class RelayedTests(TrioTestCase):
@@ -145,7 +145,7 @@
     def exchange(self) -> ConfigurationExchange:
         """Return the exchange of ``vm-1``, which has the revision 40."""
         state = new_state()
-        state.configuration, state.configuration_revision = configuration(), 40
+        state.configuration, state.configuration_revision = configuration(), at(40)
         exchange = ConfigurationExchange(state, "vm-1", region_of=REGIONS.get)
         exchange.set_relays(("vm-2", "vm-3"))
         return exchange
@@ -283,7 +283,7 @@
     def _send_heartbeats(self, relay: _Vm) -> None:
         state = relay.state
         age_ms = min(now_ms() - state.configuration_confirmed_ms, 1e9)
-        message = heartbeat(state.configuration_revision, age_ms=int(age_ms))
+        message = heartbeat(state.configuration_revision.number, age_ms=int(age_ms))
         for vm in self.vms.values():
             if vm is not relay:
                 vm.exchange.on_heartbeat(relay.name, message)
--- a/tests/edge/test_fleet.py
+++ b/tests/edge/test_fleet.py
@@ -20,7 +20,7 @@
     decode,
     encode,
 )
-from tests.gateway.records import configuration, replica_update
+from tests.gateway.records import at, configuration, replica_update
 from tests.peers.test_scheduler_task import ask
 from tests.platform.documents import SETTINGS
 from tests.support import TrioTestCase
@@ -58,7 +58,7 @@
         )
         state.configuration = configuration()
         state.configuration_document = b"document"
-        state.configuration_revision = 40
+        state.configuration_revision = at(40)
         fleet = EdgeFleet(state, HERE)
         links: Any = _Links()
         fleet.network = links
--- a/tests/gateway/records.py
+++ b/tests/gateway/records.py
@@ -12,6 +12,7 @@
     RequestKind,
     Route,
     Service,
+    StoreRevision,
     Target,
 )
 
@@ -83,6 +84,13 @@
     return ReplicaRecord(**{**values, **fields})
 
 
-def replica_update(replica_id: str, revision: int, **fields: Any) -> ReplicaUpdate:
+def at(number: int, *, era: int = 0) -> StoreRevision:
+    """Return a revision of the store, by default before any restore."""
+    return StoreRevision(era, number)
+
+
+def replica_update(
+    replica_id: str, number: int, *, era: int = 0, **fields: Any
+) -> ReplicaUpdate:
     """Return an update of a replica that can be used."""
-    return ReplicaUpdate(replica_id, revision, replica(replica_id, **fields))
+    return ReplicaUpdate(replica_id, at(number, era=era), replica(replica_id, **fields))
--- a/tests/gateway/test_replicas.py
+++ b/tests/gateway/test_replicas.py
@@ -7,7 +7,7 @@
     ReplicaRegistry,
     ReplicaUpdate,
 )
-from tests.gateway.records import replica_update
+from tests.gateway.records import at, replica_update
 
 
 def ids(registry: ReplicaRegistry) -> list[str]:
@@ -22,7 +22,7 @@
         """Return a registry of two replicas that the store has listed."""
         registry = ReplicaRegistry()
         registry.apply_listing(
-            [replica_update("a", 5), replica_update("b", 6)], revision=7, now_ms=0
+            [replica_update("a", 5), replica_update("b", 6)], revision=at(7), now_ms=0
         )
         registry.pop_updates()
         return registry
@@ -40,21 +40,21 @@
     def test_a_removed_entry_goes_at_once_while_the_store_is_well(self) -> None:
         """A replica that has left gets no more work."""
         registry = self.registry()
-        registry.apply_removal("a", 8, 10)
+        registry.apply_removal("a", at(8), 10)
         self.assertEqual(["b"], ids(registry))
-        self.assertEqual([ReplicaUpdate("a", 8, None)], registry.pop_updates())
+        self.assertEqual([ReplicaUpdate("a", at(8), None)], registry.pop_updates())
 
     def test_a_removal_before_the_last_write_does_not_count(self) -> None:
         """A removal is ignored if the replica has registered again since."""
         registry = self.registry()
         registry.apply_update(replica_update("a", 12))
-        registry.apply_removal("a", 11, 10)
+        registry.apply_removal("a", at(11), 10)
         self.assertEqual(["a", "b"], ids(registry))
 
     def test_an_entry_that_cannot_be_read_names_no_replica(self) -> None:
         """An unreadable entry removes its replica only."""
         registry = self.registry()
-        registry.apply_update(ReplicaUpdate("a", 8, None))
+        registry.apply_update(ReplicaUpdate("a", at(8), None))
         self.assertEqual(["b"], ids(registry))
 
     def test_an_unchanged_entry_is_no_update(self) -> None:
@@ -71,11 +71,13 @@
         """Return a registry whose store recovered at 0 without the entry of ``a``."""
         registry = ReplicaRegistry()
         registry.apply_listing(
-            [replica_update("a", 5), replica_update("b", 6)], revision=7, now_ms=-9_000
+            [replica_update("a", 5), replica_update("b", 6)],
+            revision=at(7),
+            now_ms=-9_000,
         )
         registry.on_store_lost()
         registry.on_store_recovered(0)
-        registry.apply_listing([replica_update("b", 6)], revision=20, now_ms=0)
+        registry.apply_listing([replica_update("b", 6)], revision=at(20), now_ms=0)
         return registry
 
     def test_they_are_kept_for_a_while(self) -> None:
@@ -90,7 +92,7 @@
         registry.pop_updates()
         registry.drop_unconfirmed(STORE_RECOVERY_GRACE_MS)
         self.assertEqual(["b"], ids(registry))
-        self.assertEqual([ReplicaUpdate("a", 20, None)], registry.pop_updates())
+        self.assertEqual([ReplicaUpdate("a", at(20), None)], registry.pop_updates())
 
     def test_what_comes_back_stays(self) -> None:
         """A replica that registers again in time is kept."""
@@ -110,5 +112,5 @@
         """A removal by another VM applies while the store refuses only this VM."""
         registry = self.lapsed()
         registry.on_store_lost()
-        registry.apply_update(ReplicaUpdate("a", 30, None))
+        registry.apply_update(ReplicaUpdate("a", at(30), None))
         self.assertEqual(["b"], ids(registry))
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -11,7 +11,7 @@
 
 NAMES = re.compile(
     r"(?i:x-attempt-id|x-token-usage|x-response-seal|x-expect-instance|"
-    r"x-prompt-prefix|x-not-executed|x-tenant|api-key|kv-(txn|watch|range|lease))|"
+    r"x-prompt-prefix|x-not-executed|store-era|x-tenant|api-key|kv-(txn|watch|range|lease))|"
     r"platformSettings|contractBounds|weightedSplit|streamResume|nodeName|"
     r"internalPorts|targetLatencyMs|coldRemainingMs|healthPath"
 )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -13,12 +13,15 @@
 
 from hemlocktrestle.platform import (
     Item,
+    Page,
     PlatformStore,
     RemovedItem,
     StoreError,
     StoreErrorKind,
+    WatchResult,
 )
 from hemlocktrestle.platform._store import ANSWER_BYTES_MAX
+from tests.gateway.records import at
 from tests.odd_values import NESTED, ODD_NUMBERS
 from tests.standins.platform_store import PlatformStoreStandIn
 from tests.support import TrioTestCase
@@ -152,10 +155,10 @@
 
         async def check(standin: PlatformStoreStandIn, client: PlatformStore) -> None:
             revision = standin.put("op/config", b"\x00\xff")
-            item, at = await client.get("op/config")
-            self.assertEqual(Item("op/config", b"\x00\xff", revision), item)
-            self.assertEqual(revision, at)
-            self.assertEqual((None, revision), await client.get("op/other"))
+            item, found_at = await client.get("op/config")
+            self.assertEqual(Item("op/config", b"\x00\xff", at(revision)), item)
+            self.assertEqual(at(revision), found_at)
+            self.assertEqual((None, at(revision)), await client.get("op/other"))
 
         await self.run_with(check)
 
@@ -168,7 +171,7 @@
             standin.put("other/1", b"x")
             page = await client.list("servers/")
             self.assertEqual(8, len(page.items))
-            self.assertEqual(standin.revision, page.revision)
+            self.assertEqual(at(standin.revision), page.revision)
 
         await self.run_with(check)
 
@@ -180,27 +183,91 @@
             first = standin.put("servers/a", b"1")
             standin.remove("servers/a")
             seen = await client.watch("servers/", after=start, wait_ms=1_000)
-            removed = RemovedItem("servers/a", first + 1)
-            self.assertEqual((Item("servers/a", b"1", first), removed), seen.events)
-            quiet = await client.watch("servers/", after=seen.revision, wait_ms=500)
+            removed = RemovedItem("servers/a", at(first + 1))
+            self.assertEqual((Item("servers/a", b"1", at(first)), removed), seen.events)
+            quiet = await client.watch(
+                "servers/", after=seen.revision.number, wait_ms=500
+            )
             self.assertEqual(((), seen.revision), quiet)
 
         await self.run_with(check)
 
-    async def test_ending_a_lease_removes_its_keys(self) -> None:
-        """Ending a lease removes its keys; renewing it then fails."""
+    async def test_a_lease_that_ends_removes_its_keys(self) -> None:
+        """Renewing it then fails."""
 
         async def check(standin: PlatformStoreStandIn, client: PlatformStore) -> None:
-            lease = await client.grant_lease(10_000)
+            lease, _ = await client.grant_lease(10_000)
             await client.put("vms/a", b"x", lease=lease)
             await client.renew_lease(lease)
-            await client.end_lease(lease)
+            standin.end_lease(lease)
             self.assertEqual({}, standin.entries)
             kind = await self.kind_of(client.renew_lease(lease))
             self.assertEqual(StoreErrorKind.LEASE_ENDED, kind)
 
         await self.run_with(check)
 
+    async def test_a_key_is_removed_unless_it_was_written_again(self) -> None:
+        """The entry of a later holder is left alone."""
+
+        async def check(standin: PlatformStoreStandIn, client: PlatformStore) -> None:
+            first = await client.put("vms/a", b"1")
+            second = await client.put("vms/a", b"2")
+            kind = await self.kind_of(client.delete("vms/a", revision=first))
+            self.assertEqual(StoreErrorKind.CONDITION_FAILED, kind)
+            self.assertIn("vms/a", standin.entries)
+            await client.delete("vms/a", revision=second)
+            self.assertEqual({}, standin.entries)
+
+        await self.run_with(check)
+
+    async def test_the_era_of_an_answer_goes_with_what_it_says(self) -> None:
+        """So it does with an error; without the header it is 0."""
+
+        async def check(standin: PlatformStoreStandIn, client: PlatformStore) -> None:
+            copy_before = standin.copy()
+            standin.put("servers/a", b"1")
+            standin.restore(copy_before)
+            number = standin.put("servers/a", b"2")
+            now = at(number, era=1)
+            item = Item("servers/a", b"2", now)
+            self.assertEqual((item, now), await client.get("servers/a"))
+            self.assertEqual(Page((item,), now), await client.list("servers/"))
+            seen = await client.watch("servers/", after=number - 1, wait_ms=100)
+            self.assertEqual(WatchResult((item,), now), seen)
+            self.assertEqual(1, (await client.put("a", b"")).era)
+            lease = await client.grant_lease(1_000)
+            self.assertEqual(1, lease.era)
+            self.assertEqual(1, await client.renew_lease(lease.lease_id))
+            try:
+                await client.renew_lease(1)
+            except StoreError as error:
+                self.assertEqual(1, error.era)
+            for era in ("x", "-1", "9" * 19, "1.5"):
+                standin.era_text = era
+                kind = await self.kind_of(client.list("servers/"))
+                self.assertEqual(StoreErrorKind.MALFORMED, kind, era)
+
+        await self.run_with(check)
+
+    async def test_pages_of_several_eras_are_no_listing(self) -> None:
+        """Guards against a listing of which half was lost meanwhile."""
+
+        async def check(standin: PlatformStoreStandIn, client: PlatformStore) -> None:
+            for number in range(8):
+                standin.put(f"servers/{number}", b"x")
+            saved = standin.copy()
+
+            def restore_once(answer: Any) -> Any:
+                standin.on_answer = lambda document: document
+                trio.lowlevel.current_trio_token().run_sync_soon(standin.restore, saved)
+                return answer
+
+            standin.on_answer = restore_once
+            kind = await self.kind_of(client.list("servers/"))
+            self.assertEqual(StoreErrorKind.RESTORED, kind)
+
+        await self.run_with(check)
+
     async def test_each_failure_has_its_kind(self) -> None:
         """Each failure maps to a kind; a write without an answer may take effect."""
 
@@ -275,7 +342,9 @@
                 item = {"key": "servers/a", "value": value, "revision": 7}
                 standin.on_answer = partial(_with_first, item)
                 page = await client.list("servers/")
-                self.assertEqual((Item("servers/a", b"", 7),), page.items, repr(value))
+                self.assertEqual(
+                    (Item("servers/a", b"", at(7)),), page.items, repr(value)
+                )
 
         await self.run_with(check)
 
--- a/tests/standins/http.py
+++ b/tests/standins/http.py
@@ -1,7 +1,7 @@
 """A small HTTP/1.1 server for stand-ins, which can truncate answers or stall."""
 
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, NamedTuple
 
 import h11
@@ -63,12 +63,18 @@
         """End the answer."""
         await self._send(h11.EndOfMessage())
 
-    async def send_json(self, value: Any, status: int = 200) -> None:
+    async def send_json(
+        self, value: Any, status: int = 200, headers: Mapping[str, str] | None = None
+    ) -> None:
         """Send a complete JSON answer."""
         body = json.dumps(value).encode()
         await self.send_head(
             status,
-            {"content-type": "application/json", "content-length": str(len(body))},
+            {
+                "content-type": "application/json",
+                "content-length": str(len(body)),
+                **(headers or {}),
+            },
         )
         await self.send_chunk(body)
         await self.finish()
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -22,6 +22,16 @@
     lease: int
 
 
+class StoreCopy(NamedTuple):
+    """What a copy of the store holds: from it, the store comes back older."""
+
+    revision: int
+    entries: dict[str, Entry]
+    events: tuple[tuple[str, int, bytes | None], ...]
+    leases: frozenset[int]
+    last_lease: int
+
+
 class PlatformStoreStandIn:
     """Keys, leases and watches in memory, with faults that can be injected.
 
@@ -31,6 +41,7 @@
     ``garbage`` sends a body that is not JSON; ``on_answer`` may change the documents
     that are sent.
     ``delay_s`` delays every answer.
+    ``era_text`` is the era that answers state; they state none before a restore.
     ``watched_count`` counts the changes that watches were sent.
     ``on_put`` may change the values that VMs write, such as the address in an entry,
     so that VMs reach each other through a relay.
@@ -49,6 +60,8 @@
         self.lose_answers = 0
         self.history_from = 0
         self.garbage = False
+        self.era = 0
+        self.era_text = ""
         self.on_put: Callable[[str, bytes], bytes] = lambda key, value: value
         self.on_answer: Callable[[Any], Any] = lambda document: document
         self._last_lease = 70_000
@@ -80,6 +93,28 @@
         changed, self._changed = self._changed, trio.Event()
         changed.set()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of what the store holds."""
+        return StoreCopy(
+            self.revision,
+            dict(self.entries),
+            tuple(self.events),
+            frozenset(self.leases),
+            self._last_lease,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: revisions and lease ids are given out again."""
+        self.revision = copy.revision
+        self.entries = dict(copy.entries)
+        self.events = list(copy.events)
+        self.leases = set(copy.leases)
+        self._last_lease = copy.last_lease
+        self.era += 1
+        self.era_text = str(self.era)
+        changed, self._changed = self._changed, trio.Event()
+        changed.set()
+
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve one connection."""
         connection = Connection(stream)
@@ -101,7 +136,7 @@
             return False
         await trio.sleep(self.delay_s)
         if self.status:
-            await connection.send_json({}, self.status)
+            await connection.send_json({}, self.status, self._headers())
             return True
         if self.garbage:
             await connection.send_head(200, {"content-length": "3"})
@@ -113,9 +148,13 @@
         answer = await handler(query, request, parts[1:])
         if answer is None:
             return False
-        await connection.send_json(self.on_answer(answer[1]), answer[0])
+        headers = self._headers()
+        await connection.send_json(self.on_answer(answer[1]), answer[0], headers)
         return True
 
+    def _headers(self) -> dict[str, str]:
+        return {"store-era": self.era_text} if self.era_text else {}
+
     async def _kv_key(
         self, query: dict[str, str], request: Request, rest: list[str]
     ) -> tuple[int, Any]:
@@ -141,12 +180,12 @@
         self, query: dict[str, str], request: Request, rest: list[str]
     ) -> tuple[int, Any]:
         after = int(query["after"])
-        if after < self.history_from:
+        if not self.history_from <= after <= self.revision:
             return 410, {}
         with trio.move_on_after(int(query["waitMs"]) / 1000):
             while not self._since(query["prefix"], after):
                 await self._changed.wait()
-                if after < self.history_from:
+                if not self.history_from <= after <= self.revision:
                     return 410, {}
         events = self._since(query["prefix"], after)
         self.watched_count += len(events)
@@ -156,6 +195,12 @@
         self, query: dict[str, str], request: Request, rest: list[str]
     ) -> tuple[int, Any] | None:
         body = request.json()
+        for row in body["expect"]:
+            entry = self.entries.get(row["key"])
+            if row["revision"] != (entry.revision if entry is not None else 0):
+                return 412, {"items": []}
+        for key in body["deletes"]:
+            self.remove(key)
         for row in body["puts"]:
             if row["lease"] and row["lease"] not in self.leases:
                 return 404, {}
