--- a/tests/gateway/test_replicas.py
+++ b/tests/gateway/test_replicas.py
@@ -114,3 +114,93 @@
         registry.on_store_lost()
         registry.apply_update(ReplicaUpdate("a", at(30), None))
         self.assertEqual(["b"], ids(registry))
+
+
+class RestoredStoreTests(TestCase):
+    """Facts of the era before hold for the grace period, then the new era counts."""
+
+    def restored(self) -> ReplicaRegistry:
+        """Return a registry at 0, when the era 1 is learned: ``b`` left, ``c`` came."""
+        registry = ReplicaRegistry()
+        registry.begin_era(0, -9_000)
+        registry.apply_listing(
+            [replica_update("a", 5), replica_update("b", 6), replica_update("c", 40)],
+            revision=at(41),
+            now_ms=-9_000,
+        )
+        registry.apply_removal("b", at(42), -1_000)
+        registry.begin_era(1, 0)
+        return registry
+
+    def listed(self) -> ReplicaRegistry:
+        """Return the registry after it has read the older copy."""
+        registry = self.restored()
+        registry.apply_listing(
+            [replica_update("a", 5, era=1), replica_update("b", 6, era=1)],
+            revision=at(7, era=1),
+            now_ms=0,
+        )
+        return registry
+
+    def test_the_older_copy_changes_nothing_at_once(self) -> None:
+        """Neither does a replica leave that it lacks, nor one return that left."""
+        registry = self.listed()
+        registry.drop_unconfirmed(STORE_RECOVERY_GRACE_MS - 1)
+        self.assertEqual(["a", "c"], ids(registry))
+
+    def test_the_new_era_alone_counts_after_the_grace_period(self) -> None:
+        """No fact of the lost seconds is believed for good."""
+        registry = self.listed()
+        registry.drop_unconfirmed(STORE_RECOVERY_GRACE_MS)
+        self.assertEqual(["a", "b"], ids(registry))
+
+    def test_what_is_written_again_counts_at_once(self) -> None:
+        """A removal that is written again ends what the older copy lists."""
+        registry = self.listed()
+        registry.apply_update(replica_update("c", 8, era=1))
+        registry.apply_removal("b", at(9, era=1), 100)
+        registry.drop_unconfirmed(STORE_RECOVERY_GRACE_MS)
+        self.assertEqual(["a", "c"], ids(registry))
+        registry.apply_update(replica_update("b", 6, era=1))
+        self.assertEqual(["a", "c"], ids(registry))
+
+    def test_an_earlier_start_does_not_replace_a_later_one(self) -> None:
+        """The copy may list a replica as it was before its restart."""
+        for born_ms, address in ((7, "new"), (9, "newest")):
+            registry = self.restored()
+            registry.apply_update(
+                replica_update("a", 1, era=1, born_ms=8, address="new")
+            )
+            registry.begin_era(2, 50)
+            registry.apply_update(
+                replica_update("a", 1, era=2, born_ms=born_ms, address="newest")
+            )
+            found = registry.find("a")
+            assert found is not None
+            self.assertEqual(address, found.address)
+
+    def test_facts_of_an_earlier_era_are_refused(self) -> None:
+        """A VM that has not seen the restore overwrites nothing."""
+        registry = self.restored()
+        registry.apply_update(replica_update("d", 900))
+        registry.apply_removal("a", at(900), 5_000)
+        registry.apply_listing([], revision=at(901), now_ms=5_000)
+        self.assertEqual(["a", "c"], ids(registry))
+
+    def test_what_the_first_copy_lacked_is_read_again_after_a_second(self) -> None:
+        """Only what the last listing lacks is dropped."""
+        registry = self.listed()
+        registry.begin_era(2, 1_000)
+        registry.apply_listing(
+            [replica_update("c", 4, era=2)], revision=at(7, era=2), now_ms=1_000
+        )
+        registry.drop_unconfirmed(1_000 + STORE_RECOVERY_GRACE_MS)
+        self.assertEqual(["c"], ids(registry))
+
+    def test_the_first_era_is_no_restore(self) -> None:
+        """A process that starts believes a removal at once."""
+        registry = ReplicaRegistry()
+        registry.begin_era(3, 0)
+        registry.apply_update(replica_update("a", 5, era=3))
+        registry.apply_removal("a", at(6, era=3), 10)
+        self.assertEqual([], ids(registry))
