--- a/tests/soak/_deployment.py
+++ b/tests/soak/_deployment.py
@@ -234,6 +234,7 @@
         self.version = 0
         self.versions: list[tuple[float, int]] = []
         self._replica_count = 0
+        self._document = b""
 
     async def start(self) -> None:
         """Start the store, the replicas, the links and the processes."""
@@ -278,9 +279,20 @@
         document = changed(CONFIGURATION, "routes", routes)
         document = changed(document, "version", self.version)
         document = changed(document, "tenants.0.ratePerS", 0)
-        self.store.put("op/config", as_bytes(document))
+        self._document = as_bytes(document)
+        self.store.put("op/config", self._document)
         self.versions.append((trio.current_time(), self.version))
 
+    def write_again(self) -> None:
+        """Write what the operator and the replicas had written before a restore."""
+        self.store.put("op/config", self._document)
+        for replica in self.removed_replicas:
+            self.store.remove(replica.key)
+        for replica in self.replicas.values():
+            is_draining = replica.draining_from_s < float("inf")
+            state = "draining" if is_draining else "ready"
+            self.store.put(replica.key, replica.entry(state))
+
     async def add_replica(self, service: str) -> Replica:
         """Start a replica and register it."""
         self._replica_count += 1
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -36,6 +36,12 @@
 A stream's caller has 2 s, so the answer still comes in time.
 """
 
+RESTORED_S = 2.5
+"""Time for the processes to take over what was written again, in seconds.
+
+The platform states about two; the rest is for the update to arrive.
+"""
+
 ODD_ENTRIES = (
     b"{",
     b'{"service": 3}',
@@ -270,6 +276,21 @@
                 deployment.store.put(replica.key, replica.entry())
 
 
+@fault
+async def restore_the_store(deployment: Deployment, rng: random.Random) -> None:
+    """The store is away for a moment and comes back from an older copy."""
+    copy = deployment.store.copy()
+    await trio.sleep(rng.uniform(0.5, 3.0))
+    with disturbed(deployment, STORE):
+        deployment.store.status = 503
+        await trio.sleep(rng.uniform(0.0, 1.0))
+        deployment.store.restore(copy)
+        deployment.store.status = 0
+        await trio.sleep(rng.uniform(0.0, 1.0))
+        deployment.write_again()
+        await trio.sleep(RESTORED_S)
+
+
 @fault
 async def spoil_a_replica(deployment: Deployment, rng: random.Random) -> None:
     """One replica runs requests but answers them wrongly or not at all."""
--- a/tests/soak/test_edge.py
+++ b/tests/soak/test_edge.py
@@ -23,13 +23,13 @@
     """
 
     cause: str
-    without: frozenset[str] = frozenset()
+    without: frozenset[str] = frozenset({"restore_the_store"})
 
 
 REGRESSION_SEEDS = {
     703: Regression(
         "a VM that had no lease yet ended lease 0",
-        frozenset({"pause_a_replica", "answer_without_framing"}),
+        frozenset({"pause_a_replica", "answer_without_framing", "restore_the_store"}),
     ),
     905: Regression("a deeply nested entry of a replica ended each process"),
     906: Regression("an entry with a port out of range ended a process"),
