Test the configurations that VMs fetch after a restore

Change: the order of eras, an earlier version in a later era, and a relay of the era before, between VMs. On the code before the module can't be loaded: it has neither the type nor the fields of the messages.

--- a/tests/edge/store/test_configuration_exchange.py
+++ b/tests/edge/store/test_configuration_exchange.py
@@ -47,31 +47,32 @@
     reply = send
 
 
+def new_exchange() -> tuple[ConfigurationExchange, EdgeState, _Links]:
+    """Return the exchange of ``vm-1``, which has the revision 40."""
+    state = new_state()
+    state.configuration = configuration()
+    state.configuration_document = b"document"
+    state.configuration_revision = at(40)
+    exchange = ConfigurationExchange(state, "vm-1", region_of=REGIONS.get)
+    exchange.set_relays(("vm-2", "vm-3"))
+    links: Any = _Links()
+    exchange.network = links
+    return exchange, state, links
+
+
 class FetchTests(TrioTestCase):
     """A VM that stays behind fetches one copy; nobody is sent what he did not ask."""
 
-    def exchange(self) -> tuple[ConfigurationExchange, EdgeState, _Links]:
-        """Return the exchange of ``vm-1``, which has the revision 40."""
-        state = new_state()
-        state.configuration = configuration()
-        state.configuration_document = b"document"
-        state.configuration_revision = at(40)
-        exchange = ConfigurationExchange(state, "vm-1", region_of=REGIONS.get)
-        exchange.set_relays(("vm-2", "vm-3"))
-        links: Any = _Links()
-        exchange.network = links
-        return exchange, state, links
-
     async def test_vms_that_are_a_moment_behind_get_no_copies(self) -> None:
         """Guards against links that fill up with copies at each new configuration."""
-        exchange, _, links = self.exchange()
+        exchange, _, links = new_exchange()
         for number in range(4, 80):
             exchange.on_heartbeat(f"vm-{number}", heartbeat(39))
         self.assertEqual([], links.sent)
 
     async def test_the_second_relay_is_asked_at_once(self) -> None:
         """The first one is the region's scheduler, whose links carry the permits."""
-        exchange, _, links = self.exchange()
+        exchange, _, links = new_exchange()
         exchange.on_heartbeat("vm-2", heartbeat(41))
         self.assertEqual([], links.sent)
         exchange.on_heartbeat("vm-3", heartbeat(41))
@@ -80,7 +81,7 @@
 
     async def test_the_first_relay_is_asked_if_the_second_is_not_heard(self) -> None:
         """It is a backup: half a second later it is asked."""
-        exchange, _, links = self.exchange()
+        exchange, _, links = new_exchange()
         exchange.on_heartbeat("vm-2", heartbeat(41))
         await trio.sleep(0.5)
         exchange.on_heartbeat("vm-2", heartbeat(41))
@@ -88,7 +89,7 @@
 
     async def test_another_region_is_asked_last(self) -> None:
         """The link between regions is narrow and paid by volume."""
-        exchange, _, links = self.exchange()
+        exchange, _, links = new_exchange()
         exchange.on_heartbeat("vm-9", heartbeat(41))
         await trio.sleep(1.4)
         exchange.on_heartbeat("vm-9", heartbeat(41))
@@ -99,7 +100,7 @@
 
     async def test_a_copy_that_does_not_come_is_fetched_again(self) -> None:
         """A fetch that is lost with its link is repeated, from any VM that is ahead."""
-        exchange, _, links = self.exchange()
+        exchange, _, links = new_exchange()
         exchange.on_heartbeat("vm-3", heartbeat(41))
         await trio.sleep(2.1)
         exchange.on_heartbeat("vm-2", heartbeat(41))
@@ -108,21 +109,21 @@
 
     async def test_a_vm_without_a_configuration_asks_anybody(self) -> None:
         """It refuses all requests until it has one."""
-        exchange, state, links = self.exchange()
+        exchange, state, links = new_exchange()
         state.configuration, state.configuration_revision = None, NO_REVISION
         exchange.on_heartbeat("vm-9", heartbeat(40))
         self.assertEqual([("vm-9", TreeFetch(0, ""))], links.sent)
 
     async def test_a_newer_configuration_is_sent_on_request(self) -> None:
         """Nothing is sent to a VM that has as new a one."""
-        exchange, _, links = self.exchange()
+        exchange, _, links = new_exchange()
         exchange.on_fetch("vm-2", TreeFetch(40, ""))
         exchange.on_fetch("vm-3", TreeFetch(39, ""))
         self.assertEqual([("vm-3", ConfigurationNews(40, b"document"))], links.sent)
 
     async def test_a_newer_configuration_of_another_vm_is_applied(self) -> None:
         """A newer configuration is applied, an older one is not."""
-        exchange, state, _ = self.exchange()
+        exchange, state, _ = new_exchange()
         document = as_bytes({**CONFIGURATION, "version": 7})
         exchange.on_news("vm-2", ConfigurationNews(39, document))
         self.assertEqual(at(40), state.configuration_revision)
@@ -131,7 +132,7 @@
 
     async def test_a_configuration_that_is_refused_is_not_fetched_again(self) -> None:
         """Guards against a document that crosses the links for ever."""
-        exchange, state, links = self.exchange()
+        exchange, state, links = new_exchange()
         exchange.on_heartbeat("vm-3", heartbeat(41))
         exchange.on_news("vm-3", ConfigurationNews(41, b"no document"))
         await trio.sleep(5)
@@ -139,6 +140,54 @@
         self.assertEqual((at(40), 1), (state.configuration_revision, len(links.sent)))
 
 
+class RestoredStoreTests(TrioTestCase):
+    """The order is that of eras, then of revisions, also between VMs."""
+
+    def exchange(self) -> tuple[ConfigurationExchange, EdgeState, _Links]:
+        """Return the exchange of ``vm-1``, which has version 1 at revision 40."""
+        exchange, state, links = new_exchange()
+        state.observe_store_era(1, source="test")
+        return exchange, state, links
+
+    async def test_a_lower_revision_of_a_later_era_is_fetched(self) -> None:
+        """A higher one of the era before is not, once the later one is in force."""
+        exchange, state, links = self.exchange()
+        later = heartbeat(12)._replace(store_era=1, tree_era=1)
+        exchange.on_heartbeat("vm-3", later)
+        self.assertEqual([("vm-3", TreeFetch(40, ""))], links.sent)
+        document = as_bytes({**CONFIGURATION, "version": 7})
+        exchange.on_news("vm-3", ConfigurationNews(12, document, era=1))
+        self.assertEqual(at(12, era=1), state.configuration_revision)
+        exchange.on_heartbeat("vm-3", heartbeat(900))
+        exchange.on_news("vm-2", ConfigurationNews(900, document))
+        self.assertEqual(1, len(links.sent))
+        exchange.on_fetch("vm-2", TreeFetch(900, ""))
+        self.assertEqual(("vm-2", ConfigurationNews(12, document, 1)), links.sent[-1])
+
+    async def test_an_earlier_version_of_a_later_era_is_fetched_once(self) -> None:
+        """It is not applied; the version in force is confirmed when it comes again."""
+        exchange, state, links = self.exchange()
+        state.configuration = configuration(version=7)
+        for number, version, is_confirmed in ((12, 6, False), (13, 7, True)):
+            for _ in range(2):
+                told = heartbeat(number)._replace(store_era=1, tree_era=1)
+                exchange.on_heartbeat("vm-3", told)
+                document = as_bytes({**CONFIGURATION, "version": version})
+                exchange.on_news("vm-3", ConfigurationNews(number, document, era=1))
+            self.assertEqual(7, state.configuration.version)
+            found = state.configuration_revision
+            self.assertEqual(is_confirmed, found == at(number, era=1))
+        self.assertEqual(2, len(links.sent))
+
+    async def test_a_relay_of_the_era_before_is_not_relied_on(self) -> None:
+        """It cannot confirm what the restored store holds."""
+        exchange, _, _ = self.exchange()
+        exchange.on_heartbeat("vm-3", heartbeat(40))
+        self.assertFalse(exchange.is_relayed)
+        exchange.on_heartbeat("vm-3", heartbeat(40)._replace(store_era=1))
+        self.assertTrue(exchange.is_relayed)
+
+
 class RelayedTests(TrioTestCase):
     """A VM relies on a relay while that is in touch with the store."""
 
