--- a/tests/gateway/test_replicas.py
+++ b/tests/gateway/test_replicas.py
@@ -7,7 +7,7 @@
     ReplicaRegistry,
     ReplicaUpdate,
 )
-from tests.gateway.records import replica_update
+from tests.gateway.records import at, replica_update
 
 
 def ids(registry: ReplicaRegistry) -> list[str]:
@@ -22,7 +22,7 @@
         """Return a registry of two replicas that the store has listed."""
         registry = ReplicaRegistry()
         registry.apply_listing(
-            [replica_update("a", 5), replica_update("b", 6)], revision=7, now_ms=0
+            [replica_update("a", 5), replica_update("b", 6)], revision=at(7), now_ms=0
         )
         registry.pop_updates()
         return registry
@@ -40,21 +40,21 @@
     def test_a_removed_entry_goes_at_once_while_the_store_is_well(self) -> None:
         """A replica that has left gets no more work."""
         registry = self.registry()
-        registry.apply_removal("a", 8, 10)
+        registry.apply_removal("a", at(8), 10)
         self.assertEqual(["b"], ids(registry))
-        self.assertEqual([ReplicaUpdate("a", 8, None)], registry.pop_updates())
+        self.assertEqual([ReplicaUpdate("a", at(8), None)], registry.pop_updates())
 
     def test_a_removal_before_the_last_write_does_not_count(self) -> None:
         """A removal is ignored if the replica has registered again since."""
         registry = self.registry()
         registry.apply_update(replica_update("a", 12))
-        registry.apply_removal("a", 11, 10)
+        registry.apply_removal("a", at(11), 10)
         self.assertEqual(["a", "b"], ids(registry))
 
     def test_an_entry_that_cannot_be_read_names_no_replica(self) -> None:
         """An unreadable entry removes its replica only."""
         registry = self.registry()
-        registry.apply_update(ReplicaUpdate("a", 8, None))
+        registry.apply_update(ReplicaUpdate("a", at(8), None))
         self.assertEqual(["b"], ids(registry))
 
     def test_an_unchanged_entry_is_no_update(self) -> None:
@@ -71,11 +71,13 @@
         """Return a registry whose store recovered at 0 without the entry of ``a``."""
         registry = ReplicaRegistry()
         registry.apply_listing(
-            [replica_update("a", 5), replica_update("b", 6)], revision=7, now_ms=-9_000
+            [replica_update("a", 5), replica_update("b", 6)],
+            revision=at(7),
+            now_ms=-9_000,
         )
         registry.on_store_lost()
         registry.on_store_recovered(0)
-        registry.apply_listing([replica_update("b", 6)], revision=20, now_ms=0)
+        registry.apply_listing([replica_update("b", 6)], revision=at(20), now_ms=0)
         return registry
 
     def test_they_are_kept_for_a_while(self) -> None:
@@ -90,7 +92,7 @@
         registry.pop_updates()
         registry.drop_unconfirmed(STORE_RECOVERY_GRACE_MS)
         self.assertEqual(["b"], ids(registry))
-        self.assertEqual([ReplicaUpdate("a", 20, None)], registry.pop_updates())
+        self.assertEqual([ReplicaUpdate("a", at(20), None)], registry.pop_updates())
 
     def test_what_comes_back_stays(self) -> None:
         """A replica that registers again in time is kept."""
@@ -110,5 +112,95 @@
         """A removal by another VM applies while the store refuses only this VM."""
         registry = self.lapsed()
         registry.on_store_lost()
-        registry.apply_update(ReplicaUpdate("a", 30, None))
+        registry.apply_update(ReplicaUpdate("a", at(30), None))
         self.assertEqual(["b"], ids(registry))
+
+
+class RestoredStoreTests(TestCase):
+    """Facts of the era before hold for the grace period, then the new era counts."""
+
+    def restored(self) -> ReplicaRegistry:
+        """Return a registry at 0, when the era 1 is learned: ``b`` left, ``c`` came."""
+        registry = ReplicaRegistry()
+        registry.begin_era(0, -9_000)
+        registry.apply_listing(
+            [replica_update("a", 5), replica_update("b", 6), replica_update("c", 40)],
+            revision=at(41),
+            now_ms=-9_000,
+        )
+        registry.apply_removal("b", at(42), -1_000)
+        registry.begin_era(1, 0)
+        return registry
+
+    def listed(self) -> ReplicaRegistry:
+        """Return the registry after it has read the older copy."""
+        registry = self.restored()
+        registry.apply_listing(
+            [replica_update("a", 5, era=1), replica_update("b", 6, era=1)],
+            revision=at(7, era=1),
+            now_ms=0,
+        )
+        return registry
+
+    def test_the_older_copy_changes_nothing_at_once(self) -> None:
+        """Neither does a replica leave that it lacks, nor one return that left."""
+        registry = self.listed()
+        registry.drop_unconfirmed(STORE_RECOVERY_GRACE_MS - 1)
+        self.assertEqual(["a", "c"], ids(registry))
+
+    def test_the_new_era_alone_counts_after_the_grace_period(self) -> None:
+        """No fact of the lost seconds is believed for good."""
+        registry = self.listed()
+        registry.drop_unconfirmed(STORE_RECOVERY_GRACE_MS)
+        self.assertEqual(["a", "b"], ids(registry))
+
+    def test_what_is_written_again_counts_at_once(self) -> None:
+        """A removal that is written again ends what the older copy lists."""
+        registry = self.listed()
+        registry.apply_update(replica_update("c", 8, era=1))
+        registry.apply_removal("b", at(9, era=1), 100)
+        registry.drop_unconfirmed(STORE_RECOVERY_GRACE_MS)
+        self.assertEqual(["a", "c"], ids(registry))
+        registry.apply_update(replica_update("b", 6, era=1))
+        self.assertEqual(["a", "c"], ids(registry))
+
+    def test_an_earlier_start_does_not_replace_a_later_one(self) -> None:
+        """The copy may list a replica as it was before its restart."""
+        for born_ms, address in ((7, "new"), (9, "newest")):
+            registry = self.restored()
+            registry.apply_update(
+                replica_update("a", 1, era=1, born_ms=8, address="new")
+            )
+            registry.begin_era(2, 50)
+            registry.apply_update(
+                replica_update("a", 1, era=2, born_ms=born_ms, address="newest")
+            )
+            found = registry.find("a")
+            assert found is not None
+            self.assertEqual(address, found.address)
+
+    def test_facts_of_an_earlier_era_are_refused(self) -> None:
+        """A VM that has not seen the restore overwrites nothing."""
+        registry = self.restored()
+        registry.apply_update(replica_update("d", 900))
+        registry.apply_removal("a", at(900), 5_000)
+        registry.apply_listing([], revision=at(901), now_ms=5_000)
+        self.assertEqual(["a", "c"], ids(registry))
+
+    def test_what_the_first_copy_lacked_is_read_again_after_a_second(self) -> None:
+        """Only what the last listing lacks is dropped."""
+        registry = self.listed()
+        registry.begin_era(2, 1_000)
+        registry.apply_listing(
+            [replica_update("c", 4, era=2)], revision=at(7, era=2), now_ms=1_000
+        )
+        registry.drop_unconfirmed(1_000 + STORE_RECOVERY_GRACE_MS)
+        self.assertEqual(["c"], ids(registry))
+
+    def test_the_first_era_is_no_restore(self) -> None:
+        """A process that starts believes a removal at once."""
+        registry = ReplicaRegistry()
+        registry.begin_era(3, 0)
+        registry.apply_update(replica_update("a", 5, era=3))
+        registry.apply_removal("a", at(6, era=3), 10)
+        self.assertEqual([], ids(registry))
