--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,8 @@
 	$(BIN)/lint-imports
 
 test: check
-	$(BIN)/pytest -n 6
+	$(BIN)/pytest -n 6 -m "not alone"
+	$(BIN)/pytest -m alone
 
 demo: $(STAMP)
 	$(BIN)/python -m tests.demo
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 from hypothesis import HealthCheck, settings
 
 from tests.mutants import apply_from_environment
+from tests.support._known_red import KnownRed, parse_known_red
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
@@ -25,13 +26,8 @@
 settings.load_profile("same_verdict")
 
 
-def _known_failures() -> dict[str, str]:
-    entries = {}
-    for line in KNOWN_RED.read_text(encoding="utf-8").splitlines():
-        if line and not line.startswith("#"):
-            node_id, _, rest = line.partition(" | ")
-            entries[node_id.strip()] = rest
-    return entries
+def _known_failures() -> list[KnownRed]:
+    return parse_known_red(KNOWN_RED.read_text(encoding="utf-8"))
 
 
 def pytest_configure(config: pytest.Config) -> None:
@@ -43,12 +39,12 @@
     """Mark the listed tests as expected failures that may also pass."""
     entries = _known_failures()
     for item in items:
-        reason = entries.get(item.nodeid)
-        if reason is not None:
+        reasons = [entry.reason for entry in entries if entry.test == item.nodeid]
+        for reason in reasons:
             item.add_marker(pytest.mark.xfail(reason=reason, strict=False))
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
     """Print the tests listed in KNOWN-RED.txt."""
-    for node_id, reason in _known_failures().items():
+    for node_id, reason in _known_failures():
         terminalreporter.write_line(f"KNOWN RED {node_id}: {reason}")
--- a/tests/edge/test_processes.py
+++ b/tests/edge/test_processes.py
@@ -102,9 +102,11 @@
         self.store = PlatformStoreStandIn()
         self.replica = ReplicaStandIn("i-1")
         self.addresses: dict[str, str] = {}
+        self.nursery: trio.Nursery
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start both, and write configuration and registrations."""
+        self.nursery = nursery
         nursery.start_soon(self._serve_store)
         nursery.start_soon(
             partial(
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -34,7 +34,8 @@
     the first; ``full`` refuses requests without executing them; ``unframed`` answers
     with neither a length nor chunks, and ends with the connection.
 
-    While ``is_paused`` it goes on running requests and sends nothing.
+    While ``is_paused`` it goes on running requests and sends nothing.  Its answers are
+    ``whole``, and the data of an event has the attempt's id and ``padding``.
 
     Args:
         replica_id: the id under which it registers.
@@ -59,6 +60,8 @@
         self.event_ms = event_ms
         self.work_ms = work_ms
         self.mode = ""
+        self.whole = WHOLE
+        self.padding = ""
         self.is_paused = False
         self.attempt_ids: list[str] = []
         self.runs: list[Run] = []
@@ -111,9 +114,13 @@
         await trio.sleep(self.work_ms / 1000)
         await self._wait_while_paused()
         await connection.send_head(
-            200, {**self._answer_headers(request), "content-length": "4"}
+            200,
+            {
+                **self._answer_headers(request),
+                "content-length": str(len(self.whole)),
+            },
         )
-        await connection.send_chunk(WHOLE)
+        await connection.send_chunk(self.whole)
         await connection.finish()
 
     async def _stream(
@@ -130,7 +137,7 @@
         first = int(request.headers.get("last-event-id", "0")) + 1
         for number in range(first, last + 1):
             await self._wait_while_paused()
-            yield f"id: {number}\ndata: {attempt}\n\n".encode()
+            yield f"id: {number}\ndata: {attempt}{self.padding}\n\n".encode()
             await trio.sleep(self.event_ms / 1000)
 
     async def _wait_while_paused(self) -> None:
