Bound what callers send ahead, and the connections that they hold

Cause: while a request was in hand up to 64 kB more was read from its connection, counted anew for each request. A client that sends ahead and reads nothing is served many small answers before the kernel takes no more, and each let 64 kB more in. Measured in one process with 60 connections that send 6 MB each: 232 MB of 308 MB of growth were unread bytes in h11's buffers, up to 5.1 MB a connection. Objects, tasks and log lines did not grow. The ready address took any number of connections: 1221 descriptors of 400.

Change: what a connection has read and belongs to no request yet is bounded for the connection (64 kB) and, by a budget from memoryMb, for all together; beyond it the connection is closed, or half a request refused with 503. Callers' connections are bounded by memory, too. While all are taken, a caller that has taken in nothing for 1 s is closed. Sending moves to a module of its own.

--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -16,13 +16,13 @@
 from hemlocktrestle.edge._stall_monitor import StallMonitor
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.edge.attempts._crash_monitor import CrashMonitor
+from hemlocktrestle.edge.callers._answer_listener import AnswerListener
 from hemlocktrestle.edge.callers._job import Job
 from hemlocktrestle.edge.callers._listeners import (
     INTERNAL_DESCRIPTORS,
     CallerListener,
     address_of,
     listen,
-    serve_answers,
 )
 from hemlocktrestle.edge.callers._quota_gate import EdgeQuotas
 from hemlocktrestle.edge.callers._request_log import log_request_ended
@@ -37,6 +37,7 @@
 from hemlocktrestle.gateway import FleetSnapshot
 from hemlocktrestle.peers import PeerNetwork, PermitClient, SchedulerTask
 from hemlocktrestle.platform import EdgeSettings, PlatformStore, read_settings
+from hemlocktrestle.relay import CutReason
 from hemlocktrestle.timers import sleep_until_multiple
 from hemlocktrestle.wire import (
     PROTOCOL_VERSION,
@@ -168,9 +169,14 @@
         self._caller_listener = CallerListener(
             self.state,
             self._server.serve,
-            connections_max=descriptors // DESCRIPTORS_PER_CALLER,
+            connections_max=min(
+                descriptors // DESCRIPTORS_PER_CALLER,
+                self.state.memory_plan.connections_max,
+            ),
             body_budget=self.state.request_budget,
+            on_cut=self._on_connection_cut,
         )
+        self.state.cut_stuck_caller = self._caller_listener.cut_stuck_caller
         self._registrar = VmRegistrar(
             entry,
             self._store,
@@ -230,10 +236,12 @@
                     window_ms=settings.bounds.quota_window_ms,
                 ).run
             )
-            nursery.start_soon(serve_answers, ready, {b"/ready": self._ready_answer})
+            on_cut = self._on_connection_cut
+            checks = AnswerListener({b"/ready": self._ready_answer}, on_cut=on_cut)
+            nursery.start_soon(checks.run, ready)
             nursery.start_soon(self._caller_listener.run, callers)
-            answers = {b"/metrics": self._metrics.text}
-            nursery.start_soon(serve_answers, metrics, answers)
+            scrapes = AnswerListener({b"/metrics": self._metrics.text}, on_cut=on_cut)
+            nursery.start_soon(scrapes.run, metrics)
             log.info(
                 "started",
                 extra={
@@ -325,6 +333,9 @@
     ) -> None:
         self._metrics.record_attempt(job, placement, report)
 
+    def _on_connection_cut(self, reason: CutReason) -> None:
+        self._metrics.record_cut(reason)
+
     def _ready_answer(self) -> tuple[int, bytes, bytes]:
         return (200 if self.state.is_ready else 503), b"text/plain", b""
 
--- a/src/hemlocktrestle/edge/_metrics.py
+++ b/src/hemlocktrestle/edge/_metrics.py
@@ -11,6 +11,7 @@
 from hemlocktrestle.edge.callers._server import ServedRequest
 from hemlocktrestle.edge.placing._placement import AttemptReport, Placement
 from hemlocktrestle.latency import Latencies
+from hemlocktrestle.relay import CutReason
 
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
@@ -188,6 +189,12 @@
             ("replica", "end"),
             registry=self._registry,
         )
+        self._cuts = Counter(
+            "hemlocktrestle_connections_cut",
+            "Callers' connections that were closed before their time.",
+            ("reason",),
+            registry=self._registry,
+        )
         self._by_kind = {
             name: self._times(name, text, ("service", "rank"))
             for name, text in _TIMES.items()
@@ -240,6 +247,10 @@
         if report.first_ms:
             self._by_replica.labels(replica).observe(report.first_ms / 1000)
 
+    def record_cut(self, reason: CutReason) -> None:
+        """Record that a caller's connection was closed before its time."""
+        self._cuts.labels(reason.value).inc()
+
     def _observe(self, name: str, kind: _Kind, customer: str, value_ms: float) -> None:
         self._quantiles[name].record(kind, value_ms)
         self._by_kind[name].labels(*kind).observe(value_ms / 1000)
--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from hemlocktrestle.edge.callers._memory_plan import MemoryPlan
 from hemlocktrestle.edge.callers._shutdown import Phase, Shutdown
 from hemlocktrestle.edge.replicas._replica_notices import ReplicaNotices
 from hemlocktrestle.gateway import (
@@ -19,13 +20,6 @@
 from hemlocktrestle.platform import EdgeSettings, HeaderCodec
 from hemlocktrestle.relay import BodyMemoryBudget
 
-BODY_MEMORY_SHARE = 0.25
-"""Share of the memory limit that buffered bodies may use, in each direction.
-
-The process itself uses up to 40 MB, and a request's body is held twice while it is
-sent.
-"""
-
 
 def now_ms() -> float:
     """Return the monotonic time of the process in milliseconds."""
@@ -59,9 +53,12 @@
         self.answer_times = AnswerTimes()
         self.stored_busy_customers: set[str] = set()
         self.shutdown = Shutdown(lambda: self.settings.bounds.grace_ms)
-        body_bytes_max = int(settings.memory_bytes * BODY_MEMORY_SHARE)
-        self.request_budget = BodyMemoryBudget(body_bytes_max)
-        self.answer_budget = BodyMemoryBudget(body_bytes_max)
+        self.memory_plan = MemoryPlan.of(settings.memory_bytes)
+        self.request_budget = BodyMemoryBudget(self.memory_plan.body_bytes)
+        self.answer_budget = BodyMemoryBudget(self.memory_plan.body_bytes)
+        self.input_budget = BodyMemoryBudget(self.memory_plan.input_bytes)
+        self.cut_stuck_caller: Callable[[], bool] = lambda: False
+        """Closes the connection of a caller that reads nothing, if there is one."""
         self._retry_budgets: dict[str, RetryBudget] = {}
 
     @property
--- a/src/hemlocktrestle/edge/callers/_listeners.py
+++ b/src/hemlocktrestle/edge/callers/_listeners.py
@@ -4,29 +4,38 @@
 import logging
 import socket
 from collections.abc import Awaitable, Callable
-from functools import partial
 
-import h11
 import trio
 
 from hemlocktrestle.edge._state import EdgeState
 from hemlocktrestle.errors import ErrorKind, RequestError
-from hemlocktrestle.relay import BodyMemoryBudget, CallerConnection, CallerRequest
+from hemlocktrestle.relay import (
+    BodyMemoryBudget,
+    CallerConnection,
+    CallerRequest,
+    CutReason,
+)
 
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024
 """Connections that may wait to be accepted."""
 
-HEALTH_REQUEST_TIMEOUT_S = 2.0
-"""Time limit for a health check or metrics request to arrive, in seconds."""
-
 INTERNAL_DESCRIPTORS = 64
 """File descriptors reserved for peer links, the store and health checks."""
 
 ACCEPT_PAUSE_S = 0.05
 """Pause before accepting again when no file descriptor is free, in seconds."""
 
+FULL_CHECK_S = 0.25
+"""Time between checks for a caller to cut while all connections are taken, in s."""
+
+STUCK_S = 1.0
+"""Time without taking in any of an answer after which a caller may be cut, in seconds.
+
+It is cut so early only if others need the room.
+"""
+
 IDLE_CLOSE_S = 0.5
 """Time without a request after which a connection is closed at shutdown, in seconds.
 
@@ -69,6 +78,7 @@
         handle: answers one request.
         connections_max: largest number of open connections.
         body_budget: memory budget for the bodies of all their requests.
+        on_cut: called when a connection is closed before its time.
     """
 
     def __init__(
@@ -78,8 +88,10 @@
         *,
         connections_max: int,
         body_budget: BodyMemoryBudget,
+        on_cut: Callable[[CutReason], None] = lambda reason: None,
     ) -> None:
         self._body_budget = body_budget
+        self._on_cut = on_cut
         self._state = state
         self._handle = handle
         self._connection_limit = trio.CapacityLimiter(connections_max)
@@ -94,7 +106,7 @@
         """Accept until cancelled, which also cancels the open connections."""
         async with trio.open_nursery() as nursery:
             while True:
-                await self._connection_limit.acquire_on_behalf_of(token := object())
+                token = await self._await_room()
                 try:
                     stream = await listener.accept()
                 except OSError as error:
@@ -106,6 +118,28 @@
                     continue
                 nursery.start_soon(self._serve, stream, token)
 
+    async def _await_room(self) -> object:
+        """Wait until one more connection may be open; return its token."""
+        token = object()
+        while True:
+            with trio.move_on_after(FULL_CHECK_S):
+                await self._connection_limit.acquire_on_behalf_of(token)
+                return token
+            self.cut_stuck_caller()
+
+    def cut_stuck_caller(self) -> bool:
+        """Cut the caller that has read nothing for longest; ``False`` if none has."""
+        stuck = min(
+            (caller for caller in self._open if not caller.is_cut),
+            key=lambda caller: caller.stuck_since_s,
+            default=None,
+        )
+        until_s = trio.current_time() - STUCK_S
+        if stuck is None or stuck.stuck_since_s > until_s:
+            return False
+        stuck.cut(CutReason.ROOM)
+        return True
+
     def close_idle(self) -> None:
         """Close connections that have waited for a request for a while."""
         idle_since_s = trio.current_time() - IDLE_CLOSE_S
@@ -125,6 +159,8 @@
             limits=lambda: self._state.limits,
             is_closing=lambda: self._state.is_draining,
             body_budget=self._body_budget,
+            input_budget=self._state.input_budget,
+            on_cut=self._on_cut,
         )
         try:
             self._open.add(connection)
@@ -134,54 +170,3 @@
             self._connection_limit.release_on_behalf_of(token)
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
-
-
-Answer = Callable[[], tuple[int, bytes, bytes]]
-"""Returns status, content type and body of an answer."""
-
-
-async def serve_answers(
-    listener: trio.SocketListener, answers: dict[bytes, Answer]
-) -> None:
-    """Serve health checks and metrics by path until cancelled."""
-    serve = partial(_answer_connection, answers)
-    await trio.serve_listeners(serve, [listener])
-
-
-async def _answer_connection(
-    answers: dict[bytes, Answer], stream: trio.SocketStream
-) -> None:
-    machine = h11.Connection(our_role=h11.SERVER)
-    try:
-        with trio.move_on_after(HEALTH_REQUEST_TIMEOUT_S) as scope:
-            while True:
-                event = machine.next_event()
-                if event is h11.NEED_DATA:
-                    machine.receive_data(await stream.receive_some(4096))
-                elif isinstance(event, h11.Request):
-                    path = bytes(event.target).partition(b"?")[0]
-                elif isinstance(event, h11.EndOfMessage):
-                    await stream.send_all(_answer_bytes(machine, answers, path))
-                    machine.start_next_cycle()
-                    scope.deadline = trio.current_time() + HEALTH_REQUEST_TIMEOUT_S
-                elif not isinstance(event, h11.Data):
-                    return
-    except (trio.BrokenResourceError, h11.ProtocolError) as error:
-        log.debug("probe_ended", extra={"reason": str(error)})
-    finally:
-        await trio.aclose_forcefully(stream)
-
-
-def _answer_bytes(
-    machine: h11.Connection, answers: dict[bytes, Answer], path: bytes
-) -> bytes:
-    answer = answers.get(path)
-    status, content_type, body = answer() if answer else (404, b"text/plain", b"")
-    headers = [
-        (b"content-type", content_type),
-        (b"content-length", str(len(body)).encode()),
-    ]
-    data = machine.send(h11.Response(status_code=status, headers=headers)) or b""
-    if body:
-        data += machine.send(h11.Data(data=body)) or b""
-    return data + (machine.send(h11.EndOfMessage()) or b"")
--- a/src/hemlocktrestle/relay/__init__.py
+++ b/src/hemlocktrestle/relay/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server for callers and client for replicas, built on h11."""
 
+from hemlocktrestle.relay._answer_sender import SEND_TIMEOUT_S
 from hemlocktrestle.relay._body_budget import BodyMemoryBudget, BudgetShare
 from hemlocktrestle.relay._caller_request import CallerRequest, RequestBody
 from hemlocktrestle.relay._client import (
@@ -10,15 +11,19 @@
     exchange,
     open_connection,
 )
-from hemlocktrestle.relay._server import CallerConnection
+from hemlocktrestle.relay._cut_reason import CutReason
+from hemlocktrestle.relay._server import AHEAD_BYTES_MAX, CallerConnection
 
 __all__ = [
+    "AHEAD_BYTES_MAX",
+    "SEND_TIMEOUT_S",
     "AnswerReader",
     "BodyMemoryBudget",
     "BudgetShare",
     "CallerConnection",
     "CallerRequest",
     "ConnectTimeoutError",
+    "CutReason",
     "ReplicaAnswer",
     "ReplicaRequest",
     "RequestBody",
--- a/src/hemlocktrestle/relay/_server.py
+++ b/src/hemlocktrestle/relay/_server.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 server for callers, with control over how each connection is closed."""
 
 import logging
-import math
 from collections.abc import Awaitable, Callable, Sequence
 
 import h11
@@ -9,19 +8,24 @@
 
 from hemlocktrestle.errors import ANSWERS, ErrorKind, RequestError, first_leaf
 from hemlocktrestle.gateway import CallerLimits
-from hemlocktrestle.relay._body_budget import BodyMemoryBudget
+from hemlocktrestle.relay._answer_sender import AnswerSender
+from hemlocktrestle.relay._body_budget import BodyMemoryBudget, BudgetShare
 from hemlocktrestle.relay._caller_request import CallerRequest, RequestBody
+from hemlocktrestle.relay._cut_reason import CutReason
 
 log = logging.getLogger(__name__)
 
-RECEIVE_BYTES = 65_536
-"""Size of one read from a connection, in bytes."""
+BODY_READ_BYTES = 65_536
+"""Size of one read of a request's body, in bytes."""
 
-PIPELINED_BYTES_MAX = 65_536
-"""Limit of pipelined input that is buffered while an answer is sent, in bytes."""
+HEAD_READ_BYTES = 16_384
+"""Size of one read of a request's head, in bytes."""
 
-SEND_TIMEOUT_S = 10.0
-"""Timeout of a single send to a caller, in seconds."""
+AHEAD_READ_BYTES = 4_096
+"""Size of one read while a request is in hand, in bytes."""
+
+AHEAD_BYTES_MAX = 65_536
+"""Most that a connection holds of what is sent ahead of an answer, in bytes."""
 
 BODY_READ_TIMEOUT_S = 10.0
 """Longest pause between two reads of a request body, in seconds."""
@@ -38,6 +42,9 @@
         limits: returns the limits in force.
         is_closing: whether connections are closed after the current answer.
         body_budget: memory budget for bodies, shared with other connections.
+        input_budget: memory budget for what has been read and belongs to no request
+            yet, shared with other connections; by default one of its own.
+        on_cut: called when the connection is closed before its time.
     """
 
     def __init__(
@@ -47,22 +54,28 @@
         limits: Callable[[], CallerLimits],
         is_closing: Callable[[], bool],
         body_budget: BodyMemoryBudget,
+        input_budget: BodyMemoryBudget | None = None,
+        on_cut: Callable[[CutReason], None] = lambda reason: None,
     ) -> None:
         self._body_budget = body_budget
+        self._input_share = BudgetShare(
+            input_budget or BodyMemoryBudget(AHEAD_BYTES_MAX)
+        )
+        self._on_cut = on_cut
+        self._cut_reason: CutReason | None = None
         self._reserved_bytes = 0
         self._held_body = RequestBody(b"")
         self._stream = stream
         self._limits = limits
         self._is_closing = is_closing
-        self._machine = self._new_machine()
-        self.is_answer_started = False
-        self._unsent_head = b""
-        self._handler_scope: trio.CancelScope | None = None
+        self._machine = h11.Connection(
+            our_role=h11.SERVER, max_incomplete_event_size=limits().header_bytes_max
+        )
+        self._sender = AnswerSender(stream, self._machine, is_closing=is_closing)
         self._is_between_requests = True
         self._has_answered = False
         self.idle_since_s = trio.current_time()
         self._read_scope = trio.CancelScope()
-        self._is_head_request = False
 
     @property
     def is_idle(self) -> bool:
@@ -76,30 +89,46 @@
         """
         self._read_scope.cancel()
 
+    @property
+    def is_answer_started(self) -> bool:
+        """Whether the current request's answer has begun."""
+        return self._sender.is_answer_started
+
+    @property
+    def stuck_since_s(self) -> float:
+        """Since when the caller takes in nothing of an answer; infinite if it does."""
+        return self._sender.stuck_since_s
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether the connection is being closed before its time."""
+        return self._cut_reason is not None
+
+    def cut(self, reason: CutReason) -> None:
+        """Close the connection and cancel the request in hand, if there is one."""
+        self._cut_reason = self._cut_reason or reason
+        if self._sender.handler_scope is not None:
+            self._sender.handler_scope.cancel()
+
     def start_answer(
         self, status: int, headers: list[tuple[bytes, bytes]], *, reason: bytes = b""
     ) -> None:
         """Set the status line and headers, which are sent with the first chunk."""
-        lines = list(headers)
-        if self._is_closing() and self._machine.our_state is not h11.MUST_CLOSE:
-            lines.append((b"connection", b"close"))
-        self.is_answer_started = True
-        response = h11.Response(status_code=status, headers=lines, reason=reason)
-        self._unsent_head = self._machine.send(response) or b""
+        self._sender.start_answer(status, headers, reason=reason)
 
     async def send_chunk(self, data: bytes) -> None:
         """Send a chunk of the body."""
-        await self._send(self._machine.send(h11.Data(data=data)))
+        await self._sender.send_event(h11.Data(data=data))
 
     async def finish(self) -> None:
         """End the answer; without this call the caller sees it as truncated."""
-        await self._send(self._machine.send(h11.EndOfMessage()))
+        await self._sender.send_event(h11.EndOfMessage())
 
     async def send_answer(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
     ) -> None:
         """Send a complete answer in one send."""
-        await self.send_blocks(status, headers, [body] if body else [])
+        await self._sender.send_blocks(status, headers, [body] if body else [])
 
     async def send_blocks(
         self,
@@ -107,28 +136,8 @@
         headers: list[tuple[bytes, bytes]],
         blocks: Sequence[bytes | bytearray],
     ) -> None:
-        """Send a complete answer whose body comes in blocks, without a copy of it.
-
-        A single block is sent together with the head.
-        """
-        length = sum(map(len, blocks))
-        lines = [line for line in headers if line[0] != b"content-length"]
-        lines.append((b"content-length", str(length).encode()))
-        if self._is_closing():
-            lines.append((b"connection", b"close"))
-        self.is_answer_started = True
-        send = self._machine.send
-        data = send(h11.Response(status_code=status, headers=lines)) or b""
-        # An answer to HEAD has the body's length but no body.
-        if self._is_head_request:
-            blocks = []
-        for block in blocks[:-1]:
-            await self._send(data + (send(h11.Data(data=bytes(block))) or b""))
-            data = b""
-        if blocks:
-            data += send(h11.Data(data=bytes(blocks[-1]))) or b""
-        data += send(h11.EndOfMessage()) or b""
-        await self._send(data)
+        """Send a complete answer whose body comes in blocks, without a copy of it."""
+        await self._sender.send_blocks(status, headers, blocks)
 
     async def serve(
         self, handle: Callable[[CallerRequest, "CallerConnection"], Awaitable[None]]
@@ -153,8 +162,17 @@
             await self._answer_internal_error()
         finally:
             self._release_body()
+            self._input_share.resize(0)
+            self._report_cut()
             await trio.aclose_forcefully(self._stream)
 
+    def _report_cut(self) -> None:
+        if self._cut_reason is None and self._sender.has_timed_out:
+            self._cut_reason = CutReason.UNREAD
+        if self._cut_reason is not None:
+            log.info("connection_cut", extra={"reason": self._cut_reason.value})
+            self._on_cut(self._cut_reason)
+
     async def _serve_all(
         self, handle: Callable[[CallerRequest, "CallerConnection"], Awaitable[None]]
     ) -> None:
@@ -162,22 +180,16 @@
             request = await self._read_request()
             if request is None:
                 return
-            self.is_answer_started = False
-            self._is_head_request = request.method == b"HEAD"
+            self._sender.is_answer_started = False
+            self._sender.is_head_request = request.method == b"HEAD"
             await self._handle_until_disconnect(handle, request)
             self._release_body()
             states = {self._machine.our_state, self._machine.their_state}
-            if states != {h11.DONE}:
+            if states != {h11.DONE} or self._cut_reason is not None:
                 return
             self._has_answered = True
             self._machine.start_next_cycle()
 
-    def _new_machine(self) -> h11.Connection:
-        return h11.Connection(
-            our_role=h11.SERVER,
-            max_incomplete_event_size=self._limits().header_bytes_max,
-        )
-
     async def _handle_until_disconnect(
         self,
         handle: Callable[[CallerRequest, "CallerConnection"], Awaitable[None]],
@@ -185,30 +197,45 @@
     ) -> None:
         try:
             async with trio.open_nursery() as nursery:
-                self._handler_scope = nursery.cancel_scope
+                self._sender.handler_scope = nursery.cancel_scope
                 nursery.start_soon(self._cancel_on_disconnect, nursery.cancel_scope)
                 await handle(request, self)
                 nursery.cancel_scope.cancel()
         finally:
-            self._handler_scope = None
+            self._sender.handler_scope = None
 
     async def _cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
-        """Cancel the handler when the caller disconnects; buffer pipelined input."""
-        received = 0
+        """Cancel the handler when the caller disconnects or sends too much ahead.
+
+        What is sent ahead is read, as bytes that wait in the kernel take memory, too.
+        """
+        ahead_bytes = self._unparsed_bytes
         try:
-            while received < PIPELINED_BYTES_MAX:
-                data = await self._stream.receive_some(RECEIVE_BYTES)
+            while self._may_hold_ahead(ahead_bytes):
+                data = bytes(await self._stream.receive_some(AHEAD_READ_BYTES))
                 if not data:
                     break
-                received += len(data)
-                self._machine.receive_data(bytes(data))
-            else:
-                return
+                ahead_bytes += len(data)
+                if ahead_bytes <= AHEAD_BYTES_MAX:
+                    self._machine.receive_data(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # A broken connection counts as a disconnect.
             pass
         scope.cancel()
 
+    def _may_hold_ahead(self, count: int) -> bool:
+        """Reserve memory for what was sent ahead; if there is none, cut."""
+        if count > AHEAD_BYTES_MAX:
+            self.cut(CutReason.SENT_AHEAD)
+        elif not self._input_share.resize(count):
+            self.cut(CutReason.INPUT_MEMORY)
+        return self._cut_reason is None
+
+    @property
+    def _unparsed_bytes(self) -> int:
+        """What has been read and belongs to no request yet, in bytes."""
+        return len(self._machine.trailing_data[0])
+
     async def _read_request(self) -> CallerRequest | None:
         """Read one request; ``None`` if the connection is closed before it."""
         try:
@@ -218,7 +245,7 @@
             arrived_ms = trio.current_time() * 1000
             if self._machine.they_are_waiting_for_100_continue:
                 informational = h11.InformationalResponse(status_code=100, headers=[])
-                await self._send(self._machine.send(informational))
+                await self._sender.send_event(informational)
             body = await self._read_body()
         except RequestError as error:
             self._release_body()
@@ -251,15 +278,16 @@
                 raise RequestError(kind, "request cannot be read") from error
             if isinstance(event, h11.Request):
                 self._is_between_requests = False
+                self._input_share.resize(0)
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            is_head_started = bool(self._machine.trailing_data[0])
+            is_head_started = self._reserve_unparsed()
             if is_head_started and head_until_s == float("inf"):
                 header_timeout_s = self._limits().header_timeout_ms / 1000
                 head_until_s = trio.current_time() + header_timeout_s
             until_s = head_until_s if is_head_started else self._idle_until_s()
-            data = await self._receive(until_s)
+            data = await self._receive(until_s, HEAD_READ_BYTES)
             if data is None:
                 if is_head_started:
                     raise self._unread_error("head came too slowly")
@@ -299,23 +327,32 @@
             elif isinstance(event, h11.EndOfMessage):
                 return bytes(pieces)
             elif event is h11.NEED_DATA:
-                data = await self._receive(trio.current_time() + BODY_READ_TIMEOUT_S)
+                self._reserve_unparsed()
+                until_s = trio.current_time() + BODY_READ_TIMEOUT_S
+                data = await self._receive(until_s, BODY_READ_BYTES)
                 if data is None:
                     raise self._unread_error("body came too slowly")
                 self._machine.receive_data(data)
             else:
                 return None
 
-    async def _receive(self, until_s: float) -> bytes | None:
+    async def _receive(self, until_s: float, bytes_max: int) -> bytes | None:
         """Receive bytes; ``None`` if none came in time or reading was stopped."""
         with trio.CancelScope(deadline=until_s) as self._read_scope:
-            return bytes(await self._stream.receive_some(RECEIVE_BYTES))
+            return bytes(await self._stream.receive_some(bytes_max))
         if self.is_idle and trio.current_time() < until_s:
             # Stopped: a request may have arrived that was not read yet.
             with trio.move_on_after(LAST_READ_TIMEOUT_S):
-                return bytes(await self._stream.receive_some(RECEIVE_BYTES))
+                return bytes(await self._stream.receive_some(bytes_max))
         return None
 
+    def _reserve_unparsed(self) -> bool:
+        """Reserve memory for a part of a request; return whether there is one."""
+        count = self._unparsed_bytes
+        if not self._input_share.resize(count):
+            raise RequestError(ErrorKind.SHED, "no memory is left for requests")
+        return count > 0
+
     def _unread_error(self, message: str) -> RequestError:
         """Return the error of a request that did not arrive in time."""
         if self._is_closing():
@@ -336,7 +373,7 @@
         """Send the error answer to an unreadable request; the connection is closed."""
         if self._machine.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
-        self._is_head_request = False
+        self._sender.is_head_request = False
         answer = ANSWERS[error.kind]
         lines = [(b"connection", b"close")]
         if answer.retry_after_s is not None:
@@ -353,26 +390,3 @@
             await self._refuse(RequestError(ErrorKind.INTERNAL, "internal error"))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             log.debug("caller_connection_broke")
-
-    async def _send(self, data: bytes | None) -> None:
-        data = self._unsent_head + (data or b"")
-        self._unsent_head = b""
-        if not data:
-            return
-        if self._handler_scope is None:
-            await self._send_before_handler(data)
-            return
-        # A caller that reads too little counts as disconnected.  The scope of the
-        # handler bounds the send: a scope for each event would cost more than the
-        # event itself.
-        self._handler_scope.deadline = trio.current_time() + SEND_TIMEOUT_S
-        try:
-            await self._stream.send_all(data)
-        finally:
-            self._handler_scope.deadline = math.inf
-
-    async def _send_before_handler(self, data: bytes) -> None:
-        with trio.move_on_after(SEND_TIMEOUT_S) as scope:
-            await self._stream.send_all(data)
-        if scope.cancelled_caught:
-            raise trio.BrokenResourceError("caller took in too little")
--- a/tests/edge/crowd.py
+++ b/tests/edge/crowd.py
@@ -28,12 +28,14 @@
         client_count: number of clients.
         bytes_max: what a client sends at most, over all its connections.
         connections_max: connections that a client opens, one after the other.
+        ahead_count: requests in one send, 0 for as many as fill a chunk.
     """
 
     request: bytes
     client_count: int
     bytes_max: int = 6_000_000
     connections_max: int = 3
+    ahead_count: int = 0
 
 
 class CrowdRun:
@@ -43,7 +45,7 @@
         host, _, port = address.rpartition(":")
         self._target = host, int(port)
         self._crowd = crowd
-        count = CHUNK_BYTES // len(crowd.request) + 1
+        count = crowd.ahead_count or CHUNK_BYTES // len(crowd.request) + 1
         self._chunk = crowd.request * count
         self._open: list[trio.SocketStream] = []
         self._sent_at_s = 0.0
--- a/tests/edge/test_uncontrolled_clients.py
+++ b/tests/edge/test_uncontrolled_clients.py
@@ -173,3 +173,27 @@
         """Streams that are not read; a request at another route is answered."""
         crowd = Crowd(request_of("/advice/1", "Api-Key: k1", "X-Attempt-Id: c1"), 40)
         self._check(crowd, event_bytes=50_000)
+
+    def test_unread_large_answers_to_single_requests(self) -> None:
+        """As above, from clients that send nothing ahead."""
+        crowd = Crowd(
+            request_of("/long/1", "X-Attempt-Id: c1"), 40, bytes_max=1, ahead_count=1
+        )
+        self._check(crowd, ordinary="/plan/1", whole_bytes=LARGE_BYTES)
+
+    def test_unread_streams_of_single_requests(self) -> None:
+        """Streams that are not read, of clients that send nothing ahead."""
+        crowd = Crowd(
+            request_of("/advice/1", "Api-Key: k1", "X-Attempt-Id: c1"),
+            40,
+            bytes_max=1,
+            ahead_count=1,
+        )
+        self._check(crowd, event_bytes=50_000)
+
+    def test_more_connections_than_are_allowed(self) -> None:
+        """Each sends ahead what a single connection may, and stays open."""
+        crowd = Crowd(
+            request_of("/none/" + "x" * 600), 400, bytes_max=1, ahead_count=80
+        )
+        self._check(crowd)
