Free a replica once its answer is read, whatever its caller reads

Callers saw: with 40 clients that ask once for an answer of 1 MB and read nothing, the request of an ordinary caller got 503.

Cause: a buffered answer was sent to the caller within the attempt, so the replica's slot was held until the caller took the answer in, or for 10 s.

Change: the answer is sent after the attempt, whose slot is given back once it has been read whole; its memory stays with the request, from the budget of answers. An answer or an event that finds no memory there waits for up to 2 s while callers that have taken in nothing for a second are cut, longest first; before, it was given up at once. The piece of a stream that is being sent counts toward the budget, too.

The reference of the settings lists each limit, from the constants in the code.

--- a/src/hemlocktrestle/cli/_reference_commands.py
+++ b/src/hemlocktrestle/cli/_reference_commands.py
@@ -6,6 +6,7 @@
 from pydantic import TypeAdapter
 
 from hemlocktrestle.cli._context import Context
+from hemlocktrestle.cli._edge_limits import limit_lines
 from hemlocktrestle.cli._registry import command
 from hemlocktrestle.daemon import VM_SETTINGS_ADAPTER
 from hemlocktrestle.tree import CUSTOMER_ADAPTER, DEFAULT_RULES, ROOT_ADAPTER
@@ -53,7 +54,7 @@
                 lines += ["", f"### {name}", *_description(part), *_table(part)]
     lines += ["", "## Rules in force where no node says otherwise", ""]
     lines += [f"- `{name}`: `{value}`" for name, value in DEFAULT_RULES.items()]
-    return lines
+    return lines + limit_lines()
 
 
 def _description(part: dict[str, Any]) -> Iterator[str]:
--- a/src/hemlocktrestle/edge/attempts/_attempt.py
+++ b/src/hemlocktrestle/edge/attempts/_attempt.py
@@ -10,7 +10,7 @@
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.edge.attempts._attempt_log import log_replica_silent
 from hemlocktrestle.edge.attempts._silence import SilenceMonitor, SuccessorSearch
-from hemlocktrestle.edge.callers._answer_body import AnswerBody
+from hemlocktrestle.edge.callers._answer_body import AnswerBody, await_memory
 from hemlocktrestle.edge.callers._job import Job
 from hemlocktrestle.edge.callers._progress import RequestProgress
 from hemlocktrestle.edge.placing._placement import AttemptEnd, AttemptReport, Placement
@@ -251,17 +251,17 @@
         with ExitStack() as stack:
             body = stack.enter_context(AnswerBody(budget, bytes_max=ANSWER_BYTES_MAX))
             async for piece in answer.body_chunks():
-                body.append(piece)
+                await body.add(piece, make_room=self._state.cut_stuck_caller)
             self._first_ms = now_ms() - self._started_ms
             self._learn_first()
             headers = self._state.header_codec.forwarded_answer_headers(answer.headers)
-            if answer.status >= 500:
-                self.sealed_answer = SealedAnswer(answer.status, headers, body.blocks)
-                self._kept.push(stack.pop_all())
-                return AttemptEnd.FAILED
+            sealed = SealedAnswer(answer.status, headers, body.blocks)
+            self._kept.push(stack.pop_all())
+        if answer.status < 500:
             await self._silence.stop()
-            await self._connection.send_blocks(answer.status, headers, body.blocks)
-            return AttemptEnd.RELAYED
+        # It is sent after the attempt, whose replica is free by then.
+        self.sealed_answer = sealed
+        return AttemptEnd.FAILED if answer.status >= 500 else AttemptEnd.RELAYED
 
     async def _relay_events(self, answer: ReplicaAnswer) -> AttemptEnd:
         is_continuation = self._connection.is_answer_started
@@ -311,10 +311,12 @@
         heard_ms = 0.0
         async for piece in answer.body_chunks():
             events = splitter.feed(piece)
-            if not share.resize(splitter.buffered_bytes):
-                raise RequestError(
-                    ErrorKind.UPSTREAM_BROKEN, "no memory is left for events"
-                )
+            # The piece is held until the caller has taken in its events.
+            held_bytes = splitter.buffered_bytes + len(piece)
+            await await_memory(
+                partial(share.resize, held_bytes),
+                make_room=self._state.cut_stuck_caller,
+            )
             taken: list[StreamEvent] = []
             if events and sequence.follows(events[0]):
                 await self._silence.suspend()
--- a/src/hemlocktrestle/edge/callers/_answer_body.py
+++ b/src/hemlocktrestle/edge/callers/_answer_body.py
@@ -1,8 +1,11 @@
 """The body of a buffered answer, within the memory budget of all answers."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from functools import partial
 from typing import Self
 
+import trio
+
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.relay import BodyMemoryBudget, BudgetShare
 
@@ -18,6 +21,32 @@
 Answers without end would otherwise take the memory of all the others.
 """
 
+ROOM_TIMEOUT_S = 2.0
+"""Longest wait for memory that other answers hold, in seconds."""
+
+ROOM_CHECK_S = 0.05
+"""Time between attempts to get memory, in seconds."""
+
+
+async def await_memory(
+    reserve: Callable[[], bool], *, make_room: Callable[[], bool]
+) -> None:
+    """Reserve memory; wait a while for it if callers that do not read hold it.
+
+    Args:
+        reserve: tries to reserve it.
+        make_room: cuts such a caller, if there is one.
+
+    Raises:
+        RequestError: of kind ``UPSTREAM_BROKEN`` if there is none in time.
+    """
+    until_s = trio.current_time() + ROOM_TIMEOUT_S
+    while not reserve():
+        if trio.current_time() >= until_s:
+            raise _no_memory()
+        make_room()
+        await trio.sleep(ROOM_CHECK_S)
+
 
 class AnswerBody:
     """A body that is read block by block.
@@ -47,22 +76,44 @@
         """The body in the order of its bytes."""
         return self._blocks
 
+    async def add(self, piece: bytes, *, make_room: Callable[[], bool]) -> None:
+        """Add bytes, when there is memory for them.
+
+        Args:
+            piece: the bytes.
+            make_room: cuts such a caller, if there is one.
+
+        Raises:
+            RequestError: of kind ``UPSTREAM_BROKEN`` if the answer is too large or no
+                memory is left.
+        """
+        await await_memory(partial(self._reserve, len(piece)), make_room=make_room)
+        self._store(piece)
+
     def append(self, piece: bytes) -> None:
         """Add bytes.
 
         Raises:
             RequestError: of kind ``UPSTREAM_BROKEN`` if the answer is too large.
         """
-        size_bytes = self._share.size_bytes + len(piece)
+        if not self._reserve(len(piece)):
+            raise _no_memory()
+        self._store(piece)
+
+    def _reserve(self, count: int) -> bool:
+        size_bytes = self._share.size_bytes + count
         if size_bytes > self._bytes_max:
             raise RequestError(ErrorKind.UPSTREAM_BROKEN, "answer is too large")
         spared_bytes = self._spared_bytes if size_bytes > SMALL_BODY_BYTES else 0
-        if not self._share.resize(size_bytes, spared_bytes=spared_bytes):
-            raise RequestError(
-                ErrorKind.UPSTREAM_BROKEN, "no memory is left for answers"
-            )
+        return self._share.resize(size_bytes, spared_bytes=spared_bytes)
+
+    def _store(self, piece: bytes) -> None:
         for start in range(0, len(piece), BLOCK_BYTES):
             part = piece[start : start + BLOCK_BYTES]
             if not self._blocks or len(self._blocks[-1]) + len(part) > BLOCK_BYTES:
                 self._blocks.append(bytearray())
             self._blocks[-1] += part
+
+
+def _no_memory() -> RequestError:
+    return RequestError(ErrorKind.UPSTREAM_BROKEN, "no memory is left for answers")
--- a/src/hemlocktrestle/edge/callers/_server.py
+++ b/src/hemlocktrestle/edge/callers/_server.py
@@ -239,7 +239,10 @@
                     self._placer.release(job, attempt.placement, report)
                 self._record_end(job, attempt, report)
                 if report.end is AttemptEnd.RELAYED:
-                    return attempt.status
+                    if attempt.sealed_answer is None:
+                        return attempt.status
+                    sealed = attempt.sealed_answer
+                    break
                 await self._part_gate.wait_for_verdict(job, attempt.placement)
                 failure = attempt.failure or failure
                 sealed = attempt.sealed_answer or sealed
