Read requests in a module of their own

Change: RequestReader reads heads and bodies within their limits, AnswerSender sends, and CallerConnection serves. No behaviour changes.

--- a/tests/edge/callers/test_listeners.py
+++ b/tests/edge/callers/test_listeners.py
@@ -16,7 +16,12 @@
 )
 from hemlocktrestle.gateway import FleetSnapshot
 from hemlocktrestle.platform import decode_settings
-from hemlocktrestle.relay import BodyMemoryBudget, CallerConnection, CallerRequest
+from hemlocktrestle.relay import (
+    BodyMemoryBudget,
+    CallerConnection,
+    CallerRequest,
+    CutReason,
+)
 from tests.platform.documents import SETTINGS
 
 CONNECTIONS_MAX = 3
@@ -26,10 +31,23 @@
 POST = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nhi"
 
 
+FLOOD = b"/flood"
+"""Path whose answer never ends."""
+
+
 async def _answer(request: CallerRequest, connection: CallerConnection) -> None:
     await connection.send_answer(200, [], b"")
 
 
+async def _answer_or_flood(
+    request: CallerRequest, connection: CallerConnection
+) -> None:
+    connection.start_answer(200, [])
+    while request.target == FLOOD:
+        await connection.send_chunk(b"x" * 1_000_000)
+    await connection.finish()
+
+
 def _state() -> EdgeState:
     return EdgeState(
         decode_settings(SETTINGS, source="test"),
@@ -76,6 +94,33 @@
             self.assertEqual(CONNECTIONS_MAX, listener.connection_count)
             nursery.cancel_scope.cancel()
 
+    def test_a_caller_that_reads_nothing_makes_room(self) -> None:
+        """Guards against callers that wait while others hold all connections."""
+        trio.run(self._make_room)
+
+    async def _make_room(self) -> None:
+        reasons: list[CutReason] = []
+        listener = CallerListener(
+            _state(),
+            _answer_or_flood,
+            connections_max=CONNECTIONS_MAX,
+            body_budget=BodyMemoryBudget(1_000),
+            on_cut=reasons.append,
+        )
+        listening = listen("127.0.0.1:0")
+        host, _, port = address_of(listening).rpartition(":")
+        async with AsyncExitStack() as stack:
+            stack.enter_context(trio.fail_after(30))
+            nursery = await stack.enter_async_context(trio.open_nursery())
+            nursery.start_soon(listener.run, listening)
+            for request in [GET.replace(b"/x", FLOOD)] * CONNECTIONS_MAX + [GET]:
+                stream = await trio.open_tcp_stream(host, int(port))
+                stack.push_async_callback(trio.aclose_forcefully, stream)
+                await stream.send_all(request)
+            self.assertIn(b"200", bytes(await stream.receive_some()))
+            self.assertIn(CutReason.ROOM, reasons)
+            nursery.cancel_scope.cancel()
+
 
 class ClosingTests(TestCase):
     """Connections that are closed in a shutdown cut off no request."""
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -6,7 +6,7 @@
 from hemlocktrestle.gateway import CallerLimits
 from hemlocktrestle.relay import BodyMemoryBudget, CallerConnection, CallerRequest
 from hemlocktrestle.relay._answer_sender import SEND_TIMEOUT_S
-from hemlocktrestle.relay._server import BODY_READ_TIMEOUT_S
+from hemlocktrestle.relay._request_reader import BODY_READ_TIMEOUT_S
 from tests.support import TrioTestCase
 
 LIMITS = CallerLimits(
