--- a/src/hemlocktrestle/relay/_server.py
+++ b/src/hemlocktrestle/relay/_server.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 server for callers, with control over how each connection is closed."""
 
 import logging
-import math
 from collections.abc import Awaitable, Callable, Sequence
 
 import h11
@@ -9,25 +8,19 @@
 
 from hemlocktrestle.errors import ANSWERS, ErrorKind, RequestError, first_leaf
 from hemlocktrestle.gateway import CallerLimits
+from hemlocktrestle.relay._answer_sender import AnswerSender
 from hemlocktrestle.relay._body_budget import BodyMemoryBudget
-from hemlocktrestle.relay._caller_request import CallerRequest, RequestBody
+from hemlocktrestle.relay._caller_request import CallerRequest
+from hemlocktrestle.relay._cut_reason import CutReason
+from hemlocktrestle.relay._request_reader import RequestReader
 
 log = logging.getLogger(__name__)
 
-RECEIVE_BYTES = 65_536
-"""Size of one read from a connection, in bytes."""
+AHEAD_READ_BYTES = 4_096
+"""Size of one read while a request is in hand, in bytes."""
 
-PIPELINED_BYTES_MAX = 65_536
-"""Limit of pipelined input that is buffered while an answer is sent, in bytes."""
-
-SEND_TIMEOUT_S = 10.0
-"""Timeout of a single send to a caller, in seconds."""
-
-BODY_READ_TIMEOUT_S = 10.0
-"""Longest pause between two reads of a request body, in seconds."""
-
-LAST_READ_TIMEOUT_S = 0.01
-"""Time to read what has arrived on an idle connection that is closed, in seconds."""
+AHEAD_BYTES_MAX = 65_536
+"""Most that a connection holds of what is sent ahead of an answer, in bytes."""
 
 
 class CallerConnection:
@@ -38,6 +31,9 @@
         limits: returns the limits in force.
         is_closing: whether connections are closed after the current answer.
         body_budget: memory budget for bodies, shared with other connections.
+        input_budget: memory budget for what has been read and belongs to no request
+            yet, shared with other connections; by default one of its own.
+        on_cut: called when the connection is closed before its time.
     """
 
     def __init__(
@@ -47,59 +43,83 @@
         limits: Callable[[], CallerLimits],
         is_closing: Callable[[], bool],
         body_budget: BodyMemoryBudget,
+        input_budget: BodyMemoryBudget | None = None,
+        on_cut: Callable[[CutReason], None] = lambda reason: None,
     ) -> None:
-        self._body_budget = body_budget
-        self._reserved_bytes = 0
-        self._held_body = RequestBody(b"")
+        self._on_cut = on_cut
+        self._cut_reason: CutReason | None = None
         self._stream = stream
-        self._limits = limits
-        self._is_closing = is_closing
-        self._machine = self._new_machine()
-        self.is_answer_started = False
-        self._unsent_head = b""
-        self._handler_scope: trio.CancelScope | None = None
-        self._is_between_requests = True
-        self._has_answered = False
-        self.idle_since_s = trio.current_time()
-        self._read_scope = trio.CancelScope()
-        self._is_head_request = False
+        self._machine = h11.Connection(
+            our_role=h11.SERVER, max_incomplete_event_size=limits().header_bytes_max
+        )
+        self._sender = AnswerSender(stream, self._machine, is_closing=is_closing)
+        self._reader = RequestReader(
+            stream,
+            self._machine,
+            self._sender,
+            limits=limits,
+            is_closing=is_closing,
+            body_budget=body_budget,
+            input_budget=input_budget or BodyMemoryBudget(AHEAD_BYTES_MAX),
+        )
 
     @property
     def is_idle(self) -> bool:
         """Whether nothing of a request has arrived since the last answer."""
-        return self._is_between_requests and not self._machine.trailing_data[0]
+        return self._reader.is_idle
+
+    @property
+    def idle_since_s(self) -> float:
+        """Since when the connection waits for a request."""
+        return self._reader.idle_since_s
 
     def stop_reading(self) -> None:
         """Close the connection, or refuse the request that is being received.
 
         A request that has already arrived on an idle connection is still served.
         """
-        self._read_scope.cancel()
+        self._reader.stop()
+
+    @property
+    def is_answer_started(self) -> bool:
+        """Whether the current request's answer has begun."""
+        return self._sender.is_answer_started
+
+    @property
+    def stuck_since_s(self) -> float:
+        """Since when the caller takes in nothing of an answer; infinite if it does."""
+        return self._sender.stuck_since_s
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether the connection is being closed before its time."""
+        return self._cut_reason is not None
+
+    def cut(self, reason: CutReason) -> None:
+        """Close the connection and cancel the request in hand, if there is one."""
+        self._cut_reason = self._cut_reason or reason
+        if self._sender.handler_scope is not None:
+            self._sender.handler_scope.cancel()
 
     def start_answer(
         self, status: int, headers: list[tuple[bytes, bytes]], *, reason: bytes = b""
     ) -> None:
         """Set the status line and headers, which are sent with the first chunk."""
-        lines = list(headers)
-        if self._is_closing() and self._machine.our_state is not h11.MUST_CLOSE:
-            lines.append((b"connection", b"close"))
-        self.is_answer_started = True
-        response = h11.Response(status_code=status, headers=lines, reason=reason)
-        self._unsent_head = self._machine.send(response) or b""
+        self._sender.start_answer(status, headers, reason=reason)
 
     async def send_chunk(self, data: bytes) -> None:
         """Send a chunk of the body."""
-        await self._send(self._machine.send(h11.Data(data=data)))
+        await self._sender.send_event(h11.Data(data=data))
 
     async def finish(self) -> None:
         """End the answer; without this call the caller sees it as truncated."""
-        await self._send(self._machine.send(h11.EndOfMessage()))
+        await self._sender.send_event(h11.EndOfMessage())
 
     async def send_answer(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
     ) -> None:
         """Send a complete answer in one send."""
-        await self.send_blocks(status, headers, [body] if body else [])
+        await self._sender.send_blocks(status, headers, [body] if body else [])
 
     async def send_blocks(
         self,
@@ -107,28 +127,8 @@
         headers: list[tuple[bytes, bytes]],
         blocks: Sequence[bytes | bytearray],
     ) -> None:
-        """Send a complete answer whose body comes in blocks, without a copy of it.
-
-        A single block is sent together with the head.
-        """
-        length = sum(map(len, blocks))
-        lines = [line for line in headers if line[0] != b"content-length"]
-        lines.append((b"content-length", str(length).encode()))
-        if self._is_closing():
-            lines.append((b"connection", b"close"))
-        self.is_answer_started = True
-        send = self._machine.send
-        data = send(h11.Response(status_code=status, headers=lines)) or b""
-        # An answer to HEAD has the body's length but no body.
-        if self._is_head_request:
-            blocks = []
-        for block in blocks[:-1]:
-            await self._send(data + (send(h11.Data(data=bytes(block))) or b""))
-            data = b""
-        if blocks:
-            data += send(h11.Data(data=bytes(blocks[-1]))) or b""
-        data += send(h11.EndOfMessage()) or b""
-        await self._send(data)
+        """Send a complete answer whose body comes in blocks, without a copy of it."""
+        await self._sender.send_blocks(status, headers, blocks)
 
     async def serve(
         self, handle: Callable[[CallerRequest, "CallerConnection"], Awaitable[None]]
@@ -152,9 +152,18 @@
             log.error("request_failed", exc_info=errors)
             await self._answer_internal_error()
         finally:
-            self._release_body()
+            self._reader.release_body()
+            self._reader.input_share.resize(0)
+            self._report_cut()
             await trio.aclose_forcefully(self._stream)
 
+    def _report_cut(self) -> None:
+        if self._cut_reason is None and self._sender.has_timed_out:
+            self._cut_reason = CutReason.UNREAD
+        if self._cut_reason is not None:
+            log.info("connection_cut", extra={"reason": self._cut_reason.value})
+            self._on_cut(self._cut_reason)
+
     async def _serve_all(
         self, handle: Callable[[CallerRequest, "CallerConnection"], Awaitable[None]]
     ) -> None:
@@ -162,22 +171,16 @@
             request = await self._read_request()
             if request is None:
                 return
-            self.is_answer_started = False
-            self._is_head_request = request.method == b"HEAD"
+            self._sender.is_answer_started = False
+            self._sender.is_head_request = request.method == b"HEAD"
             await self._handle_until_disconnect(handle, request)
-            self._release_body()
+            self._reader.release_body()
             states = {self._machine.our_state, self._machine.their_state}
-            if states != {h11.DONE}:
+            if states != {h11.DONE} or self._cut_reason is not None:
                 return
-            self._has_answered = True
+            self._reader.has_answered = True
             self._machine.start_next_cycle()
 
-    def _new_machine(self) -> h11.Connection:
-        return h11.Connection(
-            our_role=h11.SERVER,
-            max_incomplete_event_size=self._limits().header_bytes_max,
-        )
-
     async def _handle_until_disconnect(
         self,
         handle: Callable[[CallerRequest, "CallerConnection"], Awaitable[None]],
@@ -185,158 +188,54 @@
     ) -> None:
         try:
             async with trio.open_nursery() as nursery:
-                self._handler_scope = nursery.cancel_scope
+                self._sender.handler_scope = nursery.cancel_scope
                 nursery.start_soon(self._cancel_on_disconnect, nursery.cancel_scope)
                 await handle(request, self)
                 nursery.cancel_scope.cancel()
         finally:
-            self._handler_scope = None
+            self._sender.handler_scope = None
 
     async def _cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
-        """Cancel the handler when the caller disconnects; buffer pipelined input."""
-        received = 0
+        """Cancel the handler when the caller disconnects or sends too much ahead.
+
+        What is sent ahead is read, as bytes that wait in the kernel take memory, too.
+        """
+        ahead_bytes = self._reader.unparsed_bytes
         try:
-            while received < PIPELINED_BYTES_MAX:
-                data = await self._stream.receive_some(RECEIVE_BYTES)
+            while self._may_hold_ahead(ahead_bytes):
+                data = bytes(await self._stream.receive_some(AHEAD_READ_BYTES))
                 if not data:
                     break
-                received += len(data)
-                self._machine.receive_data(bytes(data))
-            else:
-                return
+                ahead_bytes += len(data)
+                if ahead_bytes <= AHEAD_BYTES_MAX:
+                    self._machine.receive_data(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # A broken connection counts as a disconnect.
             pass
         scope.cancel()
 
+    def _may_hold_ahead(self, count: int) -> bool:
+        """Reserve memory for what was sent ahead; if there is none, cut."""
+        if count > AHEAD_BYTES_MAX:
+            self.cut(CutReason.SENT_AHEAD)
+        elif not self._reader.input_share.resize(count):
+            self.cut(CutReason.INPUT_MEMORY)
+        return self._cut_reason is None
+
     async def _read_request(self) -> CallerRequest | None:
-        """Read one request; ``None`` if the connection is closed before it."""
+        """Read one request; ``None`` if there is none or it was refused."""
         try:
-            head = await self._read_head()
-            if head is None:
-                return None
-            arrived_ms = trio.current_time() * 1000
-            if self._machine.they_are_waiting_for_100_continue:
-                informational = h11.InformationalResponse(status_code=100, headers=[])
-                await self._send(self._machine.send(informational))
-            body = await self._read_body()
+            return await self._reader.read()
         except RequestError as error:
-            self._release_body()
+            self._reader.release_body()
             await self._refuse(error)
             return None
-        if body is None:
-            return None
-        self._held_body = RequestBody(body)
-        return CallerRequest(
-            bytes(head.method),
-            bytes(head.target),
-            tuple((bytes(name), bytes(value)) for name, value in head.headers),
-            self._held_body,
-            arrived_ms,
-        )
-
-    async def _read_head(self) -> h11.Request | None:
-        head_until_s = float("inf")
-        self._is_between_requests = True
-        self.idle_since_s = trio.current_time()
-        while True:
-            try:
-                event = self._machine.next_event()
-            except h11.RemoteProtocolError as error:
-                kind = (
-                    ErrorKind.HEADERS_TOO_LARGE
-                    if error.error_status_hint == 431
-                    else ErrorKind.BAD_REQUEST
-                )
-                raise RequestError(kind, "request cannot be read") from error
-            if isinstance(event, h11.Request):
-                self._is_between_requests = False
-                return event
-            if event is not h11.NEED_DATA:
-                return None
-            is_head_started = bool(self._machine.trailing_data[0])
-            if is_head_started and head_until_s == float("inf"):
-                header_timeout_s = self._limits().header_timeout_ms / 1000
-                head_until_s = trio.current_time() + header_timeout_s
-            until_s = head_until_s if is_head_started else self._idle_until_s()
-            data = await self._receive(until_s)
-            if data is None:
-                if is_head_started:
-                    raise self._unread_error("head came too slowly")
-                if until_s < self._idle_until_s() and not self._is_closing():
-                    # A new configuration has raised the limit in the meantime.
-                    continue
-                return None
-            self._machine.receive_data(data)
-            if not data and not is_head_started:
-                return None
-
-    def _idle_until_s(self) -> float:
-        """Return when a connection without a request is closed."""
-        idle_s = self._limits().idle_timeout_ms / 1000
-        if self._is_closing() and self._has_answered:
-            # Its answer began before the shutdown and did not announce the close.
-            idle_s = LAST_READ_TIMEOUT_S
-        return self.idle_since_s + idle_s
-
-    async def _read_body(self) -> bytes | None:
-        pieces = bytearray()
-        bytes_max = self._limits().body_bytes_max
-        while True:
-            try:
-                event = self._machine.next_event()
-            except h11.RemoteProtocolError as error:
-                raise RequestError(
-                    ErrorKind.BAD_REQUEST, "body cannot be read"
-                ) from error
-            if isinstance(event, h11.Data):
-                self._reserve_body(len(event.data))
-                pieces += event.data
-                if len(pieces) > bytes_max:
-                    raise RequestError(
-                        ErrorKind.BODY_TOO_LARGE, f"body exceeds {bytes_max} bytes"
-                    )
-            elif isinstance(event, h11.EndOfMessage):
-                return bytes(pieces)
-            elif event is h11.NEED_DATA:
-                data = await self._receive(trio.current_time() + BODY_READ_TIMEOUT_S)
-                if data is None:
-                    raise self._unread_error("body came too slowly")
-                self._machine.receive_data(data)
-            else:
-                return None
-
-    async def _receive(self, until_s: float) -> bytes | None:
-        """Receive bytes; ``None`` if none came in time or reading was stopped."""
-        with trio.CancelScope(deadline=until_s) as self._read_scope:
-            return bytes(await self._stream.receive_some(RECEIVE_BYTES))
-        if self.is_idle and trio.current_time() < until_s:
-            # Stopped: a request may have arrived that was not read yet.
-            with trio.move_on_after(LAST_READ_TIMEOUT_S):
-                return bytes(await self._stream.receive_some(RECEIVE_BYTES))
-        return None
-
-    def _unread_error(self, message: str) -> RequestError:
-        """Return the error of a request that did not arrive in time."""
-        if self._is_closing():
-            return RequestError(ErrorKind.DRAINING, "this VM is leaving")
-        return RequestError(ErrorKind.SLOW_SENDER, message)
-
-    def _reserve_body(self, count: int) -> None:
-        if not self._body_budget.reserve(count):
-            raise RequestError(ErrorKind.SHED, "no memory is left for bodies")
-        self._reserved_bytes += count
-
-    def _release_body(self) -> None:
-        self._held_body.release()
-        self._body_budget.release(self._reserved_bytes)
-        self._reserved_bytes = 0
 
     async def _refuse(self, error: RequestError) -> None:
         """Send the error answer to an unreadable request; the connection is closed."""
         if self._machine.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
-        self._is_head_request = False
+        self._sender.is_head_request = False
         answer = ANSWERS[error.kind]
         lines = [(b"connection", b"close")]
         if answer.retry_after_s is not None:
@@ -353,26 +252,3 @@
             await self._refuse(RequestError(ErrorKind.INTERNAL, "internal error"))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             log.debug("caller_connection_broke")
-
-    async def _send(self, data: bytes | None) -> None:
-        data = self._unsent_head + (data or b"")
-        self._unsent_head = b""
-        if not data:
-            return
-        if self._handler_scope is None:
-            await self._send_before_handler(data)
-            return
-        # A caller that reads too little counts as disconnected.  The scope of the
-        # handler bounds the send: a scope for each event would cost more than the
-        # event itself.
-        self._handler_scope.deadline = trio.current_time() + SEND_TIMEOUT_S
-        try:
-            await self._stream.send_all(data)
-        finally:
-            self._handler_scope.deadline = math.inf
-
-    async def _send_before_handler(self, data: bytes) -> None:
-        with trio.move_on_after(SEND_TIMEOUT_S) as scope:
-            await self._stream.send_all(data)
-        if scope.cancelled_caught:
-            raise trio.BrokenResourceError("caller took in too little")
