Guard what the tests of a restored store left open

Change: tests of what two copies lack, of a relay whose batches are of the era before, and of the lease of busy customers. Two checks that nothing needs are removed: a relay's batches are forgotten when the era rises, so its era need not be compared again; the removal of the own entry has its condition.

--- a/src/hemlocktrestle/edge/replicas/_replica_exchange.py
+++ b/src/hemlocktrestle/edge/replicas/_replica_exchange.py
@@ -225,10 +225,7 @@
         """Tell whether all that a VM has read from the store is known here."""
         source = self._sources.get(vm)
         return (
-            source is not None
-            and source.follows_store
-            and source.sequence is not None
-            and source.store_era >= self._state.store_era
+            source is not None and source.follows_store and source.sequence is not None
         )
 
     def _has_to_fetch(self, vm: str) -> bool:
--- a/src/hemlocktrestle/edge/store/_registration.py
+++ b/src/hemlocktrestle/edge/store/_registration.py
@@ -130,12 +130,11 @@
     async def deregister(self) -> None:
         """Remove this VM's entry and stop renewing it."""
         self.is_finished = True
-        revision = self._revision
-        if revision is None or revision.era != self._health.era:
-            # There is none, or one of the era before, which expires with its lease.
+        if self._revision is None:
+            # The store has acknowledged none yet.
             return
         try:
-            await self._store.delete(self._key, revision=revision)
+            await self._store.delete(self._key, revision=self._revision)
         except StoreError as error:
             # The entry expires with its lease.
             log.info("vm_entry_left", extra={"reason": str(error)})
--- a/tests/edge/store/test_restored_store.py
+++ b/tests/edge/store/test_restored_store.py
@@ -316,7 +316,10 @@
             vm.store.restore(copy)
             while max(vm.store.leases) < lease_id:
                 await vm.client.grant_lease(60_000)
-            await trio.sleep(4)
+            for _ in range(80):
+                await trio.sleep(0.05)
+                entry = vm.store.entries.get(BUSY_KEY)
+                self.assertTrue(entry is None or entry.lease != lease_id)
             self.assertIn(BUSY_KEY, vm.store.entries)
             vm.store.end_lease(lease_id)
             self.assertIn(BUSY_KEY, vm.store.entries)
@@ -401,10 +404,18 @@
                 told = Heartbeat(0, "", 0, False, follows_replicas=True, store_era=era)
                 vm.fleet.on_heartbeat(name, told)
             ready = ReplicaNews("r5", 3, False, "ledger", "10.0.0.9:80", "z1", 4, era=1)
-            exchange.on_batch("vm-3", ReplicaBatch(8, 900, True, ()))
-            self.assertFalse(exchange.is_relayed)
+            for name in ("vm-2", "vm-3"):
+                exchange.on_batch(name, ReplicaBatch(6, 900, True, ()))
+                self.assertFalse(exchange.is_relayed)
             exchange.on_batch("vm-2", ReplicaBatch(7, 4, True, (ready,), era=1))
             self.assertTrue(exchange.is_relayed)
             self.assertEqual(["r1", "r5"], vm.replicas)
+            again = Heartbeat(0, "", 0, False, follows_replicas=True, store_era=2)
+            vm.fleet.on_heartbeat("vm-2", again)
+            self.assertFalse(exchange.is_relayed)
+            exchange.on_batch("vm-2", ReplicaBatch(9, 3, True, (), era=2))
+            self.assertTrue(exchange.is_relayed)
+            await trio.sleep(RETURN_S)
+            self.assertEqual(["r1", "r5"], vm.replicas)
 
         await self.run_with(check)
--- a/tests/gateway/test_replicas.py
+++ b/tests/gateway/test_replicas.py
@@ -197,6 +197,16 @@
         registry.drop_unconfirmed(1_000 + STORE_RECOVERY_GRACE_MS)
         self.assertEqual(["c"], ids(registry))
 
+    def test_what_both_copies_lack_is_dropped(self) -> None:
+        """Guards against a removal that is refused as one of the first era."""
+        registry = self.listed()
+        registry.begin_era(2, 1_000)
+        registry.apply_listing(
+            [replica_update("a", 4, era=2)], revision=at(7, era=2), now_ms=1_000
+        )
+        registry.drop_unconfirmed(1_000 + STORE_RECOVERY_GRACE_MS)
+        self.assertEqual(["a"], ids(registry))
+
     def test_the_first_era_is_no_restore(self) -> None:
         """A process that starts believes a removal at once."""
         registry = ReplicaRegistry()
