--- a/tests/edge/store/test_restored_store.py
+++ b/tests/edge/store/test_restored_store.py
@@ -223,8 +223,11 @@
             vm.configure(11)
             await trio.sleep(1.5)
             vm.store.restore(copy)
-            await trio.sleep(2)
+            vm.store.calls.clear()
+            await trio.sleep(5)
             self.assertEqual(11, vm.version)
+            # It is followed from where the new era is, and read once.
+            self.assertEqual(1, vm.store.calls.count("GET /kv-key"))
             vm.configure(11)
             await trio.sleep(APPLY_S)
             vm.configure(12)
