--- a/tests/edge/store/test_restored_store.py
+++ b/tests/edge/store/test_restored_store.py
@@ -1,33 +1,19 @@
 """Tests of one VM while the store comes back from an older copy."""
 
-from collections.abc import Awaitable, Callable
-
 import trio
 
-from hemlocktrestle.edge._fleet import EdgeFleet
-from hemlocktrestle.edge._state import EdgeState
-from hemlocktrestle.edge.store._registration import (
-    BusyRecorder,
-    VmEntry,
-    VmRegistrar,
-)
-from hemlocktrestle.edge.store._store_task import StoreHealth
-from hemlocktrestle.edge.store._watchers import ConfigurationWatcher, ReplicaWatcher
-from hemlocktrestle.gateway import FleetSnapshot
-from hemlocktrestle.platform import PlatformStore, decode_settings
+from hemlocktrestle.platform import PlatformStore
 from hemlocktrestle.wire import Heartbeat, ReplicaBatch, ReplicaNews
-from tests.edge.store.test_watchers import APPLY_S, RETURN_S, WatchedStore
-from tests.platform.documents import REGISTRATION, SETTINGS, as_bytes, changed
-from tests.platform.test_store import MemoryBackend
-from tests.standins.platform_store import PlatformStoreStandIn, StoreCopy
-from tests.support import TrioTestCase
-
-ENTRY = VmEntry("vm-1", "z1", "north", "10.0.0.1:7600", "b1")
-VM_KEY = "hemlocktrestle/vms/vm-1"
-BUSY_KEY = "hemlocktrestle/busy/north"
-
-LOST_WRITES = 40
-"""Writes of others in the seconds that are lost, so that numbers fall far back."""
+from tests.edge.store.restored_vm import (
+    BUSY_KEY,
+    ENTRY,
+    LOST_WRITES,
+    VM_KEY,
+    RestoredStoreTestCase,
+    RestoredVm,
+)
+from tests.edge.store.test_watchers import APPLY_S, RETURN_S
+from tests.platform.documents import REGISTRATION, as_bytes, changed
 
 CALLS_MAX = 150
 """Most calls in ten seconds of a VM whose three tasks each retry as after a failure.
@@ -42,83 +28,6 @@
 """
 
 
-class RestoredVm(WatchedStore):
-    """A VM with all tasks that use the store, and the stand-in of the store."""
-
-    def __init__(self, store: PlatformStoreStandIn, nursery: trio.Nursery) -> None:
-        state = EdgeState(
-            decode_settings(SETTINGS, source="test"),
-            fleet=lambda customer=None: FleetSnapshot(1, 1, {}),
-        )
-        super().__init__(store, state, MemoryBackend(store, nursery))
-        self.busy: set[str] = set()
-        self.fleet = EdgeFleet(state, ENTRY)
-        self.client = PlatformStore("10.0.0.1:80", backend=self.backend)
-        health = StoreHealth(state)
-        self.registrar = VmRegistrar(
-            ENTRY,
-            self.client,
-            health,
-            on_vms=self.fleet.apply_vms,
-            on_busy=self.fleet.apply_busy_customers,
-            is_current=lambda: False,
-        )
-        replicas = ReplicaWatcher(
-            state, self.client, health, exchange=self.fleet.replica_exchange
-        )
-        configuration = ConfigurationWatcher(
-            state, self.client, health, relays=self.fleet.exchange
-        )
-        busy = BusyRecorder(
-            "north", self.client, health, busy=lambda: self.busy, window_ms=10_000
-        )
-        self.tasks = (
-            self.registrar.run,
-            replicas.run,
-            replicas.drop_unconfirmed,
-            configuration.run,
-            busy.run,
-        )
-
-    def lose_seconds(self) -> StoreCopy:
-        """Return a copy of the store, and write much that it does not hold."""
-        copy = self.store.copy()
-        for number in range(LOST_WRITES):
-            self.store.put(f"other/{number}", b"")
-        return copy
-
-    def vms(self) -> list[str]:
-        """Return the VMs of the region that the process counts on."""
-        return sorted(vm.name for vm in self.fleet.membership.candidates("north", 9))
-
-
-Check = Callable[[RestoredVm], Awaitable[None]]
-
-
-class RestoredStoreTestCase(TrioTestCase):
-    """Runs a VM whose store holds version 10 and the replica ``r1``."""
-
-    async def run_with(self, check: Check, *, is_early: bool = False) -> None:
-        """Run a check; ``is_early`` runs it before the VM has written its entry."""
-        store = PlatformStoreStandIn()
-        async with trio.open_nursery() as nursery:
-            vm = RestoredVm(store, nursery)
-            vm.configure(10)
-            vm.register("r1")
-            before = store.copy()
-            async with vm.client:
-                for task in vm.tasks:
-                    nursery.start_soon(task)
-                await trio.sleep(1)
-                self.assertEqual((10, ["r1"]), (vm.version, vm.replicas))
-                if is_early:
-                    vm.lose_seconds()
-                    await trio.sleep(0.1)
-                    store.restore(before)
-                await check(vm)
-                nursery.cancel_scope.cancel()
-
-
 class ReplicasTests(RestoredStoreTestCase):
     """What the lost seconds said of replicas holds until they had time to write."""
 
@@ -223,8 +132,11 @@
             vm.configure(11)
             await trio.sleep(1.5)
             vm.store.restore(copy)
-            await trio.sleep(2)
+            vm.store.calls.clear()
+            await trio.sleep(5)
             self.assertEqual(11, vm.version)
+            # It is followed from where the new era is, and read once.
+            self.assertEqual(1, vm.store.calls.count("GET /kv-key"))
             vm.configure(11)
             await trio.sleep(APPLY_S)
             vm.configure(12)
@@ -316,7 +228,10 @@
             vm.store.restore(copy)
             while max(vm.store.leases) < lease_id:
                 await vm.client.grant_lease(60_000)
-            await trio.sleep(4)
+            for _ in range(80):
+                await trio.sleep(0.05)
+                entry = vm.store.entries.get(BUSY_KEY)
+                self.assertTrue(entry is None or entry.lease != lease_id)
             self.assertIn(BUSY_KEY, vm.store.entries)
             vm.store.end_lease(lease_id)
             self.assertIn(BUSY_KEY, vm.store.entries)
@@ -401,10 +316,18 @@
                 told = Heartbeat(0, "", 0, False, follows_replicas=True, store_era=era)
                 vm.fleet.on_heartbeat(name, told)
             ready = ReplicaNews("r5", 3, False, "ledger", "10.0.0.9:80", "z1", 4, era=1)
-            exchange.on_batch("vm-3", ReplicaBatch(8, 900, True, ()))
-            self.assertFalse(exchange.is_relayed)
+            for name in ("vm-2", "vm-3"):
+                exchange.on_batch(name, ReplicaBatch(6, 900, True, ()))
+                self.assertFalse(exchange.is_relayed)
             exchange.on_batch("vm-2", ReplicaBatch(7, 4, True, (ready,), era=1))
             self.assertTrue(exchange.is_relayed)
             self.assertEqual(["r1", "r5"], vm.replicas)
+            again = Heartbeat(0, "", 0, False, follows_replicas=True, store_era=2)
+            vm.fleet.on_heartbeat("vm-2", again)
+            self.assertFalse(exchange.is_relayed)
+            exchange.on_batch("vm-2", ReplicaBatch(9, 3, True, (), era=2))
+            self.assertTrue(exchange.is_relayed)
+            await trio.sleep(RETURN_S)
+            self.assertEqual(["r1", "r5"], vm.replicas)
 
         await self.run_with(check)
