Count the memory of engines beside their slots where they crash without it

Cause: permits counted slots only; requests with long prompts that fit the slots of an engine can exceed its memory together, at which it crashes where the contract says so.

Change: the configuration's memory of an engine reaches the scheduler where the settings' contract asks for it, and a permit needs room in it for prompt and expected output. Elsewhere nothing changes.

--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -151,6 +151,7 @@
                 is_leaving=record.is_draining
                 or self.replica_notices.is_leaving(record),
                 slots=record.slots,
+                memory_tokens=self._memory_tokens(record.service),
             )
             for record in self._state.replicas.replicas()
         )
@@ -166,6 +167,18 @@
         if self.network is not None:
             self.network.sync_peers(tuple(self._candidates.values()))
 
+    def _memory_tokens(self, name: str) -> int:
+        """Return how many tokens the requests at an engine may hold, 0 for no limit.
+
+        An engine that does not crash makes room by itself.
+        """
+        configuration = self._state.configuration
+        service = configuration.services.get(name) if configuration else None
+        if service is None or service.engine is None:
+            return 0
+        is_limit = self._state.settings.engines_run_out
+        return service.engine.memory_tokens if is_limit else 0
+
     @property
     def process_name(self) -> str:
         """Name of this process, unique across restarts of the VM's process."""
--- a/src/hemlocktrestle/gateway/_configuration.py
+++ b/src/hemlocktrestle/gateway/_configuration.py
@@ -64,10 +64,15 @@
 
 
 class EngineLimits(NamedTuple):
-    """Slots of a service's engines, and tokens in each event of their streams."""
+    """Slots of a service's engines, and tokens in each event of their streams.
+
+    ``memory_tokens`` is how many tokens the requests of one engine may hold, 0 if it
+    is not stated.
+    """
 
     slots: int
     tokens_per_event: int
+    memory_tokens: int = 0
 
 
 class Service(NamedTuple):
--- a/src/hemlocktrestle/membership/_records.py
+++ b/src/hemlocktrestle/membership/_records.py
@@ -32,7 +32,8 @@
 
     ``pools`` names the models or the plain service that it serves;
     ``generation`` names its hardware generation; ``slots`` is how many requests it
-    serves concurrently, 0 if the platform does not state it.
+    serves concurrently, 0 if the platform does not state it; ``memory_tokens`` is how
+    many tokens these may hold together, 0 if there is no such limit.
     """
 
     name: str
@@ -44,6 +45,7 @@
     generation: str
     is_leaving: bool
     slots: int = 0
+    memory_tokens: int = 0
 
 
 class Listing(NamedTuple):
--- a/src/hemlocktrestle/platform/_configuration.py
+++ b/src/hemlocktrestle/platform/_configuration.py
@@ -78,6 +78,8 @@
     slots: PositiveCount
     # Tokens per event of a stream.
     stride: NotRequired[Annotated[int, Field(ge=1, le=TOKENS_PER_EVENT_MAX)]]
+    # Tokens that the requests of one engine hold together at most.
+    kvCapacityTokens: NotRequired[Count | None]
 
 
 @with_config(_IGNORE_EXTRA)
@@ -193,6 +195,7 @@
         and EngineLimits(
             engine["slots"],
             engine.get("stride", 1),
+            engine.get("kvCapacityTokens") or 0,
         ),
     )
 
--- a/src/hemlocktrestle/platform/_settings.py
+++ b/src/hemlocktrestle/platform/_settings.py
@@ -34,6 +34,9 @@
 KNOWN_WITHIN_DEFAULT_MS = 2_500.0
 """Default time in which changes must be known, in milliseconds: the shortest in use."""
 
+MEMORY_CONTRACT = "pressure"
+"""Part of the contract by which requests beyond its memory crash an engine."""
+
 _OWN_FIELDS = frozenset({"nodeName", "platformSettings", "contractBounds"})
 """Fields that distinguish the platform's files from the project's own settings."""
 
@@ -90,6 +93,7 @@
     limits: _Limits
     contractBounds: _Bounds
     platformSettings: _Store
+    contracts: NotRequired[list[Any]]
 
 
 _ADAPTER: TypeAdapter[Any] = TypeAdapter(_Settings)
@@ -139,6 +143,7 @@
         cpu_cores: processor time that the process gets, in cores, 0 if not stated.
         link_mbps: bandwidth of the VM's link, 0 if not stated.
         bounds: limits that the platform's contract sets.
+        engines_run_out: whether an engine crashes if its requests exceed its memory.
     """
 
     vm: str
@@ -155,6 +160,7 @@
     cpu_cores: float
     link_mbps: float
     bounds: ContractBounds
+    engines_run_out: bool = False
 
 
 def settings_path(environment: Mapping[str, str] = os.environ) -> Path:
@@ -234,4 +240,5 @@
             leaving_known_ms=bounds.get("drainMs", KNOWN_WITHIN_DEFAULT_MS),
             configuration_known_ms=bounds.get("configApplyMs", KNOWN_WITHIN_DEFAULT_MS),
         ),
+        engines_run_out=MEMORY_CONTRACT in raw.get("contracts", ()),
     )
--- a/src/hemlocktrestle/scheduler/_upstream.py
+++ b/src/hemlocktrestle/scheduler/_upstream.py
@@ -133,6 +133,19 @@
         share = self._tier_shares[min(tier, len(self._tier_shares) - 1)]
         return len(self.in_flight) < max(1, int(self.slots * share))
 
+    def has_memory(self, ask: Ask) -> bool:
+        """Tell whether a request fits its memory beside those in flight.
+
+        One that runs alone may be larger than the memory: the engine refuses it.
+        """
+        memory_tokens = self.record.memory_tokens
+        if not memory_tokens or not self.in_flight:
+            return True
+        held_tokens = sum(
+            item.prompt_tokens + item.output_tokens for item in self.in_flight.values()
+        )
+        return held_tokens + ask.prompt_tokens + ask.output_tokens <= memory_tokens
+
     def assign(self, ask: Ask, vm: str, now_ms: float) -> int | None:
         """Count a request as in flight.
 
--- a/src/hemlocktrestle/scheduler/_upstream_set.py
+++ b/src/hemlocktrestle/scheduler/_upstream_set.py
@@ -131,13 +131,19 @@
             if entry is None:
                 break
             popped.append(entry)
-            if entry[1] not in ask.excluded:
-                found[entry[1]] = self._models[entry[1]]
+            model = self._models[entry[1]]
+            if entry[1] not in ask.excluded and model.has_memory(ask):
+                found[entry[1]] = model
         for entry in popped:
             free.by_load.push(entry)
         for name in self._by_prefix.get(ask.prefix_digest, ()):
-            if name in free.names and name not in ask.excluded:
-                found[name] = self._models[name]
+            model = self._models[name]
+            if (
+                name in free.names
+                and name not in ask.excluded
+                and model.has_memory(ask)
+            ):
+                found[name] = model
         return list(found.values())
 
     def assign(self, model: UpstreamModel, ask: Ask, vm: str, now_ms: float) -> None:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -70,7 +70,9 @@
         self.assertEqual((7, RequestKind.STREAM), (found.version, stream.kind))
         self.assertTrue(stream.may_retry and not log.may_retry)
         self.assertEqual((Target("ledger", 90), Target("ledger-2", 10)), log.targets)
-        self.assertEqual(EngineLimits(12, 5), found.services["assistant"].engine)
+        self.assertEqual(
+            EngineLimits(12, 5, 734_175), found.services["assistant"].engine
+        )
         owner = found.customer_of("k2")
         self.assertEqual("clinics", owner.name if owner else "")
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -49,6 +49,13 @@
         ).bounds
         self.assertEqual(found.leaving_known_ms, found.configuration_known_ms)
 
+    def test_memory_counts_where_the_contract_says_so(self) -> None:
+        """Guards against a limit in deployments whose engines make room themselves."""
+        for contracts, expected in ((["base"], False), (["base", "pressure"], True)):
+            found = decode_settings({**SETTINGS, "contracts": contracts}, source="s")
+            self.assertEqual(expected, found.engines_run_out)
+        self.assertFalse(decode_settings(SETTINGS, source="s").engines_run_out)
+
     def test_unknown_fields_are_ignored(self) -> None:
         """Unknown fields are ignored, since the platform adds fields over time."""
         self.assertEqual("", error_message({**SETTINGS, "new": 1}))
