Move the refusals of a pool's scheduler into a module

The methods that shed and refuse queued requests are now the class Refusals in _refusals.py, what a scheduler sends is in _outgoing.py. No behaviour changes.

--- a/src/hemlocktrestle/scheduler/_core.py
+++ b/src/hemlocktrestle/scheduler/_core.py
@@ -5,26 +5,26 @@
 
 import math
 from collections.abc import Iterable
-from typing import NamedTuple
 
 from hemlocktrestle.documents import saturated
 from hemlocktrestle.errors import ErrorKind
 from hemlocktrestle.membership import UpstreamRecord
 from hemlocktrestle.scheduler._chooser import CHOOSERS
 from hemlocktrestle.scheduler._early_refusal import EARLY_REFUSALS, DeadlineForecast
-from hemlocktrestle.scheduler._forecast import Forecast, StartForecaster
+from hemlocktrestle.scheduler._forecast import StartForecaster
 from hemlocktrestle.scheduler._heap import LazyHeap
+from hemlocktrestle.scheduler._outgoing import Outgoing
 from hemlocktrestle.scheduler._policy import PoolPolicy
 from hemlocktrestle.scheduler._queue import QUEUES, QueuedAsk
 from hemlocktrestle.scheduler._queue_meter import QueueMeter, TierReport
-from hemlocktrestle.scheduler._standing import StandingQueues, short_wait_ms
+from hemlocktrestle.scheduler._refusals import Refusals
+from hemlocktrestle.scheduler._standing import StandingQueues
 from hemlocktrestle.scheduler._upstream import InFlight, UpstreamModel
 from hemlocktrestle.scheduler._upstream_set import UpstreamSet
 from hemlocktrestle.scheduler._work import NO_WORK, WorkEstimates
 from hemlocktrestle.wire import (
     NO_PART_LIMIT,
     Ask,
-    Message,
     Permit,
     PoolSummary,
     Pulse,
@@ -44,14 +44,6 @@
 """Interval between checks for stragglers, in milliseconds."""
 
 
-class Outgoing(NamedTuple):
-    """A message to a requesting VM, and the forecast that it follows from, if any."""
-
-    vm: str
-    message: Message
-    forecast: Forecast | None = None
-
-
 class PoolScheduler:
     """Queue, permits and upstream models of one pool in one scheduling domain.
 
@@ -85,6 +77,14 @@
         self._forecaster = StartForecaster()
         self._meter = QueueMeter()
         self._standing = StandingQueues()
+        self._refusals = Refusals(
+            policy,
+            queue=self._queue,
+            upstreams=self._upstreams,
+            forecaster=self._forecaster,
+            meter=self._meter,
+            standing=self._standing,
+        )
 
     def set_upstreams(
         self, records: Iterable[UpstreamRecord], now_ms: float
@@ -98,7 +98,7 @@
         if not self._upstreams.update(records):
             return []
         outgoing = [
-            self._return_to_requester(waiting, ErrorKind.NO_UPSTREAM)
+            self._refusals.return_to_requester(waiting, ErrorKind.NO_UPSTREAM)
             for waiting in self._queue.queued_asks()
             if not self._upstreams.serves(waiting.ask.excluded)
         ]
@@ -124,9 +124,9 @@
         self._deadlines.push((waiting.give_up_ms, ask.ask_id))
         outgoing = self._grant(now_ms)
         if self.is_queued(ask.ask_id):
-            outgoing += self._on_queued(waiting, now_ms)
+            outgoing += self._refusals.on_queued(waiting, now_ms)
         while len(self._queue) > self.policy.queued_count_max:
-            outgoing += self._shed_last(now_ms)
+            outgoing += self._refusals.shed_last(now_ms)
         return outgoing
 
     def withdraw(self, withdraw: Withdraw, now_ms: float) -> list[Outgoing]:
@@ -167,10 +167,10 @@
             waiting = self._queue.get(entry[1])
             if waiting is not None:
                 kind = ErrorKind.DEADLINE_IN_QUEUE
-                outgoing.append(self._refuse(waiting, kind, now_ms))
+                outgoing.append(self._refusals.refuse(waiting, kind, now_ms))
         self._standing.observe(self._queue.queued_asks(), now_ms)
         if self.policy.forecasts_starts:
-            outgoing += self._refuse_in_vain(now_ms)
+            outgoing += self._refusals.refuse_in_vain(now_ms)
         if now_ms - self._stragglers_checked_ms >= STRAGGLER_CHECK_MS:
             self._stragglers_checked_ms = now_ms
             self._upstreams.check_stragglers(now_ms)
@@ -183,7 +183,7 @@
     def return_queued(self, before_ms: float) -> list[Outgoing]:
         """Refuse the requests that were queued before a time, as on closing."""
         return [
-            self._return_to_requester(waiting, ErrorKind.SCHEDULER_GONE)
+            self._refusals.return_to_requester(waiting, ErrorKind.SCHEDULER_GONE)
             for waiting in self._queue.queued_asks()
             if waiting.arrived_ms < before_ms
         ]
@@ -257,7 +257,7 @@
             prospect = DeadlineForecast(ask, model, idle_ms, remaining_ms, now_ms)
             if self._is_unmeetable(prospect):
                 kind = ErrorKind.DEADLINE_UNMEETABLE
-                outgoing.append(self._refuse(waiting, kind, now_ms))
+                outgoing.append(self._refusals.refuse(waiting, kind, now_ms))
                 continue
             self._queue.serve(ask.ask_id)
             self._record_grant(waiting, now_ms)
@@ -287,107 +287,6 @@
             self._grant_gap_ms += GAP_SMOOTHING * (gap_ms - self._grant_gap_ms)
         self._last_grant_ms = now_ms
 
-    def _shed_last(self, now_ms: float) -> list[Outgoing]:
-        waiting = self._queue.next_to_shed()
-        if waiting is None:
-            return []
-        return [self._refuse(waiting, ErrorKind.SHED, now_ms)]
-
-    def _on_queued(self, waiting: QueuedAsk, now_ms: float) -> list[Outgoing]:
-        """Refuse a request that was just queued if its wait serves nobody.
-
-        While a lower tier is queued, it keeps its place until its time is up.
-        """
-        if not self.policy.forecasts_starts:
-            self._meter.record_queued(waiting, 0.0)
-            return self._shed_if_standing(waiting, now_ms)
-        before_ms = self._queue.work_before_ms(waiting)
-        forecast = self._forecast(waiting, before_ms, now_ms)
-        self._meter.record_queued(waiting, forecast.wait_ms)
-        if not self._queue.is_lowest_tier(waiting.ask.tier):
-            return []
-        kind = self._refusal_kind(waiting, forecast, now_ms)
-        if kind is None and self._standing.is_long_before(waiting):
-            kind = self._shed_kind(waiting, now_ms)
-        return [] if kind is None else [self._refuse(waiting, kind, now_ms)]
-
-    def _shed_if_standing(self, waiting: QueuedAsk, now_ms: float) -> list[Outgoing]:
-        """Shed a request for one that was queued, if the queue before that stands."""
-        if not self._standing.is_long_before(waiting):
-            return []
-        kind = self._shed_kind(waiting, now_ms)
-        return [] if kind is None else self._shed_last(now_ms)
-
-    def _refuse_in_vain(self, now_ms: float) -> list[Outgoing]:
-        """Refuse the requests whose wait serves nobody, from the lowest tier up."""
-        outgoing: list[Outgoing] = []
-        is_tier_kept = False
-        while not is_tier_kept and (lowest := self._queue.lowest_tier()):
-            before_ms = self._queue.work_before_ms(lowest[0])
-            for waiting in lowest:
-                forecast = self._forecast(waiting, before_ms, now_ms)
-                kind = self._refusal_kind(waiting, forecast, now_ms)
-                if kind is None:
-                    is_tier_kept = True
-                    before_ms += waiting.work.total_ms
-                else:
-                    outgoing.append(self._refuse(waiting, kind, now_ms))
-        return outgoing
-
-    def _refusal_kind(
-        self, waiting: QueuedAsk, forecast: Forecast, now_ms: float
-    ) -> ErrorKind | None:
-        """Return why a request would wait in vain, or ``None``.
-
-        It cannot be answered in time, or it lengthens a queue that stands.
-        """
-        if forecast.is_hopeless:
-            return ErrorKind.DEADLINE_UNMEETABLE
-        # Whoever gets the next slot may always wait for it.
-        if forecast.wait_ms <= max(short_wait_ms(waiting), forecast.slot_ms):
-            return None
-        return self._shed_kind(waiting, now_ms)
-
-    def _shed_kind(self, waiting: QueuedAsk, now_ms: float) -> ErrorKind | None:
-        """Return why a request may not lengthen the queue, or ``None`` if it may."""
-        if waiting.ask.tier < self._standing.highest_tier(now_ms):
-            return None
-        self._standing.record_refused(waiting, now_ms)
-        return ErrorKind.SHED
-
-    def _forecast(
-        self, waiting: QueuedAsk, before_ms: float, now_ms: float
-    ) -> Forecast:
-        slot_count = self._upstreams.slot_count(waiting.ask.excluded)
-        return self._forecaster.forecast(waiting, before_ms, slot_count, now_ms)
-
-    def _refuse(self, waiting: QueuedAsk, kind: ErrorKind, now_ms: float) -> Outgoing:
-        """Refuse a queued request; its caller is told when to come back."""
-        self._meter.record_refused(waiting)
-        if not self.policy.forecasts_starts:
-            return self._return_to_requester(waiting, kind)
-        ask_id = waiting.ask.ask_id
-        before_ms = self._queue.work_before_ms(waiting)
-        forecast = self._forecast(waiting, before_ms, now_ms)
-        slot_count = self._upstreams.slot_count(waiting.ask.excluded)
-        return_ms = self._forecaster.return_ms(
-            waiting,
-            forecast,
-            slot_count,
-            now_ms,
-            room_ms=self._standing.clears_after_ms(waiting, now_ms),
-        )
-        self._queue.remove(ask_id)
-        refusal = Refusal(ask_id, kind.value, saturated(return_ms))
-        return Outgoing(waiting.vm, refusal, forecast)
-
-    def _return_to_requester(self, waiting: QueuedAsk, kind: ErrorKind) -> Outgoing:
-        """Refuse a queued request for which another scheduler may have room."""
-        ask_id = waiting.ask.ask_id
-        self._queue.remove(ask_id)
-        self._meter.forget(ask_id)
-        return Outgoing(waiting.vm, Refusal(ask_id, kind.value))
-
     def _forget_running(self, ask_id: str) -> str | None:
         """Forget a request that ran; return its route, if it was granted here."""
         self._forecaster.end(ask_id)
