Decide when a request leaves its zone or region

Cause: zones of a region were not told apart, so a request went to any replica of the region; between regions only round trips counted, not the bytes of the request and its answer nor the room of the link. entry/_spillover.py had a budget with the bandwidth as a constant, and only the policy benchmark used it.

Change: the new package locality decides without I/O and clock. Among a region's replicas one in the requester's zone is taken if its caller is served alike there: later by no more than the way to the other zone takes or than estimates of equal replicas differ. Another region comes first if the wait that it saves exceeds the round trips and the transfer over the measured room, with hysteresis; the room is a budget that follows the link's delay and keeps a part for each higher tier. Ask has two new fields, the requester's zone and the way to others. edge/placing/_way_planner measures round trips, connects and answer sizes. SpilloverBudget and its two tests are gone; LinkRoom answers both (low leaves room for high, no more than the rate) and the policy benchmark uses it.

A way that was never measured now counts as an ask that nobody answers (200 ms), not as no way at all.

--- a/bench/policy/_scheduler_front.py
+++ b/bench/policy/_scheduler_front.py
@@ -11,7 +11,8 @@
 from bench.policy._front import EngineCalls, link_ms, region_of
 from bench.policy._loop import Loop
 from bench.policy._trace import Request
-from hemlocktrestle.entry import CostEstimator, SpilloverBudget
+from hemlocktrestle.entry import CostEstimator
+from hemlocktrestle.locality import LinkRoom
 from hemlocktrestle.membership import UpstreamRecord, ZoneLoad, order_zones
 from hemlocktrestle.scheduler import (
     Outgoing,
@@ -30,6 +31,8 @@
 TICK_MS = 100.0
 HEARTBEAT_MS = 500.0
 BYTES_PER_TOKEN = 4
+BYTES_PER_OUTPUT_TOKEN = 200
+SPILL_BYTES_PER_MS = 15e6 / 8 / 1000 / 2
 
 
 class Forecast(NamedTuple):
@@ -94,7 +97,10 @@
         self._engines = {engine.spec.name: engine for engine in engines}
         self._pending: dict[str, PendingRequest] = {}
         self._costs = CostEstimator()
-        self._spill = {region: SpilloverBudget(0.0) for region in ("first", "second")}
+        self._spill = {
+            region: LinkRoom(0.0, own_bytes_per_ms=SPILL_BYTES_PER_MS)
+            for region in ("first", "second")
+        }
         self._summaries: dict[str, PoolSummary] = {}
         self._ask_counts: dict[tuple[str, str], int] = {}
         if variant.knows_all:
@@ -192,13 +198,15 @@
     def _may_spill(self, pending: PendingRequest) -> bool:
         if not self._variant.has_spill_budget:
             return True
-        return self._spill[region_of(pending.request.zone)].try_spend(
-            prompt_bytes=pending.request.prompt_tokens * BYTES_PER_TOKEN,
-            output_tokens=pending.ask.output_tokens,
-            tier=pending.request.tier,
-            vm_count=1,
-            now_ms=self._loop.now_ms,
-        )
+        room = self._spill[region_of(pending.request.zone)]
+        prompt_bytes = pending.request.prompt_tokens * BYTES_PER_TOKEN
+        answer_bytes = pending.ask.output_tokens * BYTES_PER_OUTPUT_TOKEN
+        size_bytes = max(prompt_bytes, answer_bytes)
+        now_ms = self._loop.now_ms
+        if not room.has_room(size_bytes, tier=pending.request.tier, now_ms=now_ms):
+            return False
+        room.spend(size_bytes)
+        return True
 
     def _deliver(self, zone: str, sent: list[Outgoing]) -> None:
         for item in sent:
--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -30,6 +30,7 @@
 from hemlocktrestle.edge.placing._local_placer import LocalPlacer
 from hemlocktrestle.edge.placing._permit_placer import ACK_TIMEOUT_MS, PermitPlacer
 from hemlocktrestle.edge.placing._placement import AttemptReport, Placement
+from hemlocktrestle.edge.placing._way_planner import WayPlanner
 from hemlocktrestle.edge.store._registration import BusyRecorder, VmEntry, VmRegistrar
 from hemlocktrestle.edge.store._store_task import StoreHealth
 from hemlocktrestle.edge.store._watchers import ConfigurationWatcher, ReplicaWatcher
@@ -150,6 +151,11 @@
             self._peers,
             LocalPlacer(self.state, jitter=jitter),
             quotas,
+            WayPlanner(
+                self._peers,
+                self._permit_client.round_trips,
+                link_mbps=lambda: self._settings.link_mbps,
+            ),
         )
         self._server = EdgeServer(
             self.state,
--- a/src/hemlocktrestle/edge/_metrics.py
+++ b/src/hemlocktrestle/edge/_metrics.py
@@ -9,7 +9,11 @@
 
 from hemlocktrestle.edge.callers._job import Job
 from hemlocktrestle.edge.callers._server import ServedRequest
-from hemlocktrestle.edge.placing._placement import AttemptReport, Placement
+from hemlocktrestle.edge.placing._placement import (
+    UNSENT_ENDS,
+    AttemptReport,
+    Placement,
+)
 from hemlocktrestle.latency import Latencies
 
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
@@ -188,6 +192,18 @@
             ("replica", "end"),
             registry=self._registry,
         )
+        self._locality_requests = Counter(
+            "hemlocktrestle_locality_requests",
+            "Requests that were sent, by service and by how far the replica was.",
+            ("service", "locality"),
+            registry=self._registry,
+        )
+        self._locality_bytes = Counter(
+            "hemlocktrestle_locality_bytes",
+            "Bytes of bodies sent and received, by how far the replica was.",
+            ("service", "locality"),
+            registry=self._registry,
+        )
         self._by_kind = {
             name: self._times(name, text, ("service", "rank"))
             for name, text in _TIMES.items()
@@ -237,6 +253,11 @@
         """Record an attempt that has ended."""
         replica = self._replica_labels.label(placement.replica_id)
         self._attempts.labels(replica, report.end.value).inc()
+        if placement.locality is not None and report.end not in UNSENT_ENDS:
+            labels = (job.service.name, placement.locality.value)
+            self._locality_requests.labels(*labels).inc()
+            size_bytes = len(job.request.body) + report.answer_bytes
+            self._locality_bytes.labels(*labels).inc(size_bytes)
         if report.first_ms:
             self._by_replica.labels(replica).observe(report.first_ms / 1000)
 
--- a/src/hemlocktrestle/edge/attempts/_attempt.py
+++ b/src/hemlocktrestle/edge/attempts/_attempt.py
@@ -95,6 +95,8 @@
         self._first_ms = 0.0
         self._usual_first_ms = 0.0
         self._event_count = 0
+        self._answer_bytes = 0
+        self._connect_ms = 0.0
         self.status = 0
         self.unsent_end = AttemptEnd.UNUSED
         self.failure: RequestError | None = None
@@ -108,6 +110,8 @@
             now_ms() - self._started_ms,
             self._event_count,
             self.status,
+            self._answer_bytes,
+            self._connect_ms,
         )
 
     def report_cancelled(self) -> AttemptReport:
@@ -127,8 +131,10 @@
     async def connect(self) -> bool:
         """Open the connection; return whether there is one, else see ``unsent_end``."""
         self._progress.connect_count += 1
+        dialled_ms = now_ms()
         try:
             self._stream = await open_connection(self.placement.address)
+            self._connect_ms = now_ms() - dialled_ms
         except ConnectTimeoutError as error:
             self.failure = error
             forget_frames(error)
@@ -252,6 +258,7 @@
             body = stack.enter_context(AnswerBody(budget, bytes_max=ANSWER_BYTES_MAX))
             async for piece in answer.body_chunks():
                 body.append(piece)
+                self._answer_bytes += len(piece)
             self._first_ms = now_ms() - self._started_ms
             self._learn_first()
             headers = self._state.header_codec.forwarded_answer_headers(answer.headers)
@@ -310,6 +317,7 @@
         route = self._job.route
         heard_ms = 0.0
         async for piece in answer.body_chunks():
+            self._answer_bytes += len(piece)
             events = splitter.feed(piece)
             if not share.resize(splitter.buffered_bytes):
                 raise RequestError(
--- a/src/hemlocktrestle/edge/attempts/_attempt_sequence.py
+++ b/src/hemlocktrestle/edge/attempts/_attempt_sequence.py
@@ -210,6 +210,7 @@
                 "address": placement.address,
                 "keeper": placement.granted_by,
                 "waited_ms": round(placement.waited_ms),
+                "locality": placement.locality.value if placement.locality else "",
                 "left_ms": round(job.deadline_at_ms - now_ms()),
             },
         )
--- a/src/hemlocktrestle/edge/callers/_server.py
+++ b/src/hemlocktrestle/edge/callers/_server.py
@@ -262,6 +262,9 @@
                 "first_ms": round(report.first_ms),
                 "total_ms": round(report.total_ms),
                 "events": report.event_count,
+                "locality": placement.locality.value if placement.locality else "",
+                "sent_bytes": len(job.request.body),
+                "answer_bytes": report.answer_bytes,
             },
         )
         self._on_attempt(job, placement, report)
--- a/src/hemlocktrestle/edge/placing/_local_placer.py
+++ b/src/hemlocktrestle/edge/placing/_local_placer.py
@@ -15,6 +15,7 @@
 )
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import ReplicaRecord
+from hemlocktrestle.locality import locality_of
 
 AVOID_MS = 1_000.0
 """How long a replica is avoided after a failed attempt, in milliseconds."""
@@ -63,7 +64,16 @@
         chosen = min(candidates, key=self._load)
         replica_id = chosen.replica_id
         self._outstanding[replica_id] = self._outstanding.get(replica_id, 0) + 1
-        return Placement("", replica_id, chosen.address, "", 0.0)
+        settings = self._state.settings
+        locality = locality_of(
+            chosen.zone,
+            settings.region_of_zone.get(chosen.zone, chosen.zone),
+            own_zone=settings.zone,
+            own_region=settings.region,
+        )
+        return Placement(
+            "", replica_id, chosen.address, "", 0.0, locality=locality, zone=chosen.zone
+        )
 
     def report_speed(
         self, job: Job, placement: Placement, report: AttemptReport
--- a/src/hemlocktrestle/edge/placing/_permit_placer.py
+++ b/src/hemlocktrestle/edge/placing/_permit_placer.py
@@ -15,11 +15,11 @@
     AttemptReport,
     Placement,
 )
+from hemlocktrestle.edge.placing._way_planner import WayPlanner
 from hemlocktrestle.errors import ErrorKind, RequestError
-from hemlocktrestle.membership import ZoneLoad, order_zones
 from hemlocktrestle.peers import HeldPermit, PermitClient
 from hemlocktrestle.scheduler import WorkEstimates
-from hemlocktrestle.wire import NO_PART_LIMIT, NO_TIER, Ask, Pulse, Release
+from hemlocktrestle.wire import NO_PART_LIMIT, Ask, Pulse, Release
 
 log = logging.getLogger(__name__)
 
@@ -40,9 +40,6 @@
 }
 """Failure reported to the pool scheduler for each end of an attempt."""
 
-ROUND_TRIPS = 3
-"""Round trips of a request: the permit, the connection and the answer take one each."""
-
 _FALLBACK_KINDS = frozenset({ErrorKind.SCHEDULER_GONE, ErrorKind.NO_UPSTREAM})
 """Errors after which this VM chooses a replica itself, without a permit."""
 
@@ -55,6 +52,7 @@
         fleet: the VMs and the pools that they schedule.
         fallback: chooses from this VM's own view while no scheduler answers.
         quotas: counts requests that no scheduler has counted.
+        ways: decides where requests may go.
     """
 
     def __init__(
@@ -63,7 +61,9 @@
         fleet: EdgeFleet,
         fallback: LocalPlacer,
         quotas: EdgeQuotas,
+        ways: WayPlanner,
     ) -> None:
+        self._ways = ways
         self._quotas = quotas
         self._permit_client = permit_client
         self._fleet = fleet
@@ -77,6 +77,12 @@
         started_ms = now_ms()
         unusable = self._fleet.replica_notices.unusable_ids(job.service.name, excluded)
         ask = self._permit_request(job, excluded, unusable)
+        plan = self._ways.plan(
+            job,
+            excluded | unusable,
+            output_tokens=ask.output_tokens,
+            now_ms=started_ms,
+        )
         log.info(
             "request_asked",
             extra={
@@ -85,12 +91,16 @@
                 "aim_ms": ask.aim_ms,
                 "hold_ms": ask.deadline_ms,
                 "tier": ask.tier,
+                "regions": plan.order.regions,
+                "reason": plan.order.reason,
+                "way_ms": round(ask.way_ms, 1),
+                "bytes": plan.size_bytes,
             },
         )
         try:
             held = await self._permit_client.obtain(
                 ask,
-                zones=self._regions(job, excluded | unusable),
+                zones=plan.order.regions,
                 deadline_at_ms=job.deadline_at_ms,
             )
         except RequestError as error:
@@ -111,13 +121,20 @@
             raise
         permit = held.permit
         self._held[permit.ask_id] = held
-        return Placement(
-            permit.ask_id,
-            permit.upstream,
-            permit.address,
-            held.scheduler_vm,
-            now_ms() - started_ms,
+        placed_ms = now_ms()
+        placement = self._ways.locate(
+            Placement(
+                permit.ask_id,
+                permit.upstream,
+                permit.address,
+                held.scheduler_vm,
+                placed_ms - started_ms,
+            )
+        )
+        self._ways.record_placed(
+            placement, size_bytes=plan.size_bytes, now_ms=placed_ms
         )
+        return placement
 
     def _spend_locally(self, job: Job, ask: Ask) -> None:
         if job.customer is None or not ask.amount:
@@ -148,14 +165,17 @@
 
     def release(self, job: Job, placement: Placement, report: AttemptReport) -> None:
         """Release a placement and report how the attempt went."""
-        held = self._held.pop(placement.permit_id, None)
-        if held is None:
-            self._fallback.release(job, placement, report)
-            return
         engine = job.service.engine
         tokens = NON_ENGINE_TOKENS
         if engine is not None:
             tokens = max(1, saturated(report.event_count * engine.tokens_per_event))
+        self._ways.record_ended(
+            job, placement, report, output_tokens=tokens, now_ms=now_ms()
+        )
+        held = self._held.pop(placement.permit_id, None)
+        if held is None:
+            self._fallback.release(job, placement, report)
+            return
         release = Release(
             placement.permit_id,
             job.service.name,
@@ -198,50 +218,10 @@
             amount=job.amount if is_engine and not excluded else 0,
         )
         work = self._work.expect(ask)
-        return ask._replace(
+        return self._ways.with_zone(ask)._replace(
             first_ms=saturated(work.first_ms), total_ms=saturated(work.total_ms)
         )
 
-    def _regions(self, job: Job, excluded: frozenset[str]) -> tuple[str, ...]:
-        """Return the regions to request a permit from, the shortest wait first.
-
-        Another region is included if it reports free slots.  One that refuses lower
-        tiers only comes last, for a request that the others refuse.  If no region
-        qualifies, all that have a replica of the service are returned.
-        """
-        membership = self._fleet.membership
-        now = now_ms()
-        pool = job.service.name
-        loads: dict[str, ZoneLoad] = {}
-        last: set[str] = set()
-        for record in membership.all_upstreams():
-            if pool not in record.pools or record.is_leaving:
-                continue
-            if record.name in excluded or record.region in loads:
-                continue
-            summary = membership.pool_summary(pool, record.region, now)
-            is_own = record.region == membership.domain
-            if is_own or (summary is not None and summary.free_slots > 0):
-                round_trip_ms = self._permit_client.round_trip_ms(record.region)
-                loads[record.region] = ZoneLoad(
-                    record.region,
-                    is_own,
-                    not is_own,
-                    summary,
-                    penalty_ms=ROUND_TRIPS * round_trip_ms,
-                )
-            elif summary is not None and job.rank < summary.standing_tier < NO_TIER:
-                last.add(record.region)
-        if not loads:
-            regions = {
-                record.region
-                for record in membership.all_upstreams()
-                if pool in record.pools
-                and (record.is_leaving or record.name not in excluded)
-            }
-            return tuple(sorted(regions))
-        return (*order_zones(loads.values(), tier=job.rank), *sorted(last))
-
 
 ACK_TIMEOUT_MS = 200.0
 """Time limit for a scheduler to acknowledge a permit request, in milliseconds.
--- a/src/hemlocktrestle/edge/placing/_placement.py
+++ b/src/hemlocktrestle/edge/placing/_placement.py
@@ -5,6 +5,7 @@
 
 from hemlocktrestle.edge.callers._job import Job
 from hemlocktrestle.gateway import BORN_UNKNOWN
+from hemlocktrestle.locality import Locality
 
 
 class AttemptEnd(Enum):
@@ -33,6 +34,8 @@
         waited_ms: how long the request waited for the permit.
         born_ms: start of the replica, as this VM knew it when it was chosen.
         round_id: the pause of the replica after which this is sent, 0 for none.
+        locality: how far the replica is, ``None`` if that is not known.
+        zone: its zone, empty if that is not known.
     """
 
     permit_id: str
@@ -42,6 +45,8 @@
     waited_ms: float
     born_ms: int = BORN_UNKNOWN
     round_id: int = 0
+    locality: Locality | None = None
+    zone: str = ""
 
 
 CONNECT_FAILURES = frozenset({AttemptEnd.UNREACHABLE, AttemptEnd.CONNECT_TIMEOUT})
@@ -60,6 +65,8 @@
         total_ms: time to its end.
         event_count: number of stream events received.
         status: status of the answer, 0 if its head did not come.
+        answer_bytes: bytes of the answer's body that came.
+        connect_ms: time that its connection took to open, 0 if none was opened.
     """
 
     end: AttemptEnd
@@ -67,6 +74,8 @@
     total_ms: float
     event_count: int
     status: int = 0
+    answer_bytes: int = 0
+    connect_ms: float = 0.0
 
 
 class Placer(Protocol):
--- a/src/hemlocktrestle/entry/__init__.py
+++ b/src/hemlocktrestle/entry/__init__.py
@@ -14,7 +14,6 @@
     parse_chat,
     tier_of,
 )
-from hemlocktrestle.entry._spillover import SpilloverBudget
 
 __all__ = [
     "Admission",
@@ -23,7 +22,6 @@
     "ChatCost",
     "CostEstimator",
     "LimitKey",
-    "SpilloverBudget",
     "chat_cost",
     "deadline_of",
     "parse_chat",
--- a/src/hemlocktrestle/membership/__init__.py
+++ b/src/hemlocktrestle/membership/__init__.py
@@ -19,7 +19,11 @@
     highest_ranked,
     region_of,
 )
-from hemlocktrestle.membership._zone_choice import ZoneLoad, order_zones
+from hemlocktrestle.membership._zone_choice import (
+    ZoneLoad,
+    expected_wait_ms,
+    order_zones,
+)
 
 __all__ = [
     "MASS_LOSS_RETENTION_MS",
@@ -35,6 +39,7 @@
     "VmRecord",
     "VmSize",
     "ZoneLoad",
+    "expected_wait_ms",
     "highest_ranked",
     "order_zones",
     "region_of",
--- a/src/hemlocktrestle/membership/_table.py
+++ b/src/hemlocktrestle/membership/_table.py
@@ -299,6 +299,10 @@
         """Return every upstream that the platform lists."""
         return tuple(self._upstreams.values())
 
+    def upstream(self, name: str) -> UpstreamRecord | None:
+        """Return a listed upstream, or ``None``."""
+        return self._upstreams.get(name)
+
     def pools(self, kind: UpstreamKind) -> set[str]:
         """Return the names of all pools of one kind, in any domain."""
         return {
--- a/src/hemlocktrestle/membership/_zone_choice.py
+++ b/src/hemlocktrestle/membership/_zone_choice.py
@@ -64,11 +64,24 @@
 
 
 def _wait_ms(load: ZoneLoad, tier: int) -> float:
-    penalty_ms = _penalty_ms(load)
-    summary = load.summary
-    if summary is None or summary.free_slots > load.recent_ask_count:
-        return penalty_ms
+    return _penalty_ms(load) + expected_wait_ms(
+        load.summary, tier=tier, recent_ask_count=load.recent_ask_count
+    )
+
+
+def expected_wait_ms(
+    summary: PoolSummary | None, *, tier: int, recent_ask_count: int = 0
+) -> float:
+    """Return how long a request waits for a slot of a pool, by its last report.
+
+    Args:
+        summary: the report, or ``None``.
+        tier: rank of the request's tier; the highest waits only for its own tier.
+        recent_ask_count: requests sent there since the report.
+    """
+    if summary is None or summary.free_slots > recent_ask_count:
+        return 0.0
     queued_count = max(1, summary.queued_count)
     gap_ms = summary.wait_ms / queued_count
-    ahead_count = 1 if tier == 0 else queued_count + load.recent_ask_count
-    return penalty_ms + gap_ms * ahead_count
+    ahead_count = 1 if tier == 0 else queued_count + recent_ask_count
+    return gap_ms * ahead_count
--- a/src/hemlocktrestle/peers/_permit_client.py
+++ b/src/hemlocktrestle/peers/_permit_client.py
@@ -10,7 +10,7 @@
 import trio
 
 from hemlocktrestle.errors import ErrorKind, RequestError
-from hemlocktrestle.latency import Estimates
+from hemlocktrestle.locality import RoundTrips
 from hemlocktrestle.membership import Membership
 from hemlocktrestle.wire import (
     NO_PART_LIMIT,
@@ -98,7 +98,7 @@
         self._jitter = jitter
         self._pending: dict[str, tuple[str, trio.MemorySendChannel[Reply]]] = {}
         self._held: dict[str, _Held] = {}
-        self._round_trips_ms = Estimates()
+        self.round_trips = RoundTrips()
 
     async def obtain(
         self, ask: Ask, *, zones: tuple[str, ...], deadline_at_ms: float
@@ -151,10 +151,6 @@
         # A zone that was asked in vain after one had no room takes nothing back.
         raise min(refusals, key=_retry_after_ms, default=last)
 
-    def round_trip_ms(self, zone: str) -> float:
-        """Return the measured round trip to a zone's schedulers, 0 if unknown."""
-        return self._round_trips_ms.find(zone).mean
-
     def release(self, held: HeldPermit, release: Release) -> None:
         """Return a permit to every scheduler that counts its request as in flight.
 
@@ -318,7 +314,8 @@
                 raise RequestError(ErrorKind.SCHEDULER_GONE, "keeper is silent")
             self._membership.mark_responsive(scheduler_vm)
             if self._acknowledges_at_once:
-                self._round_trips_ms.learn(zone, self._now_ms() - asked_ms)
+                replied_ms = self._now_ms()
+                self.round_trips.learn(zone, replied_ms - asked_ms, replied_ms)
             if isinstance(reply, Queued):
                 reply = await receiver.receive()
         return None if isinstance(reply, Queued) else reply
--- a/src/hemlocktrestle/peers/_scheduler_log.py
+++ b/src/hemlocktrestle/peers/_scheduler_log.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from hemlocktrestle.locality import ZoneReason
 from hemlocktrestle.scheduler import Outgoing, PoolScheduler
 from hemlocktrestle.wire import Refusal
 
@@ -28,6 +29,20 @@
         )
 
 
+def log_zones(scheduler: PoolScheduler) -> None:
+    """Log how many requests stayed in their zones or left them since the last line."""
+    reported = scheduler.report_zones()
+    if not reported:
+        return
+    log.info(
+        "pool_zones",
+        extra={
+            "pool": scheduler.pool,
+            **{reason.name.lower(): reported[reason] for reason in ZoneReason},
+        },
+    )
+
+
 def log_refusal(
     scheduler: PoolScheduler,
     refused: Outgoing,
--- a/src/hemlocktrestle/peers/_scheduler_task.py
+++ b/src/hemlocktrestle/peers/_scheduler_task.py
@@ -9,7 +9,7 @@
 from hemlocktrestle.documents import saturated
 from hemlocktrestle.errors import ErrorKind
 from hemlocktrestle.membership import Membership
-from hemlocktrestle.peers._scheduler_log import log_queue, log_refusal
+from hemlocktrestle.peers._scheduler_log import log_queue, log_refusal, log_zones
 from hemlocktrestle.scheduler import (
     POLICY_DEFAULT,
     Outgoing,
@@ -302,6 +302,7 @@
                 self._send(scheduler, scheduler.tick(self._now_ms()))
                 if ticks % TICKS_PER_REPORT == 0:
                     log_queue(scheduler, self._now_ms())
+                    log_zones(scheduler)
 
     def _hand_back(self, pool: str, scheduler: PoolScheduler) -> None:
         """Return queued requests of a pool that another VM schedules now.
--- a/src/hemlocktrestle/scheduler/_chooser.py
+++ b/src/hemlocktrestle/scheduler/_chooser.py
@@ -1,8 +1,9 @@
 """Functions that choose the upstream for a request, in a registry by name."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Protocol
 
+from hemlocktrestle.locality import ZoneOption, choose_in_region
 from hemlocktrestle.scheduler._queue import QueuedAsk
 from hemlocktrestle.scheduler._upstream import UpstreamModel
 from hemlocktrestle.wire import Ask
@@ -40,8 +41,24 @@
 def by_expected_finish(
     waiting: QueuedAsk, upstreams: CandidateSource, now_ms: float
 ) -> UpstreamModel | None:
-    """Choose the upstream that is expected to finish the request first."""
-    return _first_to_finish(waiting.ask, upstreams.candidates(waiting.ask), now_ms)
+    """Choose the upstream that is expected to finish the request first.
+
+    One in the zone of the requester is preferred if its caller is served alike.
+    """
+    ask = waiting.ask
+    options = [
+        ZoneOption(
+            model,
+            model.record.name,
+            model.expected_ms(ask, now_ms),
+            len(model.in_flight),
+            model.slots,
+            model.record.zone == ask.zone,
+        )
+        for model in upstreams.candidates(ask)
+    ]
+    chosen = choose_in_region(options, way_ms=ask.way_ms)
+    return chosen.replica if chosen is not None else None
 
 
 @chooser("least_outstanding")
@@ -54,17 +71,3 @@
         key=lambda model: (len(model.in_flight), model.record.name),
         default=None,
     )
-
-
-def _first_to_finish(
-    ask: Ask, models: Sequence[UpstreamModel], now_ms: float
-) -> UpstreamModel | None:
-    return min(
-        models,
-        key=lambda model: (
-            model.expected_ms(ask, now_ms),
-            len(model.in_flight),
-            model.record.name,
-        ),
-        default=None,
-    )
--- a/src/hemlocktrestle/scheduler/_core.py
+++ b/src/hemlocktrestle/scheduler/_core.py
@@ -4,10 +4,12 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Iterable
 
 from hemlocktrestle.documents import saturated
 from hemlocktrestle.errors import ErrorKind
+from hemlocktrestle.locality import ZoneReason
 from hemlocktrestle.membership import UpstreamRecord
 from hemlocktrestle.scheduler._chooser import CHOOSERS
 from hemlocktrestle.scheduler._early_refusal import EARLY_REFUSALS, DeadlineForecast
@@ -73,6 +75,7 @@
         self._last_grant_ms = 0.0
         self._grant_gap_ms = 0.0
         self._routes: dict[str, str] = {}
+        self._zone_choices: Counter[ZoneReason] = Counter()
         self._work = WorkEstimates()
         self._forecaster = StartForecaster()
         self._meter = QueueMeter()
@@ -208,6 +211,11 @@
         """Return what became of requests that waited since the last report."""
         return self._meter.report(self._queue.queued_asks(), now_ms)
 
+    def report_zones(self) -> Counter[ZoneReason]:
+        """Return how often requests stayed in their zones since the last report."""
+        reported, self._zone_choices = self._zone_choices, Counter()
+        return reported
+
     def oldest_in_flight_ms(self, now_ms: float) -> float:
         """Return the age of the oldest request in flight, 0 if there is none.
 
@@ -262,6 +270,8 @@
             self._queue.serve(ask.ask_id)
             self._record_grant(waiting, now_ms)
             self._meter.record_granted(waiting, now_ms)
+            if ask.zone:
+                self._zone_choices[self._upstreams.zone_reason(model, ask)] += 1
             self._upstreams.assign(model, ask, waiting.vm, now_ms)
             self._routes[ask.ask_id] = ask.route
             self._forecaster.start(ask.ask_id, waiting.work)
--- a/src/hemlocktrestle/scheduler/_upstream_set.py
+++ b/src/hemlocktrestle/scheduler/_upstream_set.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
+from hemlocktrestle.locality import ZoneReason
 from hemlocktrestle.membership import UpstreamRecord
 from hemlocktrestle.scheduler._heap import LazyHeap
 from hemlocktrestle.scheduler._prefixes import PREFIX_TOKENS
@@ -14,6 +15,9 @@
 CANDIDATE_COUNT = 8
 """Least loaded upstreams that are compared for one request."""
 
+NEAR_SEARCH_COUNT = 3 * CANDIDATE_COUNT
+"""Least loaded upstreams among which one of the requester's zone is looked for."""
+
 
 class CapacityClass(NamedTuple):
     """Requests for which the same upstreams have room."""
@@ -122,17 +126,25 @@
         return len(self._models) > sum(name in self._models for name in set(excluded))
 
     def candidates(self, ask: Ask) -> list[UpstreamModel]:
-        """Return the least loaded with room, and those with its prefix cached."""
+        """Return the least loaded with room, and those with its prefix cached.
+
+        The least loaded of the requester's zone is among them, unless it is among the
+        most loaded of many.
+        """
         free = self._free_by_class[_capacity_class(ask.tier, class_of(ask).is_long)]
         found: dict[str, UpstreamModel] = {}
-        popped = []
-        while len(found) < CANDIDATE_COUNT:
+        popped: list[tuple[float, str, int]] = []
+        has_near = not ask.zone
+        while len(found) < CANDIDATE_COUNT or (
+            not has_near and len(popped) < NEAR_SEARCH_COUNT
+        ):
             entry = free.by_load.pop()
             if entry is None:
                 break
             popped.append(entry)
             if entry[1] not in ask.excluded:
                 found[entry[1]] = self._models[entry[1]]
+                has_near = has_near or found[entry[1]].record.zone == ask.zone
         for entry in popped:
             free.by_load.push(entry)
         for name in self._by_prefix.get(ask.prefix_digest, ()):
@@ -140,6 +152,17 @@
                 found[name] = self._models[name]
         return list(found.values())
 
+    def zone_reason(self, model: UpstreamModel, ask: Ask) -> ZoneReason:
+        """Return why a request stays in its zone or leaves it for an upstream."""
+        if model.record.zone == ask.zone:
+            return ZoneReason.OWN_ZONE
+        free = self._free_by_class[_capacity_class(ask.tier, class_of(ask).is_long)]
+        has_near = any(
+            self._models[name].record.zone == ask.zone and name not in ask.excluded
+            for name in free.names
+        )
+        return ZoneReason.SOONER if has_near else ZoneReason.NO_ROOM
+
     def assign(self, model: UpstreamModel, ask: Ask, vm: str, now_ms: float) -> None:
         """Count a request as in flight at an upstream."""
         name = model.record.name
--- a/src/hemlocktrestle/wire/_permit_messages.py
+++ b/src/hemlocktrestle/wire/_permit_messages.py
@@ -22,7 +22,9 @@
     ``route`` have similar cost; ``amount`` is the charge to the customer's
     quota, 0 if it was charged before; ``first_ms`` and ``total_ms`` are the times to
     the first part and to the end of the answer as the requesting VM measured them on
-    the route, 0 if it has not.
+    the route, 0 if it has not; ``zone`` is the requesting VM's, empty if replicas of
+    all zones are alike to it, and ``way_ms`` is how much longer the way to another
+    zone of its region takes than that within it.
     """
 
     ask_id: str
@@ -40,6 +42,8 @@
     amount: int = 0
     first_ms: int = 0
     total_ms: int = 0
+    zone: str = ""
+    way_ms: float = 0.0
 
 
 @message("queued")
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -108,6 +108,8 @@
   amount @12 :UInt32;
   firstMs @13 :UInt32;
   totalMs @14 :UInt32;
+  zone @15 :Text;
+  wayMs @16 :Float64;
 }
 
 struct ReplicaNews {
--- a/tests/edge/placing/test_permit_placer.py
+++ b/tests/edge/placing/test_permit_placer.py
@@ -15,6 +15,7 @@
 from hemlocktrestle.edge.callers._quota_gate import EdgeQuotas
 from hemlocktrestle.edge.placing._permit_placer import FAILURE_BY_END, PermitPlacer
 from hemlocktrestle.edge.placing._placement import AttemptEnd, AttemptReport, Placement
+from hemlocktrestle.edge.placing._way_planner import WayPlanner
 from hemlocktrestle.edge.store._registration import VmEntry
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import (
@@ -24,6 +25,7 @@
     Route,
 )
 from hemlocktrestle.latency._estimate import KNOWN_COUNT_MIN
+from hemlocktrestle.locality import RoundTrips
 from hemlocktrestle.peers import HeldPermit
 from hemlocktrestle.platform import decode_settings
 from hemlocktrestle.relay import CallerRequest, ConnectTimeoutError, RequestBody
@@ -97,9 +99,6 @@
         permit = Permit(ask.ask_id, ask.pool, chosen, f"{chosen}:80", 0, 1_000)
         return HeldPermit(permit, "vm-2", now_ms() + 1_000)
 
-    def round_trip_ms(self, zone: str) -> float:
-        return 0.0
-
 
 class LeavingReplicaTests(TrioTestCase):
     """A scheduler elsewhere is asked for no replica that this VM knows to leave."""
@@ -109,7 +108,7 @@
         client: Any = _GrantingClient()
         placer, state = _placer(client)
         state.replica_notices.on_news("vm-3", [LeavingReplica("r1", 7)])
-        found = await placer.obtain(_job(), excluded=frozenset())
+        found = await placer.obtain(job_of(), excluded=frozenset())
         self.assertEqual("r2", found.replica_id)
         ask = client.asks[0]
         self.assertEqual((("r1",), 30), (ask.excluded, ask.amount))
@@ -139,7 +138,7 @@
         for left_ms in (2_000, 15_000):
             pause = MatchesStructure.byEquality(retry_after_ms=700)
             with ExpectedException(RequestError, pause):
-                await placer.obtain(_job(left_ms=left_ms), excluded=frozenset())
+                await placer.obtain(job_of(left_ms=left_ms), excluded=frozenset())
 
 
 class MeasuredWorkTests(TrioTestCase):
@@ -154,10 +153,10 @@
             AttemptEnd.RELAYED, first_ms=100.0, total_ms=500.0, event_count=4
         )
         for _ in range(KNOWN_COUNT_MIN):
-            job = _job()
+            job = job_of()
             placement = await placer.obtain(job, excluded=frozenset())
             placer.release(job, placement, report)
-        await placer.obtain(_job(), excluded=frozenset())
+        await placer.obtain(job_of(), excluded=frozenset())
         self.assertEqual((0, 0), (client.asks[0].first_ms, client.asks[0].total_ms))
         self.assertEqual(100, client.asks[-1].first_ms)
         self.assertGreater(client.asks[-1].total_ms, 100)
@@ -197,7 +196,7 @@
         self.patch(
             membership, "pool_summary", lambda pool, region, now: summaries[region]
         )
-        await placer.obtain(_job(), excluded=frozenset())
+        await placer.obtain(job_of(), excluded=frozenset())
         first, *others = client.regions
         self.assertEqual(membership.domain, first)
         return tuple(others)
@@ -243,17 +242,17 @@
     async def test_a_request_waits_as_long_as_its_caller(self) -> None:
         """Guards against 503 for a caller with 6 s left, as its objective is 300 ms."""
         found = route(objective_ms=300.0)
-        ask = await self._ask(_job(found, left_ms=6_000))
+        ask = await self._ask(job_of(found, left_ms=6_000))
         self.assertEqual((6_000, NO_PART_LIMIT), (ask.deadline_ms, ask.aim_ms))
 
     async def test_a_stream_waits_until_its_caller_leaves(self) -> None:
         """Guards against a slot for a stream whose caller has left."""
-        ask = await self._ask(_job(STREAM_ROUTE, left_ms=15_000))
+        ask = await self._ask(job_of(STREAM_ROUTE, left_ms=15_000))
         self.assertEqual((15_000, 2_400), (ask.deadline_ms, ask.aim_ms))
 
     async def test_a_begun_stream_waits_from_its_last_event(self) -> None:
         """Guards against a stream that is resumed later than its caller waits."""
-        job = _job(STREAM_ROUTE, left_ms=15_000)
+        job = job_of(STREAM_ROUTE, left_ms=15_000)
         begun = job._replace(last_part_ms=now_ms() - 400)
         ask = await self._ask(begun)
         self.assertEqual((2_000, job.rank), (ask.aim_ms, ask.tier))
@@ -263,8 +262,8 @@
 
         A longer deadline had been seen on its route.
         """
-        alone = await self._ask(_job(left_ms=5_000))
-        after = await self._ask(_job(left_ms=15_000), _job(left_ms=5_000))
+        alone = await self._ask(job_of(left_ms=5_000))
+        after = await self._ask(job_of(left_ms=15_000), job_of(left_ms=5_000))
         self.assertEqual(alone, after)
 
     async def test_the_objective_changes_nothing(self) -> None:
@@ -273,7 +272,7 @@
         Two routes that differ in their latency objective alone are served alike.
         """
         asks = [
-            await self._ask(_job(found._replace(objective_ms=objective_ms)))
+            await self._ask(job_of(found._replace(objective_ms=objective_ms)))
             for found in (ROUTE, STREAM_ROUTE)
             for objective_ms in (200.0, 2_000.0)
         ]
@@ -292,10 +291,12 @@
             replica_update(name, 1, service="assistant", born_ms=7)
         )
     fallback: Any = None
-    return PermitPlacer(client, fleet, fallback, EdgeQuotas(state)), state
+    ways = WayPlanner(fleet, RoundTrips())
+    return PermitPlacer(client, fleet, fallback, EdgeQuotas(state), ways), state
 
 
-def _job(found: Route = ROUTE, *, left_ms: float = 5_000.0) -> Job:
+def job_of(found: Route = ROUTE, *, left_ms: float = 5_000.0) -> Job:
+    """Return a request on a route, with the time that its caller has left."""
     metadata = RequestMetadata("a1", "h", "/", "", left_ms, 10, 20, 0, True)
     request = CallerRequest(b"GET", b"/", (), RequestBody(b""), now_ms())
     return Job(
--- /dev/null
+++ b/tests/locality/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of when a request leaves its zone or region."""
--- a/tests/peers/test_permit_client.py
+++ b/tests/peers/test_permit_client.py
@@ -159,7 +159,7 @@
     async def test_round_trips_are_measured(self) -> None:
         """Guards against a distance to another region that is not the deployment's."""
         client = self._new_client()
-        self.assertEqual(0.0, client.round_trip_ms("z"))
+        self.assertEqual(0.0, client.round_trips.mean_ms("z"))
 
         async def reply_late(vm: str, ask: Ask) -> None:
             await trio.sleep(0.08)
@@ -177,7 +177,7 @@
 
             self.patch(client, "_send", send)
             await client.obtain(ASK, zones=("z",), deadline_at_ms=now_ms() + 2_000)
-        self.assertEqual(80, round(client.round_trip_ms("z")))
+        self.assertEqual(80, round(client.round_trips.mean_ms("z")))
 
     async def test_a_scheduler_that_answers_again_is_trusted(self) -> None:
         """After its time without a role it is asked, and keeps the role."""
