Keep room of a link for the tiers that requests have

The edge's ranks run from 0 to 10 and beyond, so with three tiers all but the first two shared the smallest part. A tier now leaves a part to each higher one of which requests came; one that sends alone has all the room.

--- a/src/hemlocktrestle/edge/placing/_way_planner.py
+++ b/src/hemlocktrestle/edge/placing/_way_planner.py
@@ -23,7 +23,7 @@
     locality_of,
 )
 from hemlocktrestle.membership import UpstreamRecord, expected_wait_ms
-from hemlocktrestle.wire import NO_TIER, TIERS, Ask, PoolSummary
+from hemlocktrestle.wire import NO_TIER, Ask, PoolSummary
 
 BYTES_PER_MS_OF_MBPS = 125.0
 """Bytes a millisecond that one Mbit/s carries."""
@@ -226,9 +226,7 @@
         room = self._rooms.get(region)
         if room is None:
             room = self._rooms[region] = LinkRoom(
-                now_ms,
-                own_bytes_per_ms=self._link_mbps() * BYTES_PER_MS_OF_MBPS,
-                tier_count=len(TIERS),
+                now_ms, own_bytes_per_ms=self._link_mbps() * BYTES_PER_MS_OF_MBPS
             )
         return room
 
--- a/src/hemlocktrestle/locality/_link_room.py
+++ b/src/hemlocktrestle/locality/_link_room.py
@@ -31,14 +31,11 @@
     Args:
         now_ms: the time in milliseconds.
         own_bytes_per_ms: bandwidth of the VM, 0 if it is not stated.
-        tier_count: number of tiers; a lower one leaves a part to each above it.
     """
 
-    def __init__(
-        self, now_ms: float, *, own_bytes_per_ms: float = 0.0, tier_count: int = 3
-    ) -> None:
+    def __init__(self, now_ms: float, *, own_bytes_per_ms: float = 0.0) -> None:
         self._own_rate = own_bytes_per_ms or math.inf
-        self._tier_count = tier_count
+        self._tiers: set[int] = set()
         self._rate = self._own_rate
         self._level = self._burst
         self._refilled_ms = now_ms
@@ -75,13 +72,15 @@
     def has_room(self, size_bytes: int, *, tier: int, now_ms: float) -> bool:
         """Tell whether a request may leave, so that higher tiers keep their part.
 
-        One that is larger than its tier's part may go while the part is unused.
+        Each tier that has asked leaves a part to each one above it.  A request that is
+        larger than its tier's part may go while the part is unused.
         """
+        self._tiers.add(tier)
         if math.isinf(self._rate):
             return True
         self._refill(now_ms)
-        part = self._burst / self._tier_count
-        reserve = part * min(tier, self._tier_count - 1)
+        part = self._burst / len(self._tiers)
+        reserve = part * sum(other < tier for other in self._tiers)
         return self._level - min(size_bytes, part) >= reserve
 
     def spend(self, size_bytes: float) -> None:
--- a/tests/locality/test_link_room.py
+++ b/tests/locality/test_link_room.py
@@ -45,8 +45,16 @@
         """After the low tier has used its part, the higher ones still have theirs."""
         room = self.filled(1_000_000)
         now_ms = 2 * BURST_MS
-        low, normal, high = (self.sent(room, tier, now_ms) for tier in (2, 1, 0))
-        self.assertTrue(0 < low <= normal + 1_000 and high > 0, (low, normal, high))
+        tiers = (9, 8, 3)
+        for tier in tiers:
+            room.has_room(0, tier=tier, now_ms=now_ms)
+        sent = [self.sent(room, tier, now_ms) for tier in tiers]
+        self.assertTrue(max(sent) - min(sent) <= 1_000 and min(sent) > 0, sent)
+
+    def test_a_tier_that_sends_alone_has_all_the_room(self) -> None:
+        """Guards against room that is kept for tiers that no caller has."""
+        alone = self.sent(self.filled(1_000_000), 9, 2 * BURST_MS)
+        self.assertEqual(alone, self.sent(self.filled(1_000_000), 0, 2 * BURST_MS))
 
     def test_one_long_upload_takes_the_room_of_later_ones(self) -> None:
         """One that is larger than any burst may leave, and is paid for afterwards."""
