Explain where a request would go now, without sending it

The decisions are those of requests: identify_request is taken out of EdgeServer for both, RegionChoice.decide remembers nothing, PoolScheduler.preview grants nothing, the planner works on copies of its budgets.

--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -12,7 +12,8 @@
 import trio
 
 from hemlocktrestle.edge._fleet import EdgeFleet
-from hemlocktrestle.edge._metrics import EdgeMetrics, Gauges, LabelledGauges
+from hemlocktrestle.edge._labelled_gauges import labelled_gauges
+from hemlocktrestle.edge._metrics import EdgeMetrics, Gauges
 from hemlocktrestle.edge._stall_monitor import StallMonitor
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.edge.attempts._crash_monitor import CrashMonitor
@@ -30,6 +31,7 @@
 from hemlocktrestle.edge.placing._local_placer import LocalPlacer
 from hemlocktrestle.edge.placing._permit_placer import ACK_TIMEOUT_MS, PermitPlacer
 from hemlocktrestle.edge.placing._placement import AttemptReport, Placement
+from hemlocktrestle.edge.placing._request_preview import RequestPreview
 from hemlocktrestle.edge.placing._way_planner import WayPlanner
 from hemlocktrestle.edge.store._registration import BusyRecorder, VmEntry, VmRegistrar
 from hemlocktrestle.edge.store._store_task import StoreHealth
@@ -157,6 +159,9 @@
                 link_mbps=lambda: self._settings.link_mbps,
             ),
         )
+        self._preview = RequestPreview(
+            self.state, self._peers, self._placer, self._scheduler_task
+        )
         self._server = EdgeServer(
             self.state,
             self._placer,
@@ -186,7 +191,8 @@
             is_current=self._peers.has_current_vms,
         )
         self._metrics = EdgeMetrics(
-            self._gauges(dropped_count), self._labelled_gauges()
+            self._gauges(dropped_count),
+            labelled_gauges(self.state, self._scheduler_task),
         )
         self._register_handlers()
 
@@ -239,7 +245,10 @@
             nursery.start_soon(serve_answers, ready, {b"/ready": self._ready_answer})
             nursery.start_soon(self._caller_listener.run, callers)
             answers = {b"/metrics": self._metrics.text}
-            nursery.start_soon(serve_answers, metrics, answers)
+            queries = {b"/where": self._preview.answer}
+            nursery.start_soon(
+                partial(serve_answers, metrics, answers, queries=queries)
+            )
             log.info(
                 "started",
                 extra={
@@ -305,23 +314,6 @@
             part_refusals=lambda: self._peers.part_gate.refused_count,
         )
 
-    def _labelled_gauges(self) -> LabelledGauges:
-        summaries = self._scheduler_task.summaries
-        return LabelledGauges(
-            pool_queued_asks=lambda: {
-                found.pool: found.queued_count for found in summaries()
-            },
-            pool_oldest_queued_ms=self._scheduler_task.oldest_queued_ms,
-            pool_free_slots=lambda: {
-                found.pool: found.free_slots for found in summaries()
-            },
-            pool_oldest_in_hand_ms=self._scheduler_task.oldest_in_flight_ms,
-            customer_quota_left=lambda: self.state.quotas.remaining(
-                self._fleet(), now_ms()
-            ),
-            service_repeats_left=self.state.retries_remaining,
-        )
-
     def _configuration_version(self) -> float:
         configuration = self.state.configuration
         return float(configuration.version) if configuration is not None else 0.0
--- a/src/hemlocktrestle/edge/attempts/_part_gate.py
+++ b/src/hemlocktrestle/edge/attempts/_part_gate.py
@@ -56,8 +56,8 @@
             RequestError: of kind ``QUARANTINED``.
         """
         now = now_ms()
-        entry = self._parts.quarantined(job.metadata.prompt_parts, now)
-        if entry is None or now >= entry.retrial_ms:
+        entry = self._refusing(job, now)
+        if entry is None:
             return
         self.refused_count += 1
         log.info(
@@ -74,6 +74,14 @@
             retry_after_ms=min(entry.retrial_ms, entry.expires_ms) - now,
         )
 
+    def would_refuse(self, job: Job) -> bool:
+        """Tell whether :meth:`check` would refuse a request."""
+        return self._refusing(job, now_ms()) is not None
+
+    def _refusing(self, job: Job, now: float) -> QuarantinedPart | None:
+        entry = self._parts.quarantined(job.metadata.prompt_parts, now)
+        return None if entry is None or now >= entry.retrial_ms else entry
+
     def is_suspected(self, job: Job) -> bool:
         """Tell whether a part of a request may have crashed a replica under it."""
         return self._parts.is_suspected(job.fingerprint)
--- a/src/hemlocktrestle/edge/callers/_listeners.py
+++ b/src/hemlocktrestle/edge/callers/_listeners.py
@@ -3,8 +3,9 @@
 import errno
 import logging
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from functools import partial
+from types import MappingProxyType
 
 import h11
 import trio
@@ -140,16 +141,24 @@
 """Returns status, content type and body of an answer."""
 
 
+QueryAnswer = Callable[[bytes], tuple[int, bytes, bytes]]
+"""Returns the answer to the query of a target."""
+
+
 async def serve_answers(
-    listener: trio.SocketListener, answers: dict[bytes, Answer]
+    listener: trio.SocketListener,
+    answers: Mapping[bytes, Answer],
+    queries: Mapping[bytes, QueryAnswer] = MappingProxyType({}),
 ) -> None:
-    """Serve health checks and metrics by path until cancelled."""
-    serve = partial(_answer_connection, answers)
+    """Serve health checks, metrics and answers to queries by path until cancelled."""
+    serve = partial(_answer_connection, answers, queries)
     await trio.serve_listeners(serve, [listener])
 
 
 async def _answer_connection(
-    answers: dict[bytes, Answer], stream: trio.SocketStream
+    answers: Mapping[bytes, Answer],
+    queries: Mapping[bytes, QueryAnswer],
+    stream: trio.SocketStream,
 ) -> None:
     machine = h11.Connection(our_role=h11.SERVER)
     try:
@@ -159,9 +168,12 @@
                 if event is h11.NEED_DATA:
                     machine.receive_data(await stream.receive_some(4096))
                 elif isinstance(event, h11.Request):
-                    path = bytes(event.target).partition(b"?")[0]
+                    path, _, query = bytes(event.target).partition(b"?")
+                    answer = answers.get(path)
+                    if path in queries:
+                        answer = partial(queries[path], query)
                 elif isinstance(event, h11.EndOfMessage):
-                    await stream.send_all(_answer_bytes(machine, answers, path))
+                    await stream.send_all(_answer_bytes(machine, answer))
                     machine.start_next_cycle()
                     scope.deadline = trio.current_time() + HEALTH_REQUEST_TIMEOUT_S
                 elif not isinstance(event, h11.Data):
@@ -172,10 +184,7 @@
         await trio.aclose_forcefully(stream)
 
 
-def _answer_bytes(
-    machine: h11.Connection, answers: dict[bytes, Answer], path: bytes
-) -> bytes:
-    answer = answers.get(path)
+def _answer_bytes(machine: h11.Connection, answer: Answer | None) -> bytes:
     status, content_type, body = answer() if answer else (404, b"text/plain", b"")
     headers = [
         (b"content-type", content_type),
--- a/src/hemlocktrestle/edge/callers/_server.py
+++ b/src/hemlocktrestle/edge/callers/_server.py
@@ -7,7 +7,6 @@
 from typing import NamedTuple
 
 import trio
-import xxhash
 
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.edge.attempts._attempt import Attempt, SealedAnswer
@@ -15,6 +14,7 @@
 from hemlocktrestle.edge.attempts._attempt_sequence import AttemptSequence
 from hemlocktrestle.edge.attempts._part_gate import PartGate
 from hemlocktrestle.edge.callers._answer import error_answer
+from hemlocktrestle.edge.callers._identify import identify_request
 from hemlocktrestle.edge.callers._job import Job
 from hemlocktrestle.edge.callers._progress import RequestProgress
 from hemlocktrestle.edge.callers._quota_gate import EdgeQuotas, over_quota
@@ -27,12 +27,6 @@
 )
 from hemlocktrestle.edge.placing._quarantine_placer import QuarantinePlacer
 from hemlocktrestle.errors import ANSWERS, ErrorKind, RequestError, forget_frames
-from hemlocktrestle.gateway import (
-    EventSequence,
-    answer_due_ms,
-    choose_service,
-    urgency_rank,
-)
 from hemlocktrestle.quarantine import QuarantineRegistry
 from hemlocktrestle.relay import CallerConnection, CallerRequest
 
@@ -133,48 +127,12 @@
 
     def _admit(self, request: CallerRequest, progress: RequestProgress) -> Job:
         """Look up route, customer and service of a request, and check its quota."""
-        configuration = self._state.configuration
-        if not self._state.accepts_requests:
-            raise RequestError(
-                ErrorKind.DRAINING, "this VM is leaving", retry_after_ms=0.0
-            )
-        if configuration is None or not self._state.has_loaded_vms:
-            raise RequestError(
-                ErrorKind.SETTINGS_UNREADY, "no configuration is known yet"
-            )
         target = request.target.decode("latin-1")
         metadata = self._state.header_codec.parse_request(target, request.headers)
-        progress.request_id = metadata.request_id
-        route = configuration.route(metadata.host, metadata.path)
-        if route is None:
-            raise RequestError(ErrorKind.UNKNOWN_ROUTE, "no route for host and path")
-        progress.route = route.name
-        if route.may_resume:
-            progress.events = EventSequence(metadata.last_event_id)
-        customer = None
-        if configuration.customers and not route.is_public:
-            customer = configuration.customer_of(metadata.key)
-            if customer is None:
-                raise RequestError(ErrorKind.UNKNOWN_TOKEN, "key is not known")
-        name = choose_service(route, metadata.request_id)
-        service = configuration.services.get(name)
-        if service is None:
-            raise RequestError(ErrorKind.NO_UPSTREAM, "service is not configured")
-        job = Job(
-            request=request,
-            metadata=metadata,
-            route=route,
-            service=service,
-            customer=customer,
-            rank=urgency_rank(route, customer),
-            fingerprint=_fingerprint(request, metadata.key),
-            deadline_at_ms=answer_due_ms(
-                route, stated_ms=metadata.deadline_ms, arrived_ms=request.arrived_ms
-            ),
-        )
+        job = identify_request(self._state, request, metadata, progress)
         self._check_quarantine(job)
         self._spend_quota(job)
-        self._state.retry_budget(service.name).record_request(now_ms())
+        self._state.retry_budget(job.service.name).record_request(now_ms())
         return job
 
     def _check_quarantine(self, job: Job) -> None:
@@ -296,12 +254,6 @@
     return RequestError(ErrorKind.UPSTREAM_BROKEN, error.message)
 
 
-def _fingerprint(request: CallerRequest, key: str) -> str:
-    digest = xxhash.xxh3_128(request.body)
-    digest.update(b"\0".join((request.method, request.target, key.encode("latin-1"))))
-    return digest.hexdigest()
-
-
 def _deadline_error(progress: RequestProgress) -> RequestError:
     if progress.may_have_sent:
         return RequestError(ErrorKind.DEADLINE_RUNNING, "no answer in time")
--- a/src/hemlocktrestle/edge/placing/_permit_placer.py
+++ b/src/hemlocktrestle/edge/placing/_permit_placer.py
@@ -15,7 +15,7 @@
     AttemptReport,
     Placement,
 )
-from hemlocktrestle.edge.placing._way_planner import WayPlanner
+from hemlocktrestle.edge.placing._way_planner import RegionPlan, WayPlanner
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.peers import HeldPermit, PermitClient
 from hemlocktrestle.scheduler import WorkEstimates
@@ -136,6 +136,17 @@
         )
         return placement
 
+    def preview(self, job: Job) -> tuple[Ask, RegionPlan]:
+        """Return what would be asked for a request, and of which regions."""
+        unusable = self._fleet.replica_notices.unusable_ids(
+            job.service.name, frozenset()
+        )
+        ask = self._permit_request(job, frozenset(), unusable)
+        plan = self._ways.preview(
+            job, unusable, output_tokens=ask.output_tokens, now_ms=now_ms()
+        )
+        return ask, plan
+
     def _spend_locally(self, job: Job, ask: Ask) -> None:
         if job.customer is None or not ask.amount:
             return
--- a/src/hemlocktrestle/edge/placing/_way_planner.py
+++ b/src/hemlocktrestle/edge/placing/_way_planner.py
@@ -1,5 +1,6 @@
 """Where a request may go from this VM: its own zone, another one, another region."""
 
+import copy
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -39,10 +40,14 @@
 
 
 class RegionPlan(NamedTuple):
-    """The regions to ask, why, and the bytes that the request is expected to move."""
+    """The regions to ask, why, and the bytes that the request is expected to move.
+
+    ``options`` are the regions that may have a slot.
+    """
 
     order: RegionOrder
     size_bytes: int
+    options: tuple[RegionOption, ...] = ()
 
 
 class WayPlanner:
@@ -113,7 +118,18 @@
             left_ms=min(job.part_due_ms, job.deadline_at_ms) - now_ms,
         )
         regions = (*order.regions, *sorted(last))
-        return RegionPlan(RegionOrder(regions, order.reason), size_bytes)
+        return RegionPlan(
+            RegionOrder(regions, order.reason), size_bytes, tuple(options.values())
+        )
+
+    def preview(
+        self, job: Job, excluded: frozenset[str], *, output_tokens: int, now_ms: float
+    ) -> RegionPlan:
+        """Return what :meth:`plan` would, and change nothing."""
+        planner = copy.copy(self)
+        planner._choice = copy.deepcopy(self._choice)
+        planner._rooms = copy.deepcopy(self._rooms)
+        return planner.plan(job, excluded, output_tokens=output_tokens, now_ms=now_ms)
 
     def locate(self, placement: Placement) -> Placement:
         """State how far the replica of a placement is."""
--- a/src/hemlocktrestle/locality/_region_choice.py
+++ b/src/hemlocktrestle/locality/_region_choice.py
@@ -62,13 +62,28 @@
                 replicas.
             left_ms: the time that the caller has left.
         """
+        order, is_leaving = self.decide(pool, options, left_ms=left_ms)
+        if is_leaving:
+            self._leaving.add(pool)
+        elif is_leaving is not None:
+            self._leaving.discard(pool)
+        return order
+
+    def decide(
+        self, pool: str, options: Sequence[RegionOption], *, left_ms: float
+    ) -> tuple[RegionOrder, bool | None]:
+        """Order the regions without remembering it; see :meth:`order`.
+
+        Returns:
+            The order, and whether the pool's requests leave, ``None`` for as before.
+        """
         own = next((option for option in options if option.is_own), None)
         others = sorted(
             (option for option in options if not option.is_own),
             key=lambda option: (not option.has_room, option.served_ms, option.region),
         )
         if own is None:
-            return RegionOrder(_names(others), "no own replica")
+            return RegionOrder(_names(others), "no own replica"), None
         others = [option for option in others if option.way_ms < left_ms]
         factor = 1.0 if pool in self._leaving else LEAVE_FACTOR
         sooner = [
@@ -79,12 +94,10 @@
         first = [option for option in sooner if option.has_room]
         rest = [option for option in others if option not in first]
         if not sooner:
-            self._leaving.discard(pool)
-            return RegionOrder(_names([own, *rest]), "own region as soon")
+            return RegionOrder(_names([own, *rest]), "own region as soon"), False
         if not first:
-            return RegionOrder(_names([own, *rest]), "link full")
-        self._leaving.add(pool)
-        return RegionOrder(_names([*first, own, *rest]), "sooner elsewhere")
+            return RegionOrder(_names([own, *rest]), "link full"), None
+        return RegionOrder(_names([*first, own, *rest]), "sooner elsewhere"), True
 
 
 def _names(options: Sequence[RegionOption]) -> tuple[str, ...]:
--- a/src/hemlocktrestle/scheduler/__init__.py
+++ b/src/hemlocktrestle/scheduler/__init__.py
@@ -8,7 +8,7 @@
 from hemlocktrestle.scheduler import _fair_queue as _fair_queue
 from hemlocktrestle.scheduler import _slack_queue as _slack_queue
 from hemlocktrestle.scheduler._chooser import CHOOSERS, Chooser, chooser
-from hemlocktrestle.scheduler._core import PERMIT_VALID_MS, PoolScheduler
+from hemlocktrestle.scheduler._core import PERMIT_VALID_MS, PoolScheduler, Preview
 from hemlocktrestle.scheduler._early_refusal import (
     EARLY_REFUSALS,
     DeadlineForecast,
@@ -46,6 +46,7 @@
     "Outgoing",
     "PoolPolicy",
     "PoolScheduler",
+    "Preview",
     "QueuedAsk",
     "SlotBound",
     "UpstreamModel",
--- a/src/hemlocktrestle/scheduler/_core.py
+++ b/src/hemlocktrestle/scheduler/_core.py
@@ -6,6 +6,7 @@
 import math
 from collections import Counter
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from hemlocktrestle.documents import saturated
 from hemlocktrestle.errors import ErrorKind
@@ -46,6 +47,22 @@
 """Interval between checks for stragglers, in milliseconds."""
 
 
+class Preview(NamedTuple):
+    """Where a request would go now.
+
+    Args:
+        is_served: whether an upstream may take such a request, free or not.
+        record: the upstream that would take it, ``None`` if it would wait.
+        expected_ms: expected time to its whole answer.
+        reason: why it would stay in its zone or leave it, if it states one.
+    """
+
+    is_served: bool = True
+    record: UpstreamRecord | None = None
+    expected_ms: float = 0.0
+    reason: ZoneReason | None = None
+
+
 class PoolScheduler:
     """Queue, permits and upstream models of one pool in one scheduling domain.
 
@@ -211,6 +228,21 @@
         """Return what became of requests that waited since the last report."""
         return self._meter.report(self._queue.queued_asks(), now_ms)
 
+    def preview(self, vm: str, ask: Ask, now_ms: float) -> Preview:
+        """Return where a request would go now, and change nothing."""
+        waiting = QueuedAsk(ask, vm, now_ms, deadline_ms=now_ms + ask.deadline_ms)
+        if not self._upstreams.serves(ask.excluded):
+            return Preview(is_served=False)
+        model = self._choose(waiting, self._upstreams, now_ms)
+        if model is None:
+            return Preview()
+        return Preview(
+            True,
+            model.record,
+            model.expected_ms(ask, now_ms),
+            self._upstreams.zone_reason(model, ask) if ask.zone else None,
+        )
+
     def report_zones(self) -> Counter[ZoneReason]:
         """Return how often requests stayed in their zones since the last report."""
         reported, self._zone_choices = self._zone_choices, Counter()
--- a/tests/edge/test_processes.py
+++ b/tests/edge/test_processes.py
@@ -206,6 +206,9 @@
             self.assertEqual(401, refused.status)
             metrics = await fetch(started["metrics"], "/metrics")
             self.assertIn(b"hemlocktrestle_requests_total", metrics.content)
+            target = "/where?host=nobody.example&path=/a"
+            asked = await fetch(started["metrics"], target)
+            self.assertIn(b'"reason": "unknown_route"', asked.content)
             edge.process.send_signal(signal.SIGTERM)
             await edge.logged("signal_received", signal=15)
             self.assertEqual(503, (await fetch(started["ready"], "/ready")).status)
