Name the requester's zone when asking where a request goes

Only the scheduler's VM knows the replica, and it may lie in another zone than the VM that takes the request. The search among the least loaded for one of the requester's zone is left out where the pool has none there.

--- a/src/hemlocktrestle/cli/_where_commands.py
+++ b/src/hemlocktrestle/cli/_where_commands.py
@@ -11,7 +11,14 @@
 from hemlocktrestle.cli._registry import command
 from hemlocktrestle.errors import ErrorKind, RequestError
 
-_FIELDS = ("customer", "request_id", "prompt_tokens", "output_tokens", "deadline_ms")
+_FIELDS = (
+    "customer",
+    "request_id",
+    "prompt_tokens",
+    "output_tokens",
+    "deadline_ms",
+    "zone",
+)
 
 
 def _arguments(parser: argparse.ArgumentParser) -> None:
@@ -20,6 +27,7 @@
     parser.add_argument("path", help="path of the request")
     parser.add_argument("--customer", default="", help="name of the customer")
     parser.add_argument("--request-id", default="", help="id, which chooses a service")
+    parser.add_argument("--zone", default="", help="zone, if not that of the VM")
     parser.add_argument("--prompt-tokens", type=int, default=0)
     parser.add_argument("--output-tokens", type=int, default=0)
     parser.add_argument("--deadline-ms", type=int, default=0)
--- a/src/hemlocktrestle/edge/placing/_request_preview.py
+++ b/src/hemlocktrestle/edge/placing/_request_preview.py
@@ -33,7 +33,10 @@
 
 
 class PreviewQuery(NamedTuple):
-    """A request to explain; without a time it waits as long as its route allows."""
+    """A request to explain; without a time it waits as long as its route allows.
+
+    ``zone`` is that of the VM which would take it, empty for this VM's.
+    """
 
     host: str
     path: str
@@ -43,6 +46,7 @@
     output_tokens: int = 0
     deadline_ms: int = 0
     parts: tuple[str, ...] = ()
+    zone: str = ""
 
 
 class RequestPreview:
@@ -83,7 +87,7 @@
             job = self._identify(query)
             shown |= self._rules(job)
             self._check(job, shown)
-            shown |= self._placement(job)
+            shown |= self._placement(job, query.zone)
         except RequestError as error:
             shown |= {
                 "outcome": PreviewOutcome.REFUSED.value,
@@ -142,8 +146,9 @@
                 ErrorKind.QUARANTINED, "prompts with a part of this one crash replicas"
             )
 
-    def _placement(self, job: Job) -> dict[str, Any]:
+    def _placement(self, job: Job, zone: str) -> dict[str, Any]:
         ask, plan = self._placer.preview(job)
+        ask = ask._replace(zone=zone or ask.zone)
         if not plan.order.regions:
             raise RequestError(ErrorKind.NO_UPSTREAM, "no replica takes this work")
         region = plan.order.regions[0]
@@ -228,6 +233,7 @@
         output_tokens=_count(fields, "output_tokens"),
         deadline_ms=_count(fields, "deadline_ms"),
         parts=tuple(part for part in fields.get("parts", "").split(",") if part),
+        zone=fields.get("zone", ""),
     )
 
 
--- a/src/hemlocktrestle/scheduler/_upstream_set.py
+++ b/src/hemlocktrestle/scheduler/_upstream_set.py
@@ -70,6 +70,7 @@
         self._fastest_prefill = 0.0
         self._fastest_decode = 0.0
         self._slot_count = 0
+        self._zones: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._models)
@@ -100,6 +101,7 @@
         ]:
             del self._removed[name]
         self._slot_count = sum(model.slots for model in self)
+        self._zones = {model.record.zone for model in self}
         return is_changed
 
     @property
@@ -134,7 +136,7 @@
         free = self._free_by_class[_capacity_class(ask.tier, class_of(ask).is_long)]
         found: dict[str, UpstreamModel] = {}
         popped: list[tuple[float, str, int]] = []
-        has_near = not ask.zone
+        has_near = ask.zone not in self._zones
         while len(found) < CANDIDATE_COUNT or (
             not has_near and len(popped) < NEAR_SEARCH_COUNT
         ):
--- a/tests/edge/placing/test_request_preview.py
+++ b/tests/edge/placing/test_request_preview.py
@@ -17,7 +17,7 @@
 from hemlocktrestle.locality import RoundTrips
 from hemlocktrestle.peers import SchedulerTask
 from hemlocktrestle.platform import decode_settings
-from hemlocktrestle.wire import Message
+from hemlocktrestle.wire import Message, Withdraw
 from tests.gateway.records import configuration, customer, replica_update, route
 from tests.peers.test_scheduler_task import ask
 from tests.platform.documents import SETTINGS
@@ -90,6 +90,18 @@
         self.assertEqual("sooner", found["reason"])
         self.assertEqual(("vm-1", ["north"]), (found["scheduler"], found["regions"]))
 
+    async def test_another_zone_can_be_asked_for(self) -> None:
+        preview = self.preview()
+        self.fill(1)
+        self.task._schedulers["assistant"].withdraw(
+            Withdraw("a0", "assistant"), now_ms()
+        )
+        found = [
+            self.ask(preview, QUERY + b"&zone=" + zone)["replica"]
+            for zone in (b"z1", b"z2")
+        ]
+        self.assertEqual(["r1", "r2"], found)
+
     async def test_a_full_pool_tells_its_queue(self) -> None:
         preview = self.preview()
         self.fill(6)
