--- a/src/hemlocktrestle/edge/callers/_answer_listener.py
+++ b/src/hemlocktrestle/edge/callers/_answer_listener.py
@@ -1,7 +1,9 @@
 """Serves health checks and metrics, on connections that are bounded in number."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from functools import partial
+from types import MappingProxyType
 
 import h11
 import trio
@@ -22,6 +24,9 @@
 Answer = Callable[[], tuple[int, bytes, bytes]]
 """Returns status, content type and body of an answer."""
 
+QueryAnswer = Callable[[bytes], tuple[int, bytes, bytes]]
+"""Returns the answer to the query of a target."""
+
 
 class AnswerListener:
     """Serves fixed answers by path, such as health checks and metrics.
@@ -30,16 +35,19 @@
 
     Args:
         answers: the answers by path.
+        queries: the answers that depend on the query, by path.
         on_cut: called when a connection is closed before its time.
     """
 
     def __init__(
         self,
-        answers: dict[bytes, Answer],
+        answers: Mapping[bytes, Answer],
         *,
+        queries: Mapping[bytes, QueryAnswer] = MappingProxyType({}),
         on_cut: Callable[[CutReason], None] = lambda reason: None,
     ) -> None:
         self._answers = answers
+        self._queries = queries
         self._scopes: dict[int, trio.CancelScope] = {}
         self._last_number = 0
         self._on_cut = on_cut
@@ -70,13 +78,22 @@
     async def _serve(self, number: int, stream: trio.SocketStream) -> None:
         try:
             with self._scopes[number] as scope:
-                await _answer_connection(self._answers, stream, scope)
+                await _answer_connection(self._find, stream, scope)
         finally:
             del self._scopes[number]
 
+    def _find(self, target: bytes) -> Answer | None:
+        """Return what answers a target, ``None`` if nothing does."""
+        path, _, query = target.partition(b"?")
+        if path in self._queries:
+            return partial(self._queries[path], query)
+        return self._answers.get(path)
+
 
 async def _answer_connection(
-    answers: dict[bytes, Answer], stream: trio.SocketStream, scope: trio.CancelScope
+    find: Callable[[bytes], Answer | None],
+    stream: trio.SocketStream,
+    scope: trio.CancelScope,
 ) -> None:
     machine = h11.Connection(our_role=h11.SERVER)
     scope.deadline = trio.current_time() + REQUEST_TIMEOUT_S
@@ -86,9 +103,9 @@
             if event is h11.NEED_DATA:
                 machine.receive_data(await stream.receive_some(4096))
             elif isinstance(event, h11.Request):
-                path = bytes(event.target).partition(b"?")[0]
+                answer = find(bytes(event.target))
             elif isinstance(event, h11.EndOfMessage):
-                await stream.send_all(_answer_bytes(machine, answers, path))
+                await stream.send_all(_answer_bytes(machine, answer))
                 machine.start_next_cycle()
                 scope.deadline = trio.current_time() + REQUEST_TIMEOUT_S
             elif not isinstance(event, h11.Data):
@@ -99,10 +116,7 @@
         await trio.aclose_forcefully(stream)
 
 
-def _answer_bytes(
-    machine: h11.Connection, answers: dict[bytes, Answer], path: bytes
-) -> bytes:
-    answer = answers.get(path)
+def _answer_bytes(machine: h11.Connection, answer: Answer | None) -> bytes:
     status, content_type, body = answer() if answer else (404, b"text/plain", b"")
     headers = [
         (b"content-type", content_type),
