Take no part of an answer for a whole one, and no odd status

Cause: the system reports a reset of a connection once. If the write of a long upload got the report, `AnswerReader.send` dropped it, and the reader saw a plain end of the connection, which ends an answer without length. h11 takes statuses up to 999.

Change: an answer that ends with its connection is whole only if the whole request was written; while it is still being written, the reader waits for the outcome. A status above 599 is no answer, for every class: whole answers, streams, refusals. 000 and 099 were refused by h11 before.

--- a/src/hemlocktrestle/edge/attempts/_attempt.py
+++ b/src/hemlocktrestle/edge/attempts/_attempt.py
@@ -284,7 +284,7 @@
                     b"".join(event.data for event in events)
                 )
                 self._progress.record_events(len(events), now_ms())
-        if splitter.remainder and (is_continuation or not _has_framing(answer)):
+        if splitter.remainder and (is_continuation or not answer.has_framing):
             raise RequestError(
                 ErrorKind.UPSTREAM_BROKEN, "stream ended within an event"
             )
@@ -371,10 +371,3 @@
     log_replica_silent(
         progress, placement, silent_ms=now_ms() - heard_ms, action=action
     )
-
-
-def _has_framing(answer: ReplicaAnswer) -> bool:
-    """Tell whether the answer's framing marks its end, so that a cut is visible."""
-    return any(
-        name in {b"content-length", b"transfer-encoding"} for name, _ in answer.headers
-    )
--- a/src/hemlocktrestle/relay/_client.py
+++ b/src/hemlocktrestle/relay/_client.py
@@ -33,6 +33,12 @@
 INFORMATIONAL_MAX = 16
 """Most informational (1xx) responses before the final head of an answer."""
 
+STATUS_MAX = 599
+"""Highest status code of an answer (RFC 9110, section 15)."""
+
+_FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+"""Headers that mark the end of a body; without them its connection's end does."""
+
 
 class ConnectTimeoutError(RequestError):
     """A connect that got no reply, of kind ``UPSTREAM_UNREACHABLE``.
@@ -64,6 +70,11 @@
         self.headers = headers
         self._exchange = exchange
 
+    @property
+    def has_framing(self) -> bool:
+        """Whether a length or chunks mark the end, so that a cut is visible."""
+        return any(name in _FRAMING_HEADERS for name, _ in self.headers)
+
     async def body_chunks(self) -> AsyncIterator[bytes]:
         """Yield the chunks of the body as they arrive.
 
@@ -91,6 +102,9 @@
             our_role=h11.CLIENT, max_incomplete_event_size=HEAD_BYTES_MAX
         )
         self._informational_count = 0
+        self._sending_ended = trio.Event()
+        self._has_sent = False
+        self._ends_with_connection = False
 
     async def read_head(self) -> ReplicaAnswer:
         """Return the answer once its head has come.
@@ -101,7 +115,13 @@
         head = await self.next_event()
         if not isinstance(head, h11.Response):
             raise RequestError(ErrorKind.UPSTREAM_BROKEN, "replica sent no answer")
-        return ReplicaAnswer(head.status_code, tuple(head.headers), self)
+        if head.status_code > STATUS_MAX:
+            raise RequestError(
+                ErrorKind.UPSTREAM_BROKEN, f"no status of an answer: {head.status_code}"
+            )
+        answer = ReplicaAnswer(head.status_code, tuple(head.headers), self)
+        self._ends_with_connection = not answer.has_framing
+        return answer
 
     async def next_event(self) -> h11.Event:
         """Return the next event of the answer.
@@ -121,6 +141,8 @@
                     continue
                 if event is h11.NEED_DATA:
                     data = await self.stream.receive_some(RECEIVE_BYTES)
+                    if not data and self._ends_with_connection:
+                        await self._check_end()
                     self.machine.receive_data(bytes(data))
                     continue
                 if isinstance(event, h11.Event) and not isinstance(
@@ -139,6 +161,21 @@
                 ErrorKind.UPSTREAM_BROKEN, f"replica sent no valid answer: {error}"
             ) from error
 
+    async def _check_end(self) -> None:
+        """Check that the end of the connection is the end of an answer.
+
+        The system reports a reset only once.  If a write of the request gets the
+        report, the reader sees a plain end of the connection instead.
+
+        Raises:
+            RequestError: of kind ``UPSTREAM_BROKEN`` if the request was not written.
+        """
+        await self._sending_ended.wait()
+        if not self._has_sent:
+            raise RequestError(
+                ErrorKind.UPSTREAM_BROKEN, "connection broke while it was written to"
+            )
+
     def encode(self, request: ReplicaRequest) -> bytes:
         """Return the bytes of a request, before anything is received.
 
@@ -168,8 +205,12 @@
             await self.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The replica may have answered early, before it closed the connection:
-            # the reader returns that answer or raises.
+            # the reader returns that answer if it is whole, or raises.
             return
+        else:
+            self._has_sent = True
+        finally:
+            self._sending_ended.set()
 
 
 async def open_connection(address: str) -> trio.SocketStream:
--- a/tests/edge/attempts/test_replica_answers.py
+++ b/tests/edge/attempts/test_replica_answers.py
@@ -122,6 +122,34 @@
             self.assertEqual(502, reply.status)
 
 
+class StatusTests(TrioTestCase):
+    """An answer whose status is none is no answer, whatever its head states."""
+
+    async def test_a_status_out_of_range_is_no_answer(self) -> None:
+        """Guards against a status 600 that callers got, sealed or as a refusal."""
+        unrun = b"x-attempt-id: a1\r\nx-not-executed: 1\r\n"
+        for lines in (SEAL, SEAL + EVENT_STREAM, unrun):
+            for status in (b"000", b"099", b"600", b"999"):
+                data = framed(200, lines, b"done").replace(b"200", status, 1)
+                with self.subTest(lines=lines, status=status):
+                    harness = EdgeHarness(
+                        self, {"r1": raw(data), "r2": answer_ok}, found=ONCE
+                    )
+                    reply = await harness.send(method="POST", body=b"wipe")
+                    self.assertEqual(
+                        (502, ["r1"]), (reply.status, harness.reached_replicas())
+                    )
+
+    async def test_a_repeatable_request_goes_to_another_replica(self) -> None:
+        """A replica that answers so has failed; its caller gets another's answer."""
+        data = framed(200, SEAL, b"done").replace(b"200", b"600", 1)
+        harness = EdgeHarness(self, {"r1": raw(data), "r2": answer_ok})
+        reply = await harness.send()
+        self.assertEqual(
+            (200, ["r1", "r2"]), (reply.status, harness.reached_replicas())
+        )
+
+
 class ResumedStreamTests(TrioTestCase):
     """A broken stream goes on only with the events that follow, or is visibly cut."""
 
