Keep connections to replicas for requests that may run again

Cause: each request opened a connection: a round trip, a slot of the replica for a moment, and a price.

Change: after an answer that was relayed whole, the connection is kept for the time that the replica states less a margin, in the VM's share of a quarter of what the replica accepts (the services' number of connections is decoded now). Only idempotent requests and streams that resume, with bodies up to 16 KB, are sent on one. If it had ended, had gone silent or had another request's answer in it, they go to the same replica once more on a new connection, within the retry budget; a refusal after that promises nothing. Nothing changes where one of the two isn't stated.

Decisions have tests without a network; tests/edge/attempts/test_kept_connections.py drives stand-ins over sockets. In test_permit_placer.py the attempt gets a real state and request instead of None, as it looks at both now; what it checks is unchanged.

--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -163,7 +163,10 @@
             jitter=jitter,
         )
         descriptors = (
-            settings.descriptors_max - PLATFORM_DESCRIPTORS - INTERNAL_DESCRIPTORS
+            settings.descriptors_max
+            - PLATFORM_DESCRIPTORS
+            - INTERNAL_DESCRIPTORS
+            - self.state.kept_connections.count_max
         )
         self._caller_listener = CallerListener(
             self.state,
@@ -215,6 +218,7 @@
             )
             nursery.start_soon(self._scheduler_task.run)
             nursery.start_soon(self._peers.probe)
+            nursery.start_soon(self.state.kept_connections.run)
             nursery.start_soon(self._stall_monitor.run)
             nursery.start_soon(self._report_held_permits)
             nursery.start_soon(self._crash_monitor.run)
@@ -276,6 +280,7 @@
 
     def _gauges(self, dropped_count: Callable[[], int]) -> Gauges:
         health = self._health
+        kept = self.state.kept_connections
         return Gauges(
             running=lambda: self._server.running_count,
             connections=lambda: self._caller_listener.connection_count,
@@ -297,6 +302,10 @@
             replicas_leaving=lambda: len(self.state.replica_notices.leaving),
             parts_quarantined=lambda: self._peers.part_gate.quarantined_count,
             part_refusals=lambda: self._peers.part_gate.refused_count,
+            replica_connections_opened=lambda: kept.opened_count,
+            replica_connections_reused=lambda: kept.reused_count,
+            replica_connections_dead=lambda: kept.dead_count,
+            replica_connections_idle=lambda: kept.count,
         )
 
     def _labelled_gauges(self) -> LabelledGauges:
--- a/src/hemlocktrestle/edge/_metrics.py
+++ b/src/hemlocktrestle/edge/_metrics.py
@@ -61,6 +61,10 @@
     replicas_paused: Callable[[], float]
     parts_quarantined: Callable[[], float]
     part_refusals: Callable[[], float]
+    replica_connections_opened: Callable[[], float]
+    replica_connections_reused: Callable[[], float]
+    replica_connections_dead: Callable[[], float]
+    replica_connections_idle: Callable[[], float]
 
 
 class LabelledGauges(NamedTuple):
@@ -93,6 +97,10 @@
     "replicas_paused": "Replicas that asked this VM for a pause that lasts.",
     "parts_quarantined": "Parts of prompts that are refused for crashing replicas.",
     "part_refusals": "Requests refused for a part of their prompts, since the start.",
+    "replica_connections_opened": "New connections to replicas, since the start.",
+    "replica_connections_reused": "Requests sent on kept connections, since the start.",
+    "replica_connections_dead": "Kept connections that had ended, since the start.",
+    "replica_connections_idle": "Connections to replicas that are kept idle.",
     "pool_oldest_in_hand_ms": "Age of the oldest request counted as in hand.",
     "pool_queued_asks": "Asks that wait in front of a pool kept here.",
     "pool_oldest_queued_ms": "How long the oldest ask has waited for a pool kept here.",
--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -5,6 +5,10 @@
 
 import trio
 
+from hemlocktrestle.edge.attempts._kept_connections import (
+    KeptConnections,
+    kept_count_max,
+)
 from hemlocktrestle.edge.callers._shutdown import Phase, Shutdown
 from hemlocktrestle.edge.replicas._replica_notices import ReplicaNotices
 from hemlocktrestle.gateway import (
@@ -63,6 +67,12 @@
         self.request_budget = BodyMemoryBudget(body_bytes_max)
         self.answer_budget = BodyMemoryBudget(body_bytes_max)
         self._retry_budgets: dict[str, RetryBudget] = {}
+        self.kept_connections = KeptConnections(
+            kept_count_max(settings.descriptors_max),
+            now_ms=now_ms,
+            is_usable=self.replica_notices.is_usable,
+            is_closing=lambda: self.is_draining,
+        )
 
     @property
     def is_draining(self) -> bool:
--- a/src/hemlocktrestle/edge/attempts/_attempt.py
+++ b/src/hemlocktrestle/edge/attempts/_attempt.py
@@ -8,7 +8,11 @@
 import trio
 
 from hemlocktrestle.edge._state import EdgeState, now_ms
-from hemlocktrestle.edge.attempts._attempt_log import log_replica_silent
+from hemlocktrestle.edge.attempts._attempt_log import (
+    log_kept_connection_dead,
+    log_replica_silent,
+)
+from hemlocktrestle.edge.attempts._reuse import ReusePolicy
 from hemlocktrestle.edge.attempts._silence import SilenceMonitor, SuccessorSearch
 from hemlocktrestle.edge.callers._answer_body import AnswerBody
 from hemlocktrestle.edge.callers._job import Job
@@ -84,13 +88,16 @@
         self._job = job
         self.placement = placement
         self._stream: trio.abc.Stream | None = None
+        self._reuse = ReusePolicy(state, job, placement)
         self._connection = connection
         self._progress = progress
         self._started_ms = now_ms()
         # It does not refer to the attempt: a cycle would keep the bodies of both.
         self._silence = SilenceMonitor(
             successors,
-            on_silent=partial(_log_silence, progress, placement, self._started_ms),
+            on_silent=partial(
+                log_replica_silent, progress, placement, self._started_ms
+            ),
         )
         self._first_ms = 0.0
         self._usual_first_ms = 0.0
@@ -127,6 +134,11 @@
     async def connect(self) -> bool:
         """Open the connection; return whether there is one, else see ``unsent_end``."""
         self._progress.connect_count += 1
+        return await self._open()
+
+    async def _open(self) -> bool:
+        self._stream = None
+        self._state.kept_connections.opened_count += 1
         try:
             self._stream = await open_connection(self.placement.address)
         except ConnectTimeoutError as error:
@@ -137,6 +149,7 @@
             self.failure = error
             forget_frames(error)
             self.unsent_end = AttemptEnd.UNREACHABLE
+        self._reuse.record_end(self.unsent_end)
         return self._stream is not None
 
     async def close(self) -> None:
@@ -146,6 +159,7 @@
 
     async def run(self) -> AttemptReport:
         """Send the request and relay the answer; return how the attempt ended."""
+        self._stream = self._stream or self._reuse.take()
         if self._stream is None and not await self.connect():
             return self.report(self.unsent_end)
         assert self._stream is not None
@@ -153,8 +167,8 @@
         progress.send_count += 1
         progress.replicas.append(self.placement.replica_id)
         progress.waited_ms += self.placement.waited_ms
-        had_sent_before = progress.may_have_sent
-        progress.may_have_sent = True
+        was_sent, progress.may_have_sent = progress.may_have_sent, True
+        runs_count = progress.runs_count
         progress.runs_count += 1
         end = AttemptEnd.BROKEN
         left_ms = self._job.part_due_ms - now_ms()
@@ -164,11 +178,12 @@
             limit_ms = times.first_limit_ms(self._job.route.name, left_ms)
             self._silence.expect_within(limit_ms / 1000)
         try:
-            async with (
-                self._silence.guard(),
-                exchange(self._stream, self._replica_request()) as reader,
-            ):
-                end = await self._receive(reader)
+            async with self._silence.guard():
+                end = await self._exchange(self._stream)
+                if self._reuse.may_send_again(end) and await self._open():
+                    log_kept_connection_dead(progress, self.placement)
+                    was_sent, runs_count = True, progress.runs_count
+                    end = await self._exchange(self._stream)
             if self._silence.has_ended_attempt:
                 end = AttemptEnd.SILENT
                 progress.silent_count += 1
@@ -178,10 +193,26 @@
         except* RequestError as errors:
             self.failure = first_leaf(errors)
         if end is AttemptEnd.NOT_RUN:
-            progress.runs_count -= 1
-            progress.may_have_sent = had_sent_before
+            progress.runs_count = runs_count
+            progress.may_have_sent = was_sent
+        self._reuse.record_end(end)
         return self.report(end)
 
+    async def _exchange(self, stream: trio.abc.Stream) -> AttemptEnd:
+        """Send the request on a connection, which may be kept after a whole answer."""
+        end = AttemptEnd.BROKEN
+        self.status, self.failure = 0, None
+        request = self._replica_request()
+        self._reuse.start()
+        async with exchange(
+            stream, request, keep=lambda whole: self._reuse.keep(whole, end)
+        ) as reader:
+            # The frame of a cancelled request may outlive it.
+            del request
+            end = await self._receive(reader)
+            self._reuse.is_unacknowledged = reader.is_unacknowledged
+        return end
+
     async def _receive(self, reader: AnswerReader) -> AttemptEnd:
         """Relay the answer.
 
@@ -218,6 +249,7 @@
         self.status = answer.status
         metadata = self._state.header_codec.parse_answer(answer.headers)
         self._state.replica_notices.on_answer(self.placement, answer.status, metadata)
+        self._reuse.on_head(metadata)
         verdict = classify_answer(
             answer.status,
             metadata,
@@ -362,12 +394,3 @@
     AnswerClass.STREAM: Attempt._relay_events,
 }
 """How the answers of each class are relayed."""
-
-
-def _log_silence(
-    progress: RequestProgress, placement: Placement, started_ms: float, action: str
-) -> None:
-    heard_ms = max(started_ms, progress.last_event_ms)
-    log_replica_silent(
-        progress, placement, silent_ms=now_ms() - heard_ms, action=action
-    )
--- a/src/hemlocktrestle/edge/attempts/_attempt_log.py
+++ b/src/hemlocktrestle/edge/attempts/_attempt_log.py
@@ -2,6 +2,8 @@
 
 import logging
 
+import trio
+
 from hemlocktrestle.edge.callers._progress import RequestProgress
 from hemlocktrestle.edge.placing._placement import Placement
 from hemlocktrestle.errors import RequestError
@@ -10,13 +12,11 @@
 
 
 def log_replica_silent(
-    progress: RequestProgress,
-    placement: Placement,
-    *,
-    silent_ms: float,
-    action: str,
+    progress: RequestProgress, placement: Placement, started_ms: float, action: str
 ) -> None:
     """Log that a replica sent nothing of use for its time limit."""
+    heard_ms = max(started_ms, progress.last_event_ms)
+    silent_ms = trio.current_time() * 1000 - heard_ms
     log.info(
         "replica_silent",
         extra={
@@ -29,6 +29,14 @@
     )
 
 
+def log_kept_connection_dead(progress: RequestProgress, placement: Placement) -> None:
+    """Log that a request is sent again, as its kept connection was of no use."""
+    log.info(
+        "kept_connection_dead",
+        extra={"request": progress.request_id, "replica": placement.replica_id},
+    )
+
+
 def log_answer_cut(error: RequestError, progress: RequestProgress) -> None:
     """Log that an answer that had begun ends without its end."""
     log.info(
--- a/src/hemlocktrestle/edge/replicas/_replica_notices.py
+++ b/src/hemlocktrestle/edge/replicas/_replica_notices.py
@@ -14,6 +14,7 @@
 from hemlocktrestle.gateway import (
     AnswerMetadata,
     Incarnation,
+    KeptKey,
     LeavingIncarnations,
     Pause,
     ReplicaPauses,
@@ -147,6 +148,16 @@
             found = self._obstacles(service, excluded).get(replica_id)
         return found
 
+    def is_usable(self, key: KeptKey) -> bool:
+        """Tell whether a replica still runs, as connected to, and takes requests."""
+        incarnation = self._registry.incarnation(key.replica_id)
+        return (
+            self._registry.find(key.replica_id) is not None
+            and incarnation.born_ms == key.born_ms
+            and not self._registry.departure(key.replica_id, key.address)
+            and self._lasting_obstacle(key.replica_id) is None
+        )
+
     def start_attempt(self, placement: Placement) -> Placement:
         """Return a placement that is about to be used, with what it is sent to."""
         incarnation = self._registry.incarnation(placement.replica_id)
--- a/src/hemlocktrestle/gateway/__init__.py
+++ b/src/hemlocktrestle/gateway/__init__.py
@@ -23,6 +23,12 @@
 from hemlocktrestle.gateway._event_sequence import ID_DIGITS_MAX, EventSequence
 from hemlocktrestle.gateway._events import EventSplitter, StreamEvent
 from hemlocktrestle.gateway._fleet_demand import FleetDemand
+from hemlocktrestle.gateway._idle_connections import (
+    IdleConnections,
+    KeptKey,
+    idle_limit_ms,
+    kept_per_replica,
+)
 from hemlocktrestle.gateway._leaving import (
     BORN_UNKNOWN,
     Incarnation,
@@ -62,7 +68,9 @@
     "FleetDemand",
     "FleetSnapshot",
     "Headers",
+    "IdleConnections",
     "Incarnation",
+    "KeptKey",
     "LeavingIncarnations",
     "Pause",
     "Quota",
@@ -82,6 +90,8 @@
     "bounded_pause_ms",
     "choose_service",
     "classify_answer",
+    "idle_limit_ms",
+    "kept_per_replica",
     "part_due_ms",
     "urgency_rank",
 ]
--- a/src/hemlocktrestle/gateway/_configuration.py
+++ b/src/hemlocktrestle/gateway/_configuration.py
@@ -71,10 +71,18 @@
 
 
 class Service(NamedTuple):
-    """One service; ``engine`` is ``None`` for plain services."""
+    """One service.
+
+    Args:
+        name: the operator's name of the service.
+        engine: limits of its engines, ``None`` for plain services.
+        connections_max: connections that each replica accepts from all VMs, 0 if that
+            is not stated.
+    """
 
     name: str
     engine: EngineLimits | None
+    connections_max: int = 0
 
 
 class Customer(NamedTuple):
--- a/src/hemlocktrestle/gateway/_request.py
+++ b/src/hemlocktrestle/gateway/_request.py
@@ -60,6 +60,8 @@
         is_leaving: whether the replica states that it leaves.
         pause_ms: how long the replica asks for a pause, ``None`` if it does not; any
             number, and NaN for what is none.
+        idle_timeout_ms: after which time the replica closes the connection if it is
+            idle, ``None`` if that is not stated.
     """
 
     is_sealed: bool
@@ -69,3 +71,4 @@
     is_event_stream: bool
     is_leaving: bool = False
     pause_ms: float | None = None
+    idle_timeout_ms: float | None = None
--- a/src/hemlocktrestle/platform/_configuration.py
+++ b/src/hemlocktrestle/platform/_configuration.py
@@ -84,6 +84,7 @@
 class _Service(TypedDict):
     name: Text
     engine: NotRequired[_Engine | None]
+    maxConns: NotRequired[Count | None]
 
 
 @with_config(_IGNORE_EXTRA)
@@ -194,6 +195,7 @@
             engine["slots"],
             engine.get("stride", 1),
         ),
+        connections_max=raw.get("maxConns") or 0,
     )
 
 
--- a/src/hemlocktrestle/platform/_headers.py
+++ b/src/hemlocktrestle/platform/_headers.py
@@ -22,6 +22,10 @@
 _LEAVING = b"server-leaving"
 # Seconds, also fractions.
 _PAUSE = b"retry-after"
+# Parameters; the timeout in whole seconds.
+_KEEP_ALIVE = b"keep-alive"
+
+_IDLE_TIMEOUT = re.compile(r"(?:^|,)\s*timeout\s*=\s*([0-9]{1,6})\s*(?:,|$)")
 
 _PROMPT_PART = re.compile(r"\s*([0-9a-f]{1,64}):[0-9]+\s*", re.IGNORECASE)
 
@@ -141,6 +145,7 @@
                 name == _LEAVING and value.strip() == b"1" for name, value in headers
             ),
             pause_ms=_stated_ms(_text(lines, _PAUSE)) if _PAUSE in lines else None,
+            idle_timeout_ms=_idle_timeout_ms(_text(lines, _KEEP_ALIVE)),
         )
 
     def forwarded_answer_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
@@ -182,6 +187,11 @@
         return math.nan
 
 
+def _idle_timeout_ms(parameters: str) -> float | None:
+    found = _IDLE_TIMEOUT.search(parameters.lower())
+    return int(found[1]) * 1000.0 if found is not None else None
+
+
 def _count(text: str) -> int:
     return int(_number(text, COUNT_MAX) or 0)
 
--- a/src/hemlocktrestle/relay/__init__.py
+++ b/src/hemlocktrestle/relay/__init__.py
@@ -10,6 +10,7 @@
     exchange,
     open_connection,
 )
+from hemlocktrestle.relay._reuse import is_quiet, limit_unacknowledged
 from hemlocktrestle.relay._server import CallerConnection
 
 __all__ = [
@@ -23,5 +24,7 @@
     "ReplicaRequest",
     "RequestBody",
     "exchange",
+    "is_quiet",
+    "limit_unacknowledged",
     "open_connection",
 ]
--- a/src/hemlocktrestle/relay/_client.py
+++ b/src/hemlocktrestle/relay/_client.py
@@ -1,11 +1,14 @@
-"""HTTP client for replicas: one connection per request.
+"""HTTP client for replicas: one request at a time on a connection.
 
-Connections are not reused.  An answer can therefore only belong to its own request,
-no request meets a connection that died while idle, and closing the connection tells
-the replica to stop.
+A connection may be used again only after an answer that was whole by its own framing
+and after which nothing came.  After anything else it is closed, which tells the
+replica to stop.  The caller of :func:`exchange` decides whether it is kept: an answer
+names its request, and a request meets a connection that died while idle only if it
+may be sent again (``docs/design/kept-connections.md``).
 """
 
-from collections.abc import AsyncIterator
+import errno
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import NamedTuple
 
@@ -105,6 +108,20 @@
         self._sending_ended = trio.Event()
         self._has_sent = False
         self._ends_with_connection = False
+        self.is_unacknowledged = False
+        self.received_s = 0.0
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether request and answer are whole, and nothing came before or after."""
+        machine = self.machine
+        return (
+            self._has_sent
+            and not self._informational_count
+            and machine.our_state is h11.DONE
+            and machine.their_state is h11.DONE
+            and machine.trailing_data == (b"", False)
+        )
 
     async def read_head(self) -> ReplicaAnswer:
         """Return the answer once its head has come.
@@ -143,6 +160,7 @@
                     data = await self.stream.receive_some(RECEIVE_BYTES)
                     if not data and self._ends_with_connection:
                         await self._check_end()
+                    self.received_s = trio.current_time()
                     self.machine.receive_data(bytes(data))
                     continue
                 if isinstance(event, h11.Event) and not isinstance(
@@ -153,6 +171,10 @@
                     ErrorKind.UPSTREAM_BROKEN, "replica closed the connection"
                 )
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            cause = error.__cause__
+            self.is_unacknowledged = (
+                isinstance(cause, OSError) and cause.errno == errno.ETIMEDOUT
+            )
             raise RequestError(
                 ErrorKind.UPSTREAM_BROKEN, "connection to replica broke"
             ) from error
@@ -249,29 +271,45 @@
     return trio.SocketStream(sock)
 
 
+def _close_always(reader: AnswerReader) -> bool:
+    """Keep no connection."""
+    return False
+
+
 @asynccontextmanager
 async def exchange(
-    stream: trio.abc.Stream, request: ReplicaRequest
+    stream: trio.abc.Stream,
+    request: ReplicaRequest,
+    *,
+    keep: Callable[[AnswerReader], bool] = _close_always,
 ) -> AsyncIterator[AnswerReader]:
-    """Send a request on a new connection and yield the reader of its answer.
+    """Send a request on an idle connection and yield the reader of its answer.
 
-    The connection is closed on exit, even if the answer was not read to its end.
+    The connection is closed on exit, even if the answer was not read to its end,
+    unless it is in order for another request and kept.
 
     Args:
         stream: the connection.
         request: the request.
+        keep: takes over the connection of a reader, or returns ``False``; called if
+            it may be used again.
 
     Raises:
         RequestError: of kind ``INTERNAL`` if the request is not valid HTTP.
     """
-    async with AsyncExitStack() as stack:
-        stack.push_async_callback(trio.aclose_forcefully, stream)
-        reader = AnswerReader(stream)
-        data = reader.encode(request)
-        nursery = await stack.enter_async_context(trio.open_nursery())
-        stack.callback(nursery.cancel_scope.cancel)
-        # The replica may answer before it has read the whole request.
-        nursery.start_soon(reader.send, data)
-        # The frame of a cancelled request may outlive it.
-        del request, data
-        yield reader
+    is_kept = False
+    try:
+        async with AsyncExitStack() as stack:
+            reader = AnswerReader(stream)
+            data = reader.encode(request)
+            nursery = await stack.enter_async_context(trio.open_nursery())
+            stack.callback(nursery.cancel_scope.cancel)
+            # The replica may answer before it has read the whole request.
+            nursery.start_soon(reader.send, data)
+            # The frame of a cancelled request may outlive it.
+            del request, data
+            yield reader
+        is_kept = reader.is_reusable and keep(reader)
+    finally:
+        if not is_kept:
+            await trio.aclose_forcefully(stream)
--- a/tests/edge/placing/test_permit_placer.py
+++ b/tests/edge/placing/test_permit_placer.py
@@ -57,9 +57,10 @@
 
         self.patch(_attempt, "open_connection", open_connection)
         unused: Any = None
+        _, state = _placer(unused)
         attempt = Attempt(
-            unused,
-            unused,
+            state,
+            _job(),
             PLACEMENT,
             unused,
             RequestProgress(),
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -71,6 +71,7 @@
         self.assertTrue(stream.may_retry and not log.may_retry)
         self.assertEqual((Target("ledger", 90), Target("ledger-2", 10)), log.targets)
         self.assertEqual(EngineLimits(12, 5), found.services["assistant"].engine)
+        self.assertEqual(96, found.services["ledger"].connections_max)
         owner = found.customer_of("k2")
         self.assertEqual("clinics", owner.name if owner else "")
 
@@ -124,6 +125,7 @@
             "routes.0.attempts",
             "services.0.engine.slots",
             "services.0.engine.stride",
+            "services.0.maxConns",
             "limits.maxBodyBytes",
             "limits.headerTimeoutMs",
             "tenants.0.priority",
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -215,6 +215,21 @@
             self.assertTrue(math.isnan(metadata.pause_ms or 0.0), value)
         self.assertIsNone(HeaderCodec().parse_answer(self.HEAD).pause_ms)
 
+    def test_the_time_of_an_idle_connection_is_stated_in_whole_seconds(self) -> None:
+        """What is no such number says nothing."""
+        for value, idle_ms in (
+            (b"timeout=10", 10_000.0),
+            (b"max=5, Timeout = 2", 2_000.0),
+            (b"timeout=0", 0.0),
+            (b"timeout=1.5", None),
+            (b"timeout=-1", None),
+            (b"notimeout=3", None),
+            (b"timeout", None),
+        ):
+            metadata = HeaderCodec().parse_answer(((b"keep-alive", value),))
+            self.assertEqual(idle_ms, metadata.idle_timeout_ms, str(value))
+        self.assertIsNone(HeaderCodec().parse_answer(()).idle_timeout_ms)
+
     def test_hop_by_hop_headers_are_dropped(self) -> None:
         """Hop-by-hop headers are dropped, and all others are forwarded unchanged."""
         lines = HeaderCodec().forwarded_answer_headers(self.HEAD)
