--- a/src/hemlocktrestle/edge/attempts/_attempt.py
+++ b/src/hemlocktrestle/edge/attempts/_attempt.py
@@ -1,6 +1,6 @@
 """One attempt to send a request to a replica and relay its answer."""
 
-from collections.abc import AsyncGenerator, Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import AsyncExitStack, ExitStack, aclosing
 from functools import partial
 from typing import NamedTuple
@@ -12,6 +12,7 @@
     log_kept_connection_dead,
     log_replica_silent,
 )
+from hemlocktrestle.edge.attempts._event_reader import EventReader
 from hemlocktrestle.edge.attempts._reuse import ReusePolicy
 from hemlocktrestle.edge.attempts._silence import SilenceMonitor, SuccessorSearch
 from hemlocktrestle.edge.callers._answer_body import AnswerBody
@@ -24,7 +25,6 @@
     EventSplitter,
     ExpectedAnswer,
     RequestKind,
-    StreamEvent,
     classify_answer,
 )
 from hemlocktrestle.relay import (
@@ -88,7 +88,7 @@
         self._job = job
         self.placement = placement
         self._stream: trio.abc.Stream | None = None
-        self._reuse = ReusePolicy(state, job, placement)
+        self.reuse = ReusePolicy(state, job, placement)
         self._connection = connection
         self._progress = progress
         self._started_ms = now_ms()
@@ -134,10 +134,6 @@
     async def connect(self) -> bool:
         """Open the connection; return whether there is one, else see ``unsent_end``."""
         self._progress.connect_count += 1
-        return await self._open()
-
-    async def _open(self) -> bool:
-        self._stream = None
         self._state.kept_connections.opened_count += 1
         try:
             self._stream = await open_connection(self.placement.address)
@@ -149,7 +145,7 @@
             self.failure = error
             forget_frames(error)
             self.unsent_end = AttemptEnd.UNREACHABLE
-        self._reuse.record_end(self.unsent_end)
+        self.reuse.record_end(self.unsent_end)
         return self._stream is not None
 
     async def close(self) -> None:
@@ -159,7 +155,9 @@
 
     async def run(self) -> AttemptReport:
         """Send the request and relay the answer; return how the attempt ended."""
-        self._stream = self._stream or self._reuse.take()
+        if self._stream is None:
+            self._stream = self.reuse.take(self._progress.runs_count)
+            self._progress.connect_count += self.reuse.has_taken
         if self._stream is None and not await self.connect():
             return self.report(self.unsent_end)
         assert self._stream is not None
@@ -167,8 +165,8 @@
         progress.send_count += 1
         progress.replicas.append(self.placement.replica_id)
         progress.waited_ms += self.placement.waited_ms
-        was_sent, progress.may_have_sent = progress.may_have_sent, True
-        runs_count = progress.runs_count
+        had_sent_before = progress.may_have_sent
+        progress.may_have_sent = True
         progress.runs_count += 1
         end = AttemptEnd.BROKEN
         left_ms = self._job.part_due_ms - now_ms()
@@ -180,10 +178,6 @@
         try:
             async with self._silence.guard():
                 end = await self._exchange(self._stream)
-                if self._reuse.may_send_again(end) and await self._open():
-                    log_kept_connection_dead(progress, self.placement)
-                    was_sent, runs_count = True, progress.runs_count
-                    end = await self._exchange(self._stream)
             if self._silence.has_ended_attempt:
                 end = AttemptEnd.SILENT
                 progress.silent_count += 1
@@ -193,24 +187,25 @@
         except* RequestError as errors:
             self.failure = first_leaf(errors)
         if end is AttemptEnd.NOT_RUN:
-            progress.runs_count = runs_count
-            progress.may_have_sent = was_sent
-        self._reuse.record_end(end)
+            progress.runs_count -= 1
+            progress.may_have_sent = had_sent_before
+        progress.met_dead_connection = self.reuse.record_end(end)
+        if progress.met_dead_connection:
+            log_kept_connection_dead(progress, self.placement)
         return self.report(end)
 
     async def _exchange(self, stream: trio.abc.Stream) -> AttemptEnd:
         """Send the request on a connection, which may be kept after a whole answer."""
         end = AttemptEnd.BROKEN
-        self.status, self.failure = 0, None
         request = self._replica_request()
-        self._reuse.start()
+        self.reuse.start()
         async with exchange(
-            stream, request, keep=lambda whole: self._reuse.keep(whole, end)
+            stream, request, keep=lambda whole: self.reuse.keep(whole, end)
         ) as reader:
             # The frame of a cancelled request may outlive it.
             del request
             end = await self._receive(reader)
-            self._reuse.is_unacknowledged = reader.is_unacknowledged
+            self.reuse.is_unacknowledged = reader.is_unacknowledged
         return end
 
     async def _receive(self, reader: AnswerReader) -> AttemptEnd:
@@ -249,7 +244,7 @@
         self.status = answer.status
         metadata = self._state.header_codec.parse_answer(answer.headers)
         self._state.replica_notices.on_answer(self.placement, answer.status, metadata)
-        self._reuse.on_head(metadata)
+        self.reuse.on_head(metadata)
         verdict = classify_answer(
             answer.status,
             metadata,
@@ -298,13 +293,20 @@
     async def _relay_events(self, answer: ReplicaAnswer) -> AttemptEnd:
         is_continuation = self._connection.is_answer_started
         splitter = EventSplitter()
+        reader = EventReader(
+            self._state,
+            self._job,
+            self._progress,
+            self._silence,
+            may_be_replaced=self._may_be_replaced,
+        )
         headers = self._state.header_codec.forwarded_answer_headers(answer.headers)
         headers = [line for line in headers if line[0] != b"content-length"]
         self._progress.events.start_answer()
         async with AsyncExitStack() as stack:
             share = stack.enter_context(BudgetShare(self._state.answer_budget))
             batches = await stack.enter_async_context(
-                aclosing(self._event_batches(answer, splitter, share))
+                aclosing(reader.batches(answer, splitter, share))
             )
             async for events in batches:
                 if not self._event_count:
@@ -326,49 +328,6 @@
         await self._connection.finish()
         return AttemptEnd.RELAYED
 
-    async def _event_batches(
-        self, answer: ReplicaAnswer, splitter: EventSplitter, share: BudgetShare
-    ) -> AsyncGenerator[list[StreamEvent], None]:
-        """Yield the events that each piece completes; the time limit bounds each wait.
-
-        Bytes that complete no event do not extend the wait.
-
-        Raises:
-            RequestError: of kind ``UPSTREAM_BROKEN`` if an event does not follow, or
-                if no memory is left for an event.
-        """
-        sequence = self._progress.events
-        answer_times = self._state.answer_times
-        route = self._job.route
-        heard_ms = 0.0
-        async for piece in answer.body_chunks():
-            events = splitter.feed(piece)
-            if not share.resize(splitter.buffered_bytes):
-                raise RequestError(
-                    ErrorKind.UPSTREAM_BROKEN, "no memory is left for events"
-                )
-            taken: list[StreamEvent] = []
-            if events and sequence.follows(events[0]):
-                await self._silence.suspend()
-                if heard_ms:
-                    answer_times.learn_gap(route.name, now_ms() - heard_ms)
-                # An event counts as the caller's only once it is certain to be sent.
-                taken = sequence.take(events)
-                yield taken
-                heard_ms = now_ms()
-                if self._may_be_replaced:
-                    left_ms = min(
-                        route.patience_ms, self._job.deadline_at_ms - heard_ms
-                    )
-                    limit_ms = answer_times.gap_limit_ms(route.name, left_ms)
-                    self._silence.expect_within(limit_ms / 1000)
-            if len(taken) < len(events):
-                raise RequestError(
-                    ErrorKind.UPSTREAM_BROKEN,
-                    f"event does not follow event {sequence.last_id[:20]!r}",
-                )
-        await self._silence.stop()
-
     def _record_events(self, count: int) -> None:
         """Count received events and report the stream's speed once, early."""
         before_count = self._event_count
--- a/src/hemlocktrestle/edge/attempts/_attempt_log.py
+++ b/src/hemlocktrestle/edge/attempts/_attempt_log.py
@@ -30,7 +30,7 @@
 
 
 def log_kept_connection_dead(progress: RequestProgress, placement: Placement) -> None:
-    """Log that a request is sent again, as its kept connection was of no use."""
+    """Log that a request got no answer because its kept connection had ended."""
     log.info(
         "kept_connection_dead",
         extra={"request": progress.request_id, "replica": placement.replica_id},
--- a/src/hemlocktrestle/edge/attempts/_attempt_sequence.py
+++ b/src/hemlocktrestle/edge/attempts/_attempt_sequence.py
@@ -140,6 +140,10 @@
                     obstacle = error.kind.value
                     self._relax_exclusions()
             self._refund_retry()
+            if self._progress.met_dead_connection:
+                # The replica need not have failed, so it may have the request again.
+                self._progress.met_dead_connection = False
+                continue
             if obstacle in _LASTING_OBSTACLES or now_ms() >= until_ms:
                 self._log_decision("request_not_repeated", failure, obstacle)
                 return None
--- a/src/hemlocktrestle/edge/attempts/_reuse.py
+++ b/src/hemlocktrestle/edge/attempts/_reuse.py
@@ -41,8 +41,8 @@
 class ReusePolicy:
     """Decides on the connections of one attempt.
 
-    Only a request that may run more than once is sent on a kept connection: if it
-    ends there without an answer, nobody knows whether the replica has run it.
+    Only a request that may be sent to one more replica is sent on a kept connection:
+    if it ends there without an answer, nobody knows whether the replica has run it.
 
     Args:
         state: shared state of the process.
@@ -54,7 +54,7 @@
         self._state = state
         self._job = job
         self._placement = placement
-        self._is_kept = False
+        self.has_taken = False
         self._sent_ms = 0.0
         self._head: AnswerMetadata | None = None
         self.is_unacknowledged = False
@@ -69,15 +69,21 @@
             placement.born_ms,
         )
 
-    def take(self) -> trio.abc.Stream | None:
-        """Return a kept connection that the request may use, or ``None``."""
+    def take(self, runs_count: int) -> trio.abc.Stream | None:
+        """Return a kept connection that the request may use, or ``None``.
+
+        Args:
+            runs_count: how often the request may have run.
+        """
+        route = self._job.route
         if (
-            not self._job.route.may_retry
+            not route.may_retry
+            or runs_count + 1 >= route.attempts
             or len(self._job.request.body) > KEPT_BODY_BYTES_MAX
         ):
             return None
         stream = self._state.kept_connections.take(self._key)
-        self._is_kept = stream is not None
+        self.has_taken = stream is not None
         return stream
 
     def start(self) -> None:
@@ -89,24 +95,6 @@
         """Note the head of an answer."""
         self._head = metadata
 
-    def may_send_again(self, end: AttemptEnd) -> bool:
-        """Tell whether the request is sent again to the same replica, and spend it.
-
-        It is, once, if nothing of its answer came because the kept connection had
-        ended, had gone silent or had the answer to another request in it.  The
-        replica may have got it, so that it counts against the retry budget.
-        """
-        if end is not AttemptEnd.BROKEN or not self._is_kept:
-            return False
-        self._is_kept = False
-        connections = self._state.kept_connections
-        connections.dead_count += 1
-        connections.discard(self._placement.replica_id)
-        if not self._was_dead() or self._state.ends_retries:
-            return False
-        budget = self._state.retry_budget(self._job.service.name)
-        return budget.try_spend(self._state.fleet().vm_count, now_ms())
-
     def _was_dead(self) -> bool:
         if self._head is not None:
             return self._head.request_id != self._job.metadata.request_id
@@ -130,7 +118,16 @@
             ),
         )
 
-    def record_end(self, end: AttemptEnd) -> None:
-        """Close the idle connections of a replica that has failed."""
+    def record_end(self, end: AttemptEnd) -> bool:
+        """Close the idle connections of a replica that has failed.
+
+        Returns:
+            Whether the request got no answer because its kept connection had ended,
+            had gone silent or had the answer to another request in it.
+        """
+        connections = self._state.kept_connections
         if end in DOUBTED_ENDS:
-            self._state.kept_connections.discard(self._placement.replica_id)
+            connections.discard(self._placement.replica_id)
+        is_dead = end is AttemptEnd.BROKEN and self.has_taken and self._was_dead()
+        connections.dead_count += is_dead
+        return is_dead
--- a/src/hemlocktrestle/edge/callers/_progress.py
+++ b/src/hemlocktrestle/edge/callers/_progress.py
@@ -14,6 +14,7 @@
         self.runs_count = 0
         self.silent_count = 0
         self.may_have_sent = False
+        self.met_dead_connection = False
         self.events = EventSequence()
         self.event_count = 0
         self.first_ms = 0.0
--- a/src/hemlocktrestle/edge/callers/_server.py
+++ b/src/hemlocktrestle/edge/callers/_server.py
@@ -262,6 +262,7 @@
                 "first_ms": round(report.first_ms),
                 "total_ms": round(report.total_ms),
                 "events": report.event_count,
+                "is_kept": attempt.reuse.has_taken,
             },
         )
         self._on_attempt(job, placement, report)
--- a/src/hemlocktrestle/gateway/_idle_connections.py
+++ b/src/hemlocktrestle/gateway/_idle_connections.py
@@ -132,10 +132,11 @@
             is_usable: tells whether a replica takes requests.
             is_quiet: tells whether a connection is open and has nothing to read.
         """
+        unusable = {key for key in self._idle if not is_usable(key)}
         return self._pop(
             lambda key, idle: (
                 idle.until_ms <= now_ms
-                or not is_usable(key)
+                or key in unusable
                 or not is_quiet(idle.connection)
             )
         )
