--- a/src/hemlocktrestle/edge/attempts/_kept_connections.py
+++ b/src/hemlocktrestle/edge/attempts/_kept_connections.py
@@ -20,6 +20,9 @@
 DESCRIPTORS_PER_KEPT = 32
 """File descriptors of a VM for each idle connection."""
 
+DOUBT_MS = 30_000.0
+"""Time for which no connection to a replica is kept after one was of no use."""
+
 
 def kept_count_max(descriptors_max: int) -> int:
     """Return how many connections a VM may keep idle."""
@@ -48,6 +51,7 @@
         self._now_ms = now_ms
         self._is_usable = is_usable
         self._is_closing = is_closing
+        self._doubted_until_ms: dict[str, float] = {}
         self.opened_count = 0
         self.reused_count = 0
         self.dead_count = 0
@@ -82,6 +86,7 @@
             until_ms <= self._now_ms()
             or not isinstance(stream, trio.SocketStream)
             or self._is_closing()
+            or key.replica_id in self._doubted_until_ms
             or not self._is_usable(key)
             or not is_quiet(stream)
         ):
@@ -103,6 +108,11 @@
         """Close the idle connections to a replica that failed a request."""
         self._close(self._idle.pop_replica(replica_id), "failed")
 
+    def doubt(self, replica_id: str) -> None:
+        """Keep no connection to a replica for a while: one failed a request."""
+        self.dead_count += 1
+        self._doubted_until_ms[replica_id] = self._now_ms() + DOUBT_MS
+
     async def run(self) -> None:
         """Close connections that are not to be used any more, until cancelled."""
         try:
@@ -114,11 +124,17 @@
 
     def check(self) -> None:
         """Close connections that are not to be used any more."""
+        now_ms = self._now_ms()
+        self._doubted_until_ms = {
+            replica_id: until_ms
+            for replica_id, until_ms in self._doubted_until_ms.items()
+            if until_ms > now_ms
+        }
         if self._is_closing():
             self._close(self._idle.pop_all(), "shutdown")
             return
         unusable = self._idle.pop_unusable(
-            self._now_ms(), is_usable=self._is_usable, is_quiet=is_quiet
+            now_ms, is_usable=self._is_usable, is_quiet=is_quiet
         )
         self._close(unusable, "unusable")
 
--- a/src/hemlocktrestle/edge/attempts/_reuse.py
+++ b/src/hemlocktrestle/edge/attempts/_reuse.py
@@ -129,5 +129,6 @@
         if end in DOUBTED_ENDS:
             connections.discard(self._placement.replica_id)
         is_dead = end is AttemptEnd.BROKEN and self.has_taken and self._was_dead()
-        connections.dead_count += is_dead
+        if is_dead:
+            connections.doubt(self._placement.replica_id)
         return is_dead
--- a/src/hemlocktrestle/relay/_client.py
+++ b/src/hemlocktrestle/relay/_client.py
@@ -312,4 +312,6 @@
         is_kept = reader.is_reusable and keep(reader)
     finally:
         if not is_kept:
-            await trio.aclose_forcefully(stream)
+            # A caller that has the whole answer and leaves does not undo it.
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(stream)
--- a/tests/edge/attempts/test_kept_connections.py
+++ b/tests/edge/attempts/test_kept_connections.py
@@ -9,6 +9,7 @@
 from testtools import TestCase
 
 from hemlocktrestle.edge.attempts import _attempt
+from hemlocktrestle.edge.attempts._kept_connections import DOUBT_MS
 from hemlocktrestle.edge.placing._placement import AttemptEnd
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import Configuration, RequestKind
@@ -205,6 +206,18 @@
         await self.send(single, {}, {})
         self.assertEqual((["r1"] * 2, 0), (single.opened, single.pool.reused_count))
 
+    async def test_a_replica_with_dead_connections_is_not_kept_for_a_while(
+        self,
+    ) -> None:
+        """Guards against a faulty replica that takes an attempt of each request."""
+        harness = KeptHarness(self, self._second(_close))
+        await self.send(harness, {}, {}, {}, {})
+        self.assertEqual((4, 1), (len(harness.opened), harness.pool.reused_count))
+        await trio.sleep(DOUBT_MS / 1000)
+        harness.pool.check()
+        await self.send(harness, {}, {})
+        self.assertEqual((5, 2), (len(harness.opened), harness.pool.reused_count))
+
     async def test_it_is_sent_again_within_the_budget_only(self) -> None:
         """An arrival at a replica more counts, whatever the first one's fate."""
         harness = KeptHarness(self, self._second(_close))
