--- a/src/hemlocktrestle/edge/attempts/_attempt.py
+++ b/src/hemlocktrestle/edge/attempts/_attempt.py
@@ -1,6 +1,6 @@
 """One attempt to send a request to a replica and relay its answer."""
 
-from collections.abc import AsyncGenerator, Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import AsyncExitStack, ExitStack, aclosing
 from functools import partial
 from typing import NamedTuple
@@ -8,9 +8,14 @@
 import trio
 
 from hemlocktrestle.edge._state import EdgeState, now_ms
-from hemlocktrestle.edge.attempts._attempt_log import log_replica_silent
+from hemlocktrestle.edge.attempts._attempt_log import (
+    log_kept_connection_dead,
+    log_replica_silent,
+)
+from hemlocktrestle.edge.attempts._event_reader import EventReader
+from hemlocktrestle.edge.attempts._reuse import ReusePolicy
 from hemlocktrestle.edge.attempts._silence import SilenceMonitor, SuccessorSearch
-from hemlocktrestle.edge.callers._answer_body import AnswerBody, await_memory
+from hemlocktrestle.edge.callers._answer_body import AnswerBody
 from hemlocktrestle.edge.callers._job import Job
 from hemlocktrestle.edge.callers._progress import RequestProgress
 from hemlocktrestle.edge.placing._placement import AttemptEnd, AttemptReport, Placement
@@ -20,7 +25,6 @@
     EventSplitter,
     ExpectedAnswer,
     RequestKind,
-    StreamEvent,
     classify_answer,
 )
 from hemlocktrestle.relay import (
@@ -84,13 +88,16 @@
         self._job = job
         self.placement = placement
         self._stream: trio.abc.Stream | None = None
+        self.reuse = ReusePolicy(state, job, placement)
         self._connection = connection
         self._progress = progress
         self._started_ms = now_ms()
         # It does not refer to the attempt: a cycle would keep the bodies of both.
         self._silence = SilenceMonitor(
             successors,
-            on_silent=partial(_log_silence, progress, placement, self._started_ms),
+            on_silent=partial(
+                log_replica_silent, progress, placement, self._started_ms
+            ),
         )
         self._first_ms = 0.0
         self._usual_first_ms = 0.0
@@ -132,6 +139,7 @@
         """Open the connection; return whether there is one, else see ``unsent_end``."""
         self._progress.connect_count += 1
         dialled_ms = now_ms()
+        self._state.kept_connections.opened_count += 1
         try:
             self._stream = await open_connection(self.placement.address)
             self._connect_ms = now_ms() - dialled_ms
@@ -143,6 +151,7 @@
             self.failure = error
             forget_frames(error)
             self.unsent_end = AttemptEnd.UNREACHABLE
+        self.reuse.record_end(self.unsent_end)
         return self._stream is not None
 
     async def close(self) -> None:
@@ -152,6 +161,9 @@
 
     async def run(self) -> AttemptReport:
         """Send the request and relay the answer; return how the attempt ended."""
+        if self._stream is None:
+            self._stream = self.reuse.take(self._progress.runs_count)
+            self._progress.connect_count += self.reuse.has_taken
         if self._stream is None and not await self.connect():
             return self.report(self.unsent_end)
         assert self._stream is not None
@@ -170,11 +182,8 @@
             limit_ms = times.first_limit_ms(self._job.route.name, left_ms)
             self._silence.expect_within(limit_ms / 1000)
         try:
-            async with (
-                self._silence.guard(),
-                exchange(self._stream, self._replica_request()) as reader,
-            ):
-                end = await self._receive(reader)
+            async with self._silence.guard():
+                end = await self._exchange(self._stream)
             if self._silence.has_ended_attempt:
                 end = AttemptEnd.SILENT
                 progress.silent_count += 1
@@ -186,8 +195,25 @@
         if end is AttemptEnd.NOT_RUN:
             progress.runs_count -= 1
             progress.may_have_sent = had_sent_before
+        progress.met_dead_connection = self.reuse.record_end(end)
+        if progress.met_dead_connection:
+            log_kept_connection_dead(progress, self.placement)
         return self.report(end)
 
+    async def _exchange(self, stream: trio.abc.Stream) -> AttemptEnd:
+        """Send the request on a connection, which may be kept after a whole answer."""
+        end = AttemptEnd.BROKEN
+        request = self._replica_request()
+        self.reuse.start()
+        async with exchange(
+            stream, request, keep=lambda whole: self.reuse.keep(whole, end)
+        ) as reader:
+            # The frame of a cancelled request may outlive it.
+            del request
+            end = await self._receive(reader)
+            self.reuse.is_unacknowledged = reader.is_unacknowledged
+        return end
+
     async def _receive(self, reader: AnswerReader) -> AttemptEnd:
         """Relay the answer.
 
@@ -224,6 +250,7 @@
         self.status = answer.status
         metadata = self._state.header_codec.parse_answer(answer.headers)
         self._state.replica_notices.on_answer(self.placement, answer.status, metadata)
+        self.reuse.on_head(metadata)
         verdict = classify_answer(
             answer.status,
             metadata,
@@ -273,15 +300,23 @@
     async def _relay_events(self, answer: ReplicaAnswer) -> AttemptEnd:
         is_continuation = self._connection.is_answer_started
         splitter = EventSplitter()
+        reader = EventReader(
+            self._state,
+            self._job,
+            self._progress,
+            self._silence,
+            may_be_replaced=self._may_be_replaced,
+        )
         headers = self._state.header_codec.forwarded_answer_headers(answer.headers)
         headers = [line for line in headers if line[0] != b"content-length"]
         self._progress.events.start_answer()
         async with AsyncExitStack() as stack:
             share = stack.enter_context(BudgetShare(self._state.answer_budget))
             batches = await stack.enter_async_context(
-                aclosing(self._event_batches(answer, splitter, share))
+                aclosing(reader.batches(answer, splitter, share))
             )
             async for events in batches:
+                self._answer_bytes = reader.received_bytes
                 if not self._event_count:
                     self._first_ms = now_ms() - self._started_ms
                     self._learn_first()
@@ -291,7 +326,7 @@
                     b"".join(event.data for event in events)
                 )
                 self._progress.record_events(len(events), now_ms())
-        if splitter.remainder and (is_continuation or not _has_framing(answer)):
+        if splitter.remainder and (is_continuation or not answer.has_framing):
             raise RequestError(
                 ErrorKind.UPSTREAM_BROKEN, "stream ended within an event"
             )
@@ -301,52 +336,6 @@
         await self._connection.finish()
         return AttemptEnd.RELAYED
 
-    async def _event_batches(
-        self, answer: ReplicaAnswer, splitter: EventSplitter, share: BudgetShare
-    ) -> AsyncGenerator[list[StreamEvent], None]:
-        """Yield the events that each piece completes; the time limit bounds each wait.
-
-        Bytes that complete no event do not extend the wait.
-
-        Raises:
-            RequestError: of kind ``UPSTREAM_BROKEN`` if an event does not follow, or
-                if no memory is left for an event.
-        """
-        sequence = self._progress.events
-        answer_times = self._state.answer_times
-        route = self._job.route
-        heard_ms = 0.0
-        async for piece in answer.body_chunks():
-            self._answer_bytes += len(piece)
-            events = splitter.feed(piece)
-            # The piece is held until the caller has taken in its events.
-            held_bytes = splitter.buffered_bytes + len(piece)
-            await await_memory(
-                partial(share.resize, held_bytes),
-                make_room=self._state.cut_stuck_caller,
-            )
-            taken: list[StreamEvent] = []
-            if events and sequence.follows(events[0]):
-                await self._silence.suspend()
-                if heard_ms:
-                    answer_times.learn_gap(route.name, now_ms() - heard_ms)
-                # An event counts as the caller's only once it is certain to be sent.
-                taken = sequence.take(events)
-                yield taken
-                heard_ms = now_ms()
-                if self._may_be_replaced:
-                    left_ms = min(
-                        route.patience_ms, self._job.deadline_at_ms - heard_ms
-                    )
-                    limit_ms = answer_times.gap_limit_ms(route.name, left_ms)
-                    self._silence.expect_within(limit_ms / 1000)
-            if len(taken) < len(events):
-                raise RequestError(
-                    ErrorKind.UPSTREAM_BROKEN,
-                    f"event does not follow event {sequence.last_id[:20]!r}",
-                )
-        await self._silence.stop()
-
     def _record_events(self, count: int) -> None:
         """Count received events and report the stream's speed once, early."""
         before_count = self._event_count
@@ -372,19 +361,3 @@
     AnswerClass.STREAM: Attempt._relay_events,
 }
 """How the answers of each class are relayed."""
-
-
-def _log_silence(
-    progress: RequestProgress, placement: Placement, started_ms: float, action: str
-) -> None:
-    heard_ms = max(started_ms, progress.last_event_ms)
-    log_replica_silent(
-        progress, placement, silent_ms=now_ms() - heard_ms, action=action
-    )
-
-
-def _has_framing(answer: ReplicaAnswer) -> bool:
-    """Tell whether the answer's framing marks its end, so that a cut is visible."""
-    return any(
-        name in {b"content-length", b"transfer-encoding"} for name, _ in answer.headers
-    )
--- a/src/hemlocktrestle/edge/callers/_server.py
+++ b/src/hemlocktrestle/edge/callers/_server.py
@@ -226,6 +226,7 @@
                 "locality": placement.locality.value if placement.locality else "",
                 "sent_bytes": len(job.request.body),
                 "answer_bytes": report.answer_bytes,
+                "is_kept": attempt.reuse.has_taken,
             },
         )
         self._on_attempt(job, placement, report)
--- a/src/hemlocktrestle/gateway/_request.py
+++ b/src/hemlocktrestle/gateway/_request.py
@@ -61,6 +61,8 @@
         pause_ms: how long the replica asks for a pause, ``None`` if it does not; any
             number, and NaN for what is none.
         replica_id: the replica that answers, empty if it does not say.
+        idle_timeout_ms: after which time the replica closes the connection if it is
+            idle, ``None`` if that is not stated.
     """
 
     is_sealed: bool
@@ -71,3 +73,4 @@
     is_leaving: bool = False
     pause_ms: float | None = None
     replica_id: str = ""
+    idle_timeout_ms: float | None = None
--- a/src/hemlocktrestle/platform/_configuration.py
+++ b/src/hemlocktrestle/platform/_configuration.py
@@ -86,6 +86,7 @@
 class _Service(TypedDict):
     name: Text
     engine: NotRequired[_Engine | None]
+    maxConns: NotRequired[Count | None]
 
 
 @with_config(_IGNORE_EXTRA)
@@ -197,6 +198,7 @@
             engine.get("stride", 1),
             engine.get("kvCapacityTokens") or 0,
         ),
+        connections_max=raw.get("maxConns") or 0,
     )
 
 
--- a/src/hemlocktrestle/platform/_headers.py
+++ b/src/hemlocktrestle/platform/_headers.py
@@ -23,6 +23,10 @@
 _REPLICA = b"x-instance-id"
 # Seconds, also fractions.
 _PAUSE = b"retry-after"
+# Parameters; the timeout in whole seconds.
+_KEEP_ALIVE = b"keep-alive"
+
+_IDLE_TIMEOUT = re.compile(r"(?:^|,)\s*timeout\s*=\s*([0-9]{1,6})\s*(?:,|$)")
 
 _PROMPT_PART = re.compile(r"\s*([0-9a-f]{1,64}):[0-9]+\s*", re.IGNORECASE)
 
@@ -143,6 +147,7 @@
             ),
             pause_ms=_stated_ms(_text(lines, _PAUSE)) if _PAUSE in lines else None,
             replica_id=_text(lines, _REPLICA),
+            idle_timeout_ms=_idle_timeout_ms(_text(lines, _KEEP_ALIVE)),
         )
 
     def forwarded_answer_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
@@ -184,6 +189,11 @@
         return math.nan
 
 
+def _idle_timeout_ms(parameters: str) -> float | None:
+    found = _IDLE_TIMEOUT.search(parameters.lower())
+    return int(found[1]) * 1000.0 if found is not None else None
+
+
 def _count(text: str) -> int:
     return int(_number(text, COUNT_MAX) or 0)
 
--- a/src/hemlocktrestle/relay/__init__.py
+++ b/src/hemlocktrestle/relay/__init__.py
@@ -12,6 +12,7 @@
     open_connection,
 )
 from hemlocktrestle.relay._cut_reason import CutReason
+from hemlocktrestle.relay._reuse import is_quiet, limit_unacknowledged
 from hemlocktrestle.relay._server import AHEAD_BYTES_MAX, CallerConnection
 
 __all__ = [
@@ -28,5 +29,7 @@
     "ReplicaRequest",
     "RequestBody",
     "exchange",
+    "is_quiet",
+    "limit_unacknowledged",
     "open_connection",
 ]
--- a/tests/edge/placing/test_permit_placer.py
+++ b/tests/edge/placing/test_permit_placer.py
@@ -59,9 +59,10 @@
 
         self.patch(_attempt, "open_connection", open_connection)
         unused: Any = None
+        _, state = _placer(unused)
         attempt = Attempt(
-            unused,
-            unused,
+            state,
+            job_of(),
             PLACEMENT,
             unused,
             RequestProgress(),
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -73,6 +73,7 @@
         self.assertEqual(
             EngineLimits(12, 5, 734_175), found.services["assistant"].engine
         )
+        self.assertEqual(96, found.services["ledger"].connections_max)
         owner = found.customer_of("k2")
         self.assertEqual("clinics", owner.name if owner else "")
 
@@ -126,6 +127,7 @@
             "routes.0.attempts",
             "services.0.engine.slots",
             "services.0.engine.stride",
+            "services.0.maxConns",
             "limits.maxBodyBytes",
             "limits.headerTimeoutMs",
             "tenants.0.priority",
