Split gauges and registration of handlers from the edge daemon

Change: functions behind the metrics go to _gauges.py, the registration of handlers to _handlers.py; no change of behaviour.

--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -12,7 +12,9 @@
 import trio
 
 from hemlocktrestle.edge._fleet import EdgeFleet
-from hemlocktrestle.edge._metrics import EdgeMetrics, Gauges, LabelledGauges
+from hemlocktrestle.edge._gauges import gauges, labelled_gauges
+from hemlocktrestle.edge._handlers import register_handlers
+from hemlocktrestle.edge._metrics import EdgeMetrics
 from hemlocktrestle.edge._stall_monitor import StallMonitor
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.edge.attempts._crash_monitor import CrashMonitor
@@ -38,26 +40,7 @@
 from hemlocktrestle.peers import PeerNetwork, PermitClient, SchedulerTask
 from hemlocktrestle.platform import EdgeSettings, PlatformStore, read_settings
 from hemlocktrestle.timers import sleep_until_multiple
-from hemlocktrestle.wire import (
-    PROTOCOL_VERSION,
-    Ask,
-    ConfigurationNews,
-    Heartbeat,
-    Hello,
-    PartTrial,
-    Permit,
-    Pulse,
-    Queued,
-    Refusal,
-    Release,
-    ReplicaBatch,
-    ReplicaFetch,
-    ReplicaNews,
-    Running,
-    Suspicion,
-    TreeFetch,
-    Withdraw,
-)
+from hemlocktrestle.wire import PROTOCOL_VERSION, Hello
 
 log = logging.getLogger(__name__)
 
@@ -180,9 +163,27 @@
             is_current=self._peers.has_current_vms,
         )
         self._metrics = EdgeMetrics(
-            self._gauges(dropped_count), self._labelled_gauges()
+            gauges(
+                self.state,
+                self._peers,
+                store=self._store,
+                health=self._health,
+                server=self._server,
+                listener=self._caller_listener,
+                scheduler_task=self._scheduler_task,
+                stall_monitor=self._stall_monitor,
+                dropped_count=dropped_count,
+            ),
+            labelled_gauges(self.state, self._peers, self._scheduler_task),
+        )
+        register_handlers(
+            self._network,
+            self.state,
+            self._peers,
+            scheduler_task=self._scheduler_task,
+            permit_client=self._permit_client,
+            crash_monitor=self._crash_monitor,
         )
-        self._register_handlers()
 
     async def run(self) -> None:
         """Serve until a graceful shutdown is done."""
@@ -274,52 +275,6 @@
         self.state.settings = settings
         log.info("settings_reloaded")
 
-    def _gauges(self, dropped_count: Callable[[], int]) -> Gauges:
-        health = self._health
-        return Gauges(
-            running=lambda: self._server.running_count,
-            connections=lambda: self._caller_listener.connection_count,
-            configuration_version=self._configuration_version,
-            configuration_age_ms=lambda: health.age_ms(ConfigurationWatcher.name),
-            replicas_ready=lambda: sum(
-                not record.is_draining for record in self.state.replicas.replicas()
-            ),
-            replicas_age_ms=lambda: health.age_ms(ReplicaWatcher.name),
-            store_is_lost=lambda: float(health.is_lost),
-            store_answered_age_ms=health.age_ms,
-            store_calls=lambda: self._store.call_count,
-            vms_heard=lambda: self._fleet().reporting_count,
-            stalls=lambda: self._stall_monitor.count,
-            log_lines_dropped=dropped_count,
-            inbox_wait_ms=lambda: self._scheduler_task.inbox_wait_ms,
-            configuration_bytes_sent=lambda: self._peers.exchange.bytes_sent,
-            replicas_paused=self.state.replica_notices.paused_count,
-            replicas_leaving=lambda: len(self.state.replica_notices.leaving),
-            parts_quarantined=lambda: self._peers.part_gate.quarantined_count,
-            part_refusals=lambda: self._peers.part_gate.refused_count,
-        )
-
-    def _labelled_gauges(self) -> LabelledGauges:
-        summaries = self._scheduler_task.summaries
-        return LabelledGauges(
-            pool_queued_asks=lambda: {
-                found.pool: found.queued_count for found in summaries()
-            },
-            pool_oldest_queued_ms=self._scheduler_task.oldest_queued_ms,
-            pool_free_slots=lambda: {
-                found.pool: found.free_slots for found in summaries()
-            },
-            pool_oldest_in_hand_ms=self._scheduler_task.oldest_in_flight_ms,
-            customer_quota_left=lambda: self.state.quotas.remaining(
-                self._fleet(), now_ms()
-            ),
-            service_repeats_left=self.state.retries_remaining,
-        )
-
-    def _configuration_version(self) -> float:
-        configuration = self.state.configuration
-        return float(configuration.version) if configuration is not None else 0.0
-
     def _on_attempt_ended(
         self, job: Job, placement: Placement, report: AttemptReport
     ) -> None:
@@ -331,30 +286,6 @@
     def _fleet(self, customer: str | None = None) -> FleetSnapshot:
         return self._peers.fleet(customer)
 
-    def _register_handlers(self) -> None:
-        """Register the handlers of messages and of opened and closed links."""
-        network = self._network
-        for request_type in (Ask, Release, Withdraw, Running, Pulse):
-            network.register_handler(request_type, self._scheduler_task.on_message)
-        for reply_type in (Permit, Refusal, Queued):
-            network.register_handler(reply_type, self._permit_client.on_message)
-        network.register_handler(Heartbeat, self._peers.on_heartbeat)
-        replicas = self._peers.replica_exchange
-        network.register_handler(ReplicaNews, replicas.on_news)
-        network.register_handler(ReplicaBatch, replicas.on_batch)
-        network.register_handler(ReplicaFetch, replicas.on_fetch)
-        network.register_handler(ConfigurationNews, self._peers.exchange.on_news)
-        network.register_handler(TreeFetch, self._peers.exchange.on_fetch)
-        for crash_type in (Suspicion, PartTrial):
-            network.register_handler(crash_type, self._crash_monitor.on_message)
-        self.state.on_configuration = self._peers.on_configuration_changed
-        network.on_opened(self._crash_monitor.on_link_opened)
-        network.on_dialled_closed(self._permit_client.on_link_closed)
-        network.on_dialled_closed(self._peers.membership.on_disconnected)
-        network.on_dialled_closed(replicas.on_link_closed)
-        network.on_accepted_closed(self._scheduler_task.on_requester_disconnected)
-        network.on_accepted_closed(replicas.on_link_closed)
-
     async def _report_held_permits(self) -> None:
         while True:
             await sleep_until_multiple(SCHEDULER_CHECK_S)
