--- /dev/null
+++ b/tests/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions on roll-outs."""
