--- a/src/hemlocktrestle/rollout/_evidence.py
+++ b/src/hemlocktrestle/rollout/_evidence.py
@@ -30,25 +30,30 @@
 
 
 class Tally(NamedTuple):
-    """Requests, running ones too, and how many got a failure or a slow answer.
+    """Requests, those of them that have ended, and failures or slow answers.
 
-    Failures often come sooner than answers: if only ended requests counted, the
+    Failures often come sooner than answers: if only ended requests were compared, the
     first ones of a version would look worse than they are.
     """
 
     request_count: int = 0
+    ended_count: int = 0
     bad_count: int = 0
 
     def plus(self, other: "Tally") -> "Tally":
         """Return the sum of two tallies."""
-        return Tally(
-            self.request_count + other.request_count, self.bad_count + other.bad_count
-        )
+        return Tally(*map(sum, zip(self, other, strict=True)))
 
     def minus(self, other: "Tally") -> "Tally":
-        """Return what was added to an earlier tally."""
+        """Return this tally without a part of it."""
+        return Tally(*(own - part for own, part in zip(self, other, strict=True)))
+
+    def since(self, earlier: "Tally") -> "Tally":
+        """Return the requests that ran since an earlier tally."""
         return Tally(
-            self.request_count - other.request_count, self.bad_count - other.bad_count
+            self.request_count - earlier.ended_count,
+            self.ended_count - earlier.ended_count,
+            self.bad_count - earlier.bad_count,
         )
 
 
@@ -92,9 +97,9 @@
             self._total_ms.get(sample.route), sample.total_ms
         )
 
-    def count(self, key: TallyKey, *, requests: int = 0, bad: int = 0) -> None:
-        """Count requests that a replica got, or bad answers of it."""
-        self.tallies[key] = self.tallies.get(key, Tally()).plus(Tally(requests, bad))
+    def count(self, key: TallyKey, change: Tally) -> None:
+        """Count requests that a replica got, and how they ended."""
+        self.tallies[key] = self.tallies.get(key, Tally()).plus(change)
 
     def restart(self) -> None:
         """Drop the counts for a new order; the ordinary times stay known."""
--- a/src/hemlocktrestle/rollout/_judge.py
+++ b/src/hemlocktrestle/rollout/_judge.py
@@ -40,26 +40,23 @@
     probability: float
 
 
-def tail_probability(count: int, bad_count: int, share: float) -> float:
+def tail_probability(tally: Tally, share: float) -> float:
     """Return the probability of at least so many bad answers at a share of them."""
-    if bad_count <= 0:
-        return 1.0
-    if share >= 1.0:
+    count, bad_count = tally.request_count, tally.bad_count
+    if bad_count <= 0 or share >= 1.0:
         return 1.0
     log_share, log_rest = math.log(share), math.log1p(-share)
-    return min(
-        1.0,
-        sum(
-            math.exp(
-                math.lgamma(count + 1)
-                - math.lgamma(found + 1)
-                - math.lgamma(count - found + 1)
-                + found * log_share
-                + (count - found) * log_rest
-            )
-            for found in range(bad_count, count + 1)
-        ),
+    probability = sum(
+        math.exp(
+            math.lgamma(count + 1)
+            - math.lgamma(found + 1)
+            - math.lgamma(count - found + 1)
+            + found * log_share
+            + (count - found) * log_rest
+        )
+        for found in range(bad_count, count + 1)
     )
+    return min(1.0, probability)
 
 
 class Judge:
@@ -68,18 +65,27 @@
     def __init__(self) -> None:
         self._history: deque[tuple[float, Tallies]] = deque()
 
-    def examine(self, tallies: Tallies, now_ms: float) -> Verdict | None:
+    def examine(
+        self, tallies: Tallies, now_ms: float, *, replica_count: int
+    ) -> Verdict | None:
         """Return the verdict on the target, or ``None`` while none is certain.
 
         Args:
             tallies: all counts since the order.
             now_ms: the time of the process.
+            replica_count: ready replicas of the target; a single one is its version.
         """
         recent = self._recent(tallies, now_ms)
         for is_recent, counted in ((False, tallies), (True, recent)):
             routes = sorted({key.route for key in counted if key.is_target})
             for route in ("", *routes):
-                verdict = _compare(counted, tallies, route, is_recent=is_recent)
+                verdict = _compare(
+                    counted,
+                    tallies,
+                    route,
+                    is_recent=is_recent,
+                    is_single=replica_count <= 1,
+                )
                 if verdict is not None:
                     return verdict
         return None
@@ -92,15 +98,15 @@
             history.popleft()
         before = history[0][1]
         return {
-            key: tally.minus(before.get(key, Tally()))
+            key: tally.since(before.get(key, Tally()))
             for key, tally in tallies.items()
             # A scheduler that started anew has counted less than before.
-            if tally.request_count >= before.get(key, Tally()).request_count
+            if tally.ended_count >= before.get(key, Tally()).ended_count
         }
 
 
 def _compare(
-    counted: Tallies, whole: Tallies, route: str, *, is_recent: bool
+    counted: Tallies, whole: Tallies, route: str, *, is_recent: bool, is_single: bool
 ) -> Verdict | None:
     by_replica: dict[str, Tally] = {}
     for key, tally in counted.items():
@@ -111,14 +117,14 @@
     if target.bad_count < BAD_COUNT_MIN:
         return None
     usual = max(_usual_share(counted, route), _usual_share(whole, route))
-    probability = tail_probability(*target, usual)
+    probability = tail_probability(target, usual)
     if probability > FALSE_ALARM:
         return None
-    if len(by_replica) > 1:
+    if not is_single:
         # One bad replica explains its own failures, not those of the others.
         worst = max(by_replica, key=lambda name: by_replica[name].bad_count)
         rest = target.minus(by_replica[worst])
-        if tail_probability(*rest, usual) > REST_FALSE_ALARM:
+        if tail_probability(rest, usual) > REST_FALSE_ALARM:
             return None
     return Verdict(route, is_recent, target, usual, probability)
 
@@ -161,5 +167,5 @@
         name
         for name, tally in found.items()
         if tally.bad_count >= BAD_COUNT_MIN
-        and tail_probability(*tally, usual) <= FALSE_ALARM
+        and tail_probability(tally, usual) <= FALSE_ALARM
     )
--- a/src/hemlocktrestle/rollout/_pool.py
+++ b/src/hemlocktrestle/rollout/_pool.py
@@ -2,7 +2,13 @@
 
 from typing import NamedTuple
 
-from hemlocktrestle.rollout._evidence import Evidence, Sample, Tallies, TallyKey
+from hemlocktrestle.rollout._evidence import (
+    Evidence,
+    Sample,
+    Tallies,
+    Tally,
+    TallyKey,
+)
 from hemlocktrestle.rollout._exposure import ExposureBounds, ExposureLedger
 from hemlocktrestle.rollout._judge import Judge, Verdict
 
@@ -78,14 +84,14 @@
         self._started[ask_id] = started
         if len(self._started) > IN_FLIGHT_MAX:
             self._forget(next(iter(self._started)))
-        self.evidence.count(started.key, requests=1)
+        self.evidence.count(started.key, Tally(request_count=1))
         self.ledger.record(started.route, is_target=started.is_target)
 
     def record_unsent(self, ask_id: str) -> None:
         """Discount a request whose permit was not used."""
         started = self._forget(ask_id)
         if started is not None:
-            self.evidence.count(started.key, requests=-1)
+            self.evidence.count(started.key, Tally(request_count=-1))
             self.ledger.record(started.route, is_target=started.is_target, count=-1)
 
     def record_first(self, ask_id: str, first_ms: float) -> None:
@@ -104,22 +110,23 @@
             return
         sample = Sample(started.route, answer.first_ms, answer.total_ms)
         self._judge_early(ask_id, sample)
-        if ask_id not in self._judged:
-            if answer.is_failed:
-                self.evidence.count(started.key, bad=1)
-            elif not answer.is_complete:
-                self.evidence.count(started.key, requests=-1)
+        if answer.is_complete or answer.is_failed or ask_id in self._judged:
+            is_new_failure = answer.is_failed and ask_id not in self._judged
+            change = Tally(ended_count=1, bad_count=int(is_new_failure))
+        else:
+            change = Tally(request_count=-1)
+        self.evidence.count(started.key, change)
         if answer.is_complete and not started.is_target:
             self.evidence.learn_times(started.route, answer.first_ms, answer.total_ms)
         self._forget(ask_id)
 
-    def examine(self, now_ms: float) -> Verdict | None:
+    def examine(self, now_ms: float, *, replica_count: int) -> Verdict | None:
         """Return the verdict on the target by what this scheduler has seen."""
         for ask_id, started in list(self._started.items()):
             if ask_id not in self._judged:
                 sample = Sample(started.route, total_ms=now_ms - started.started_ms)
                 self._judge_early(ask_id, sample)
-        return self._judge.examine(self.tallies, now_ms)
+        return self._judge.examine(self.tallies, now_ms, replica_count=replica_count)
 
     @property
     def tallies(self) -> Tallies:
@@ -137,7 +144,7 @@
             return
         if self.evidence.is_slow(sample):
             self._judged.add(ask_id)
-            self.evidence.count(started.key, bad=1)
+            self.evidence.count(started.key, Tally(bad_count=1))
 
     def _forget(self, ask_id: str) -> Started | None:
         self._judged.discard(ask_id)
--- a/tests/rollout/load.py
+++ b/tests/rollout/load.py
@@ -13,6 +13,7 @@
     PoolRollout,
     Started,
     Verdict,
+    bad_replicas,
     canary_count,
     merged,
     schedule,
@@ -52,7 +53,7 @@
     total_count: int
     stopped_ms: float | None
     phase: Phase
-    unmarked_ms: float
+    verdict: Verdict | None
 
 
 def play(
@@ -111,9 +112,12 @@
             now_ms += 1_000 / self._rate
             self._end_until(now_ms)
             if int(now_ms / TICK_MS) != int((now_ms - 1_000 / self._rate) / TICK_MS):
-                found = [pool.examine(now_ms) for pool in self._pools]
+                count = sum(map(len, self._names.values()))
+                found = [
+                    pool.examine(now_ms, replica_count=count) for pool in self._pools
+                ]
                 whole = merged(pool.tallies for pool in self._pools)
-                found.append(self._judge.examine(whole, now_ms))
+                found.append(self._judge.examine(whole, now_ms, replica_count=count))
                 if any(found) and stopped_ms is None:
                     self.verdict = next(filter(None, found))
                     stopped_ms = now_ms
@@ -130,7 +134,7 @@
             total_count += 1
             target_count += is_target
         phase = Phase.COMPLETED if stopped_ms is None else Phase.ROLLED_BACK
-        return Outcome(target_count, total_count, stopped_ms, phase, times.shift_ms)
+        return Outcome(target_count, total_count, stopped_ms, phase, self.verdict)
 
     def _warm_up(self) -> None:
         for pool in self._pools:
@@ -153,6 +157,8 @@
         if is_target:
             names = self._names[pool]
             if not is_shifted:
+                bad = bad_replicas(pool.tallies)
+                names = [found for found in names if found not in bad]
                 names = names[: canary_count(BOUNDS, len(names))]
             name = min(names, key=lambda found: self._running.get(found, 0))
             running = self._running[name] = self._running.get(name, 0) + 1
