Translate orders, status, versions and exposure bounds at the platform's edge

Change: messages RolloutGrant and RolloutReport, a status on Release, the version of a replica in its record and in ReplicaNews (@10 here), conditional writes of several keys to the store, documents of orders and status.

--- a/src/hemlocktrestle/edge/placing/_permit_placer.py
+++ b/src/hemlocktrestle/edge/placing/_permit_placer.py
@@ -166,6 +166,7 @@
             int(report.total_ms),
             job.metadata.prompt_tokens,
             tokens,
+            report.status,
         )
         if release.sent and not release.failure:
             self._work.learn(job.route.name, release)
--- a/src/hemlocktrestle/edge/replicas/_replica_exchange.py
+++ b/src/hemlocktrestle/edge/replicas/_replica_exchange.py
@@ -239,6 +239,7 @@
         record.is_draining,
         record.cold_ms,
         record.born_ms,
+        record.version,
     )
 
 
@@ -261,6 +262,7 @@
             is_draining=news.is_draining,
             cold_ms=news.cold_ms,
             born_ms=news.born_ms,
+            version=news.version,
         )
         try:
             record = check(
--- a/src/hemlocktrestle/gateway/_replicas.py
+++ b/src/hemlocktrestle/gateway/_replicas.py
@@ -10,6 +10,7 @@
     PositiveCount,
     Revision,
     SignedMilliseconds,
+    Text,
 )
 from hemlocktrestle.gateway._leaving import BORN_UNKNOWN, Incarnation
 
@@ -32,6 +33,7 @@
         is_draining: whether it takes no new work.
         cold_ms: remaining time for which it is slow after its start.
         born_ms: wall-clock time of its start, 0 if not stated.
+        version: version of its software, empty if not stated.
     """
 
     replica_id: Id
@@ -42,6 +44,7 @@
     is_draining: bool
     cold_ms: SignedMilliseconds
     born_ms: Revision
+    version: Text = ""
 
 
 class ReplicaUpdate(NamedTuple):
--- a/src/hemlocktrestle/platform/_registrations.py
+++ b/src/hemlocktrestle/platform/_registrations.py
@@ -12,6 +12,7 @@
     PositiveCount,
     Revision,
     SignedMilliseconds,
+    Text,
     check,
     decode_json,
 )
@@ -28,6 +29,7 @@
     coldRemainingMs: NotRequired[SignedMilliseconds]
     # Wall-clock milliseconds of the start; distinguishes restarts under one id.
     born: NotRequired[Revision]
+    version: NotRequired[Text | Revision]
 
 
 _ADAPTER: TypeAdapter[Any] = TypeAdapter(_Registration)
@@ -61,4 +63,5 @@
         is_draining=raw["state"] == "draining",
         cold_ms=raw.get("coldRemainingMs", 0.0),
         born_ms=raw.get("born", 0),
+        version=str(raw.get("version", "")),
     )
--- a/src/hemlocktrestle/platform/_settings.py
+++ b/src/hemlocktrestle/platform/_settings.py
@@ -21,6 +21,7 @@
     check,
 )
 from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.rollout import ExposureBounds
 
 SETTINGS_VARIABLE = "HEMLOCKTRESTLE_SETTINGS"
 """Environment variable that holds the path of the settings file."""
@@ -34,6 +35,15 @@
 KNOWN_WITHIN_DEFAULT_MS = 2_500.0
 """Default time in which changes must be known, in milliseconds: the shortest in use."""
 
+ROLLOUT_CONTRACT = "rollout"
+"""Part of the contract with which the operator orders moves to other versions."""
+
+EXPOSED_SHARE_DEFAULT = 0.05
+"""Default share of requests that a bad version may get: the canary needs some."""
+
+STOP_DEFAULT_MS = 5_000.0
+"""Default time in which nothing more may be sent to a bad version, in ms."""
+
 _OWN_FIELDS = frozenset({"nodeName", "platformSettings", "contractBounds"})
 """Fields that distinguish the platform's files from the project's own settings."""
 
@@ -71,6 +81,9 @@
     quotaWindowS: NotRequired[_Seconds]
     quotaOver: NotRequired[Amount]
     quotaSlack: NotRequired[Amount]
+    exposeShare: NotRequired[Amount]
+    exposeSlack: NotRequired[Amount]
+    rollbackMs: NotRequired[PositiveMilliseconds]
 
 
 @with_config(_IGNORE_EXTRA)
@@ -88,6 +101,7 @@
     zones: dict[Name, Name]
     listen: _Listen
     limits: _Limits
+    contracts: NotRequired[list[Any]]
     contractBounds: _Bounds
     platformSettings: _Store
 
@@ -108,6 +122,8 @@
         quota_slack: amount by which a quota may be exceeded beyond that, in a window.
         leaving_known_ms: time in which a VM must know that a replica leaves.
         configuration_known_ms: time in which a new configuration must be in force.
+        rollouts: limits on versions that services are moved to, ``None`` if the
+            operator orders no such moves.
     """
 
     grace_ms: float
@@ -119,6 +135,7 @@
     quota_slack: float
     leaving_known_ms: float = KNOWN_WITHIN_DEFAULT_MS
     configuration_known_ms: float = KNOWN_WITHIN_DEFAULT_MS
+    rollouts: ExposureBounds | None = None
 
 
 class EdgeSettings(NamedTuple):
@@ -233,5 +250,17 @@
             quota_slack=bounds.get("quotaSlack", 0.0),
             leaving_known_ms=bounds.get("drainMs", KNOWN_WITHIN_DEFAULT_MS),
             configuration_known_ms=bounds.get("configApplyMs", KNOWN_WITHIN_DEFAULT_MS),
+            rollouts=_rollout_bounds(raw),
         ),
     )
+
+
+def _rollout_bounds(raw: dict[str, Any]) -> ExposureBounds | None:
+    if ROLLOUT_CONTRACT not in raw.get("contracts", ()):
+        return None
+    bounds = raw["contractBounds"]
+    return ExposureBounds(
+        share=bounds.get("exposeShare", EXPOSED_SHARE_DEFAULT),
+        slack=bounds.get("exposeSlack", 0.0),
+        stop_ms=bounds.get("rollbackMs", STOP_DEFAULT_MS),
+    )
--- a/src/hemlocktrestle/platform/_store.py
+++ b/src/hemlocktrestle/platform/_store.py
@@ -4,6 +4,7 @@
 import json
 import logging
 import socket
+from collections.abc import Mapping
 from contextlib import AsyncExitStack
 from types import TracebackType
 from typing import Any, NotRequired, Self, TypeVar
@@ -239,10 +240,34 @@
 
     async def put(self, key: str, value: bytes, *, lease: int = 0) -> int:
         """Write one key unconditionally and return its revision."""
-        encoded = base64.b64encode(value).decode()
-        put = {"key": key, "value": encoded, "lease": lease}
+        return await self.write({key: value}, lease=lease)
+
+    async def write(
+        self,
+        values: Mapping[str, bytes],
+        *,
+        expected: Mapping[str, int] | None = None,
+        lease: int = 0,
+    ) -> int:
+        """Write several keys together, and return their revision.
+
+        Args:
+            values: the values by key.
+            expected: revisions that keys must have, 0 for one that must be absent;
+                if one differs, nothing is written and the error is of kind
+                ``CONDITION_FAILED``.
+            lease: the lease of the keys, 0 for none.
+        """
+        puts = [
+            {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
+            for key, value in values.items()
+        ]
+        expect = [
+            {"key": key, "revision": revision}
+            for key, revision in (expected or {}).items()
+        ]
         _, raw = await self._call(
-            "POST", "/kv-txn", body={"expect": [], "puts": [put], "deletes": []}
+            "POST", "/kv-txn", body={"expect": expect, "puts": puts, "deletes": []}
         )
         return _checked(_WRITTEN, raw, "POST /kv-txn")["revision"]
 
--- a/src/hemlocktrestle/wire/__init__.py
+++ b/src/hemlocktrestle/wire/__init__.py
@@ -50,6 +50,11 @@
     Withdraw,
 )
 from hemlocktrestle.wire._registry import MESSAGE_TYPES
+from hemlocktrestle.wire._rollout_messages import (
+    RolloutGrant,
+    RolloutReport,
+    VersionTally,
+)
 
 __all__ = [
     "FRAME_BYTES_MAX",
@@ -76,6 +81,8 @@
     "ReplicaBatch",
     "ReplicaFetch",
     "ReplicaNews",
+    "RolloutGrant",
+    "RolloutReport",
     "Running",
     "SoundPart",
     "SoundRequest",
@@ -86,6 +93,7 @@
     "TreeFetch",
     "TreePage",
     "UpstreamRefusal",
+    "VersionTally",
     "Withdraw",
     "decode",
     "encode",
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -16,6 +16,7 @@
     Withdraw,
 )
 from hemlocktrestle.wire._registry import message
+from hemlocktrestle.wire._rollout_messages import RolloutGrant, RolloutReport
 
 PROTOCOL_VERSION = 1
 """Protocol version sent in :class:`Hello`; a peer with another one is refused."""
@@ -243,6 +244,7 @@
     is_draining: bool = False
     cold_ms: float = 0.0
     born_ms: int = 0
+    version: str = ""
 
 
 @message("replicaBatch")
@@ -297,4 +299,6 @@
     | ReplicaFetch
     | ConfigurationNews
     | PartTrial
+    | RolloutGrant
+    | RolloutReport
 )
--- a/src/hemlocktrestle/wire/_permit_messages.py
+++ b/src/hemlocktrestle/wire/_permit_messages.py
@@ -85,7 +85,7 @@
 
     ``sent`` tells whether any byte of the request may have been sent; ``failure``
     is the value of an error kind, or empty.  ``upstream_silent`` with nothing sent is
-    a connect that got no reply.
+    a connect that got no reply.  ``status`` is that of the answer, 0 if none came.
     """
 
     ask_id: str
@@ -97,6 +97,7 @@
     total_ms: int
     prompt_tokens: int
     output_tokens: int
+    status: int = 0
 
 
 @message("pulse")
--- a/src/hemlocktrestle/wire/peer.capnp
+++ b/src/hemlocktrestle/wire/peer.capnp
@@ -26,6 +26,8 @@
     replicaBatch @18 :ReplicaBatch;
     replicaFetch @19 :ReplicaFetch;
     partTrial @20 :PartTrial;
+    rolloutGrant @21 :RolloutGrant;
+    rolloutReport @22 :RolloutReport;
   }
 }
 
@@ -121,6 +123,7 @@
   isDraining @7 :Bool;
   coldMs @8 :Float64;
   bornMs @9 :UInt64;
+  version @10 :Text;
 }
 
 struct ReplicaBatch {
@@ -168,6 +171,7 @@
   totalMs @6 :UInt64;
   promptTokens @7 :UInt32;
   outputTokens @8 :UInt32;
+  status @9 :UInt16;
 }
 
 struct Pulse {
@@ -244,3 +248,32 @@
   ageMs @7 :UInt64;
   ranMs @8 :UInt64;
 }
+
+struct RolloutGrant {
+  service @0 :Text;
+  target @1 :Text;
+  durationMs @2 :Float64;
+  phase @3 :Text;
+  elapsedMs @4 :Float64;
+  revision @5 :UInt64;
+}
+
+struct VersionTally {
+  isTarget @0 :Bool;
+  route @1 :Text;
+  replica @2 :Text;
+  requestCount @3 :UInt32;
+  endedCount @4 :UInt32;
+  badCount @5 :UInt32;
+}
+
+struct RolloutReport {
+  service @0 :Text;
+  target @1 :Text;
+  durationMs @2 :Float64;
+  phase @3 :Text;
+  elapsedMs @4 :Float64;
+  oldCount @5 :UInt32;
+  drainMs @6 :UInt32;
+  tallies @7 :List(VersionTally);
+}
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -13,7 +13,8 @@
     r"(?i:x-attempt-id|x-token-usage|x-response-seal|x-expect-instance|"
     r"x-prompt-prefix|x-not-executed|x-tenant|api-key|kv-(txn|watch|range|lease))|"
     r"platformSettings|contractBounds|weightedSplit|streamResume|nodeName|"
-    r"internalPorts|targetLatencyMs|coldRemainingMs|healthPath"
+    r"internalPorts|targetLatencyMs|coldRemainingMs|healthPath|exposeShare|"
+    r"exposeSlack|rollbackMs|op/rollout|status/rollout"
 )
 
 
@@ -27,6 +28,7 @@
     "platform",
     "quarantine",
     "relay",
+    "rollout",
     "scheduler",
 )
 """Packages that run on the users' platform, where the wall clock may jump."""
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -156,6 +156,12 @@
         self, query: dict[str, str], request: Request, rest: list[str]
     ) -> tuple[int, Any] | None:
         body = request.json()
+        found = {row["key"]: self.entries.get(row["key"]) for row in body["expect"]}
+        for row in body["expect"]:
+            entry = found[row["key"]]
+            if row["revision"] != (entry.revision if entry else 0):
+                items = [_item(key, entry) for key, entry in found.items() if entry]
+                return 412, {"items": items}
         for row in body["puts"]:
             if row["lease"] and row["lease"] not in self.leases:
                 return 404, {}
