--- a/src/hemlocktrestle/peers/__init__.py
+++ b/src/hemlocktrestle/peers/__init__.py
@@ -8,17 +8,27 @@
     QuotaGate,
     SchedulerTask,
 )
+from hemlocktrestle.peers._version_gate import (
+    AnyVersionGate,
+    PermittedAsk,
+    UsableUpstreams,
+    VersionGate,
+)
 
 __all__ = [
     "HEARTBEAT_INTERVAL_S",
     "INBOX_MESSAGES_MAX",
+    "AnyVersionGate",
     "HeldPermit",
     "Link",
     "LinkEvents",
     "PeerNetwork",
     "PermitClient",
+    "PermittedAsk",
     "QuotaGate",
     "SchedulerTask",
+    "UsableUpstreams",
+    "VersionGate",
     "accept",
     "dial",
 ]
--- a/src/hemlocktrestle/peers/_scheduler_task.py
+++ b/src/hemlocktrestle/peers/_scheduler_task.py
@@ -10,6 +10,11 @@
 from hemlocktrestle.errors import ErrorKind
 from hemlocktrestle.membership import Membership
 from hemlocktrestle.peers._scheduler_log import log_queue, log_refusal
+from hemlocktrestle.peers._version_gate import (
+    AnyVersionGate,
+    PermittedAsk,
+    VersionGate,
+)
 from hemlocktrestle.scheduler import (
     POLICY_DEFAULT,
     Outgoing,
@@ -95,6 +100,7 @@
         policy: returns the name of the policy for schedulers created from now on.
         acknowledges: whether to send ``Queued`` for a request that has to wait.
         gate: charges permit requests to quotas.
+        versions: decides which upstreams of a pool may be used.
     """
 
     def __init__(
@@ -106,7 +112,9 @@
         policy: Callable[[], str] = lambda: POLICY_DEFAULT,
         acknowledges: bool = False,
         gate: QuotaGate = UnlimitedQuotaGate(),
+        versions: VersionGate = AnyVersionGate(),
     ) -> None:
+        self._versions = versions
         self._gate = gate
         self._charged: dict[str, Ask] = {}
         self._acknowledges = acknowledges
@@ -210,6 +218,7 @@
 
     def _handle(self, item: _Received | _RequesterDisconnected) -> None:
         if isinstance(item, _RequesterDisconnected):
+            self._versions.on_requester_disconnected(item.vm)
             for scheduler in self._schedulers.values():
                 self._send(
                     scheduler,
@@ -231,6 +240,11 @@
                 self._reply(vm, Refusal(ask.ask_id, kind, saturated(wait_ms)))
                 return
             self._charged[ask.ask_id] = ask
+        if self._versions.takes_canary(ask):
+            permitted = scheduler.grant_reserved(vm, ask, self._now_ms())
+            if permitted:
+                self._send(scheduler, permitted)
+                return
         self._send(scheduler, scheduler.enqueue(vm, ask, self._now_ms()))
         if self._acknowledges and scheduler.is_queued(ask.ask_id):
             self._reply(vm, Queued(ask.ask_id))
@@ -243,18 +257,21 @@
         elif release.failure == ErrorKind.UPSTREAM_SILENT.value and not release.sent:
             self._membership.record_connect_timeout(release.upstream, vm, now_ms)
             self._refresh(release.pool)
+        self._versions.on_release(release)
         scheduler = self._scheduler_for(release.pool)
         self._send(scheduler, scheduler.release(release, self._now_ms()))
 
     def _handle_withdraw(self, vm: str, withdraw: Withdraw) -> None:
         scheduler = self._scheduler_for(withdraw.pool)
         self._refund(withdraw.ask_id)
+        self._versions.on_dropped(withdraw.ask_id)
         self._send(scheduler, scheduler.withdraw(withdraw, self._now_ms()))
 
     def _handle_running(self, vm: str, running: Running) -> None:
         self._scheduler_for(running.pool).record_running(vm, running, self._now_ms())
 
     def _handle_pulse(self, vm: str, pulse: Pulse) -> None:
+        self._versions.on_pulse(pulse)
         self._scheduler_for(pulse.pool).record_pulse(pulse)
 
     def _may_queue(self, pool: str) -> bool:
@@ -284,7 +301,9 @@
         now_ms = self._now_ms()
         scheduler = self._scheduler_for(pool)
         records = self._membership.upstreams(pool, self._membership.domain, now_ms)
-        self._send(scheduler, scheduler.set_upstreams(records, now_ms))
+        usable = self._versions.usable(pool, records)
+        scheduler.reserve(usable.reserved)
+        self._send(scheduler, scheduler.set_upstreams(usable.records, now_ms))
 
     async def _tick(self) -> None:
         ticks = 0
@@ -336,8 +355,10 @@
                 self._refund(message.ask_id)
             elif isinstance(message, Permit):
                 self._charged.pop(message.ask_id, None)
+                self._versions.on_permit(_permitted(scheduler, vm, message))
             if not self._reply(vm, message) and isinstance(message, Permit):
                 withdraw = Withdraw(message.ask_id, message.pool)
+                self._versions.on_dropped(message.ask_id)
                 waiting += scheduler.withdraw(withdraw, self._now_ms())
 
     def _refund(self, ask_id: str) -> None:
@@ -346,6 +367,11 @@
             self._gate.refund(ask)
 
 
+def _permitted(scheduler: PoolScheduler, vm: str, permit: Permit) -> PermittedAsk:
+    route = scheduler.route_of(permit.ask_id)
+    return PermittedAsk(permit.ask_id, vm, permit.pool, route, permit.upstream)
+
+
 _HANDLERS: dict[type, Callable[..., None]] = {
     Ask: SchedulerTask._handle_ask,
     Release: SchedulerTask._handle_release,
--- a/src/hemlocktrestle/rollout/_evidence.py
+++ b/src/hemlocktrestle/rollout/_evidence.py
@@ -21,6 +21,10 @@
 """Answers of the old version that are needed to know it."""
 
 
+DRAIN_QUANTILE = 0.95
+"""Share of the old version's requests that have ended after the drain time."""
+
+
 class TallyKey(NamedTuple):
     """What one count is about; ``replica`` is empty for the old version."""
 
@@ -101,6 +105,16 @@
         """Count requests that a replica got, and how they ended."""
         self.tallies[key] = self.tallies.get(key, Tally()).plus(change)
 
+    def drain_ms(self) -> float:
+        """Return the time in which the old version's requests usually end, or 0."""
+        return max(
+            (
+                sorted(times)[int(len(times) * DRAIN_QUANTILE)]
+                for times in self._total_ms.values()
+            ),
+            default=0.0,
+        )
+
     def restart(self) -> None:
         """Drop the counts for a new order; the ordinary times stay known."""
         self.tallies = {}
--- a/src/hemlocktrestle/rollout/_follower.py
+++ b/src/hemlocktrestle/rollout/_follower.py
@@ -3,6 +3,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from hemlocktrestle.rollout._plan import schedule
 from hemlocktrestle.rollout._records import (
     FINAL_PHASES,
     Order,
@@ -107,6 +108,13 @@
         """Tell whether the leader's last grant is fresh."""
         return now_ms - self._granted_ms <= self._grant_ms_max
 
+    def is_ramp(self, now_ms: float, drain_ms: float) -> bool:
+        """Tell whether the canary gets more requests shortly before the shift."""
+        if self.order is None:
+            return False
+        times = schedule(self.order.duration_ms, drain_ms)
+        return self.elapsed_ms(now_ms) >= times.ramp_ms
+
     @property
     def is_running(self) -> bool:
         """Whether there is an order that has no outcome yet."""
--- a/src/hemlocktrestle/scheduler/__init__.py
+++ b/src/hemlocktrestle/scheduler/__init__.py
@@ -8,13 +8,14 @@
 from hemlocktrestle.scheduler import _fair_queue as _fair_queue
 from hemlocktrestle.scheduler import _slack_queue as _slack_queue
 from hemlocktrestle.scheduler._chooser import CHOOSERS, Chooser, chooser
-from hemlocktrestle.scheduler._core import PERMIT_VALID_MS, Outgoing, PoolScheduler
+from hemlocktrestle.scheduler._core import PoolScheduler
 from hemlocktrestle.scheduler._early_refusal import (
     EARLY_REFUSALS,
     DeadlineForecast,
     early_refusal,
 )
 from hemlocktrestle.scheduler._forecast import Forecast
+from hemlocktrestle.scheduler._permits import PERMIT_VALID_MS, Outgoing
 from hemlocktrestle.scheduler._policy import (
     POLICIES,
     POLICY_DEFAULT,
--- a/src/hemlocktrestle/scheduler/_core.py
+++ b/src/hemlocktrestle/scheduler/_core.py
@@ -5,7 +5,6 @@
 
 import math
 from collections.abc import Iterable
-from typing import NamedTuple
 
 from hemlocktrestle.documents import saturated
 from hemlocktrestle.errors import ErrorKind
@@ -13,7 +12,9 @@
 from hemlocktrestle.scheduler._chooser import CHOOSERS
 from hemlocktrestle.scheduler._early_refusal import EARLY_REFUSALS, DeadlineForecast
 from hemlocktrestle.scheduler._forecast import Forecast, StartForecaster
+from hemlocktrestle.scheduler._grant_pace import GrantPace
 from hemlocktrestle.scheduler._heap import LazyHeap
+from hemlocktrestle.scheduler._permits import Outgoing, permit_for
 from hemlocktrestle.scheduler._policy import PoolPolicy
 from hemlocktrestle.scheduler._queue import QUEUES, QueuedAsk
 from hemlocktrestle.scheduler._queue_meter import QueueMeter, TierReport
@@ -24,8 +25,6 @@
 from hemlocktrestle.wire import (
     NO_PART_LIMIT,
     Ask,
-    Message,
-    Permit,
     PoolSummary,
     Pulse,
     Refusal,
@@ -34,24 +33,10 @@
     Withdraw,
 )
 
-PERMIT_VALID_MS = 1_000
-"""How long after its grant a permit may be used, in milliseconds."""
-
-GAP_SMOOTHING = 0.1
-"""Weight of a new observation in the moving average of the time between grants."""
-
 STRAGGLER_CHECK_MS = 500.0
 """Interval between checks for stragglers, in milliseconds."""
 
 
-class Outgoing(NamedTuple):
-    """A message to a requesting VM, and the forecast that it follows from, if any."""
-
-    vm: str
-    message: Message
-    forecast: Forecast | None = None
-
-
 class PoolScheduler:
     """Queue, permits and upstream models of one pool in one scheduling domain.
 
@@ -78,8 +63,7 @@
         )
         self._deadlines: LazyHeap[tuple[float, str]] = LazyHeap(self._is_current)
         self._stragglers_checked_ms = float("-inf")
-        self._last_grant_ms = 0.0
-        self._grant_gap_ms = 0.0
+        self._pace = GrantPace()
         self._routes: dict[str, str] = {}
         self._work = WorkEstimates()
         self._forecaster = StartForecaster()
@@ -104,6 +88,23 @@
         ]
         return outgoing + self._grant(now_ms)
 
+    def reserve(self, names: frozenset[str]) -> None:
+        """Keep upstreams for :meth:`grant_reserved`, also ones that come later."""
+        self._upstreams.reserve(names)
+
+    def grant_reserved(self, vm: str, ask: Ask, now_ms: float) -> list[Outgoing]:
+        """Grant a request a reserved upstream at once; empty if none has room."""
+        model = self._upstreams.reserved_with_room(ask)
+        if model is None:
+            return []
+        deadline_ms = now_ms + ask.deadline_ms
+        waiting = QueuedAsk(ask, vm, now_ms, deadline_ms, deadline_ms, NO_WORK)
+        return [self._assign(waiting, model, now_ms)]
+
+    def route_of(self, ask_id: str) -> str:
+        """Return the route of a request that was granted here and runs."""
+        return self._routes.get(ask_id, "")
+
     def enqueue(self, vm: str, ask: Ask, now_ms: float) -> list[Outgoing]:
         """Queue a permit request; over the limit, shed from the lowest tier up."""
         self._queue.remove(ask.ask_id)
@@ -192,10 +193,7 @@
         """Return the load of the pool, by which other VMs choose a domain."""
         free_slots = sum(model.free_slots for model in self._upstreams)
         queued_count = len(self._queue)
-        # Until a request that had to wait is granted, the time since the last
-        # grant is the only estimate of the gap.
-        gap_ms = self._grant_gap_ms or now_ms - self._last_grant_ms
-        wait_ms = saturated(queued_count * gap_ms)
+        wait_ms = saturated(queued_count * self._pace.gap_ms(now_ms))
         return PoolSummary(
             self.pool,
             queued_count,
@@ -260,32 +258,18 @@
                 outgoing.append(self._refuse(waiting, kind, now_ms))
                 continue
             self._queue.serve(ask.ask_id)
-            self._record_grant(waiting, now_ms)
+            self._pace.record(waiting, now_ms)
             self._meter.record_granted(waiting, now_ms)
-            self._upstreams.assign(model, ask, waiting.vm, now_ms)
-            self._routes[ask.ask_id] = ask.route
             self._forecaster.start(ask.ask_id, waiting.work)
-            outgoing.append(Outgoing(waiting.vm, self._permit(waiting, model, now_ms)))
+            outgoing.append(self._assign(waiting, model, now_ms))
         return outgoing
 
-    def _permit(
+    def _assign(
         self, waiting: QueuedAsk, model: UpstreamModel, now_ms: float
-    ) -> Permit:
-        return Permit(
-            waiting.ask.ask_id,
-            self.pool,
-            model.record.name,
-            model.record.address,
-            int(now_ms - waiting.arrived_ms),
-            PERMIT_VALID_MS,
-        )
-
-    def _record_grant(self, waiting: QueuedAsk, now_ms: float) -> None:
-        """Update the average time between grants, from requests that had to wait."""
-        if waiting.arrived_ms < now_ms:
-            gap_ms = now_ms - max(self._last_grant_ms, waiting.arrived_ms)
-            self._grant_gap_ms += GAP_SMOOTHING * (gap_ms - self._grant_gap_ms)
-        self._last_grant_ms = now_ms
+    ) -> Outgoing:
+        self._upstreams.assign(model, waiting.ask, waiting.vm, now_ms)
+        self._routes[waiting.ask.ask_id] = waiting.ask.route
+        return permit_for(waiting, self.pool, model, now_ms)
 
     def _shed_last(self, now_ms: float) -> list[Outgoing]:
         waiting = self._queue.next_to_shed()
--- a/src/hemlocktrestle/scheduler/_upstream.py
+++ b/src/hemlocktrestle/scheduler/_upstream.py
@@ -103,6 +103,7 @@
         self.prefixes = PrefixRecord()
         self.slowdown = Slowdown()
         self.is_straggler = False
+        self.is_reserved = False
         self.change_count = 0
         self.learned_count = 0
         self.failure_share = 0.0
@@ -128,6 +129,8 @@
 
         A straggler gets one request at a time, of the lowest tier, to probe it.
         """
+        if self.is_reserved:
+            return False
         if self.is_straggler:
             return tier >= PROBE_TIER and not self.in_flight
         share = self._tier_shares[min(tier, len(self._tier_shares) - 1)]
--- a/src/hemlocktrestle/scheduler/_upstream_set.py
+++ b/src/hemlocktrestle/scheduler/_upstream_set.py
@@ -66,6 +66,7 @@
         self._fastest_prefill = 0.0
         self._fastest_decode = 0.0
         self._slot_count = 0
+        self._reserved: frozenset[str] = frozenset()
 
     def __len__(self) -> int:
         return len(self._models)
@@ -89,15 +90,37 @@
         for name in sorted(wanted.keys() - self._models.keys()):
             model = self._removed.pop(name, None) or self._new_model(wanted[name])
             model.record = wanted[name]
+            model.is_reserved = name in self._reserved
             self._models[name] = model
             self._reindex(model)
         for name in [
             name for name, model in self._removed.items() if not model.in_flight
         ]:
             del self._removed[name]
-        self._slot_count = sum(model.slots for model in self)
+        self._slot_count = sum(model.slots for model in self if not model.is_reserved)
         return is_changed
 
+    def reserve(self, names: frozenset[str]) -> None:
+        """Keep upstreams from requests that do not ask for a reserved one."""
+        self._reserved = names
+        for name, model in self._models.items():
+            if model.is_reserved != (name in names):
+                model.is_reserved = name in names
+                self._reindex(model)
+
+    def reserved_with_room(self, ask: Ask) -> UpstreamModel | None:
+        """Return the least loaded reserved upstream for a request, if one has room."""
+        found = (
+            model
+            for name, model in self._models.items()
+            if model.is_reserved and model.free_slots and name not in ask.excluded
+        )
+        return min(
+            found,
+            key=lambda model: (len(model.in_flight), model.record.name),
+            default=None,
+        )
+
     @property
     def has_room(self) -> bool:
         """Whether an upstream has room for requests of some kind."""
@@ -196,7 +219,7 @@
 
     def check_stragglers(self, now_ms: float) -> None:
         """Compare each upstream's speed with its own past and with its peers."""
-        self._slot_count = sum(model.slots for model in self)
+        self._slot_count = sum(model.slots for model in self if not model.is_reserved)
         if not self._models:
             return
         self._fastest_prefill = min(model.rates.prefill.ms_per_token for model in self)
