--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -32,7 +32,10 @@
 from hemlocktrestle.edge.placing._local_placer import LocalPlacer
 from hemlocktrestle.edge.placing._permit_placer import ACK_TIMEOUT_MS, PermitPlacer
 from hemlocktrestle.edge.placing._placement import AttemptReport, Placement
+from hemlocktrestle.edge.rollouts._gate import RolloutGate
+from hemlocktrestle.edge.rollouts._leader import RolloutLeader
 from hemlocktrestle.edge.store._registration import BusyRecorder, VmEntry, VmRegistrar
+from hemlocktrestle.edge.store._rollout_watcher import RolloutWatcher
 from hemlocktrestle.edge.store._store_task import StoreHealth
 from hemlocktrestle.edge.store._watchers import ConfigurationWatcher, ReplicaWatcher
 from hemlocktrestle.errors import RequestError
@@ -40,7 +43,7 @@
 from hemlocktrestle.peers import PeerNetwork, PermitClient, SchedulerTask
 from hemlocktrestle.platform import EdgeSettings, PlatformStore, read_settings
 from hemlocktrestle.timers import sleep_until_multiple
-from hemlocktrestle.wire import PROTOCOL_VERSION, Hello
+from hemlocktrestle.wire import PROTOCOL_VERSION, Hello, Message
 
 log = logging.getLogger(__name__)
 
@@ -50,6 +53,9 @@
 SCHEDULER_CHECK_S = 0.25
 """Time between checks whether a pool's scheduler has moved, in seconds."""
 
+ROLLOUT_CHECK_S = 0.1
+"""Time between judgements of versions that services are moved to, in seconds."""
+
 DESCRIPTORS_PER_CALLER = 2
 """File descriptors that one caller needs: its connection and one to a replica."""
 
@@ -109,6 +115,7 @@
         )
         self._peers.network = self._network
         quotas = EdgeQuotas(self.state)
+        rollouts = self.state.rollouts
         self._scheduler_task = SchedulerTask(
             membership,
             reply=self._network.reply,
@@ -116,8 +123,20 @@
             policy=lambda: QUEUE_POLICY,
             acknowledges=True,
             gate=quotas,
+            versions=RolloutGate(rollouts, now_ms=now_ms),
         )
         self._peers.scheduler_task = self._scheduler_task
+        rollouts.on_changed = self._scheduler_task.refresh
+        rollouts.send = self._send_to_peer
+        self._rollout_leader = RolloutLeader(
+            rollouts,
+            self._store,
+            settings.vm,
+            is_leader=lambda: self._peers.leads_rollouts,
+            vms=self._peers.vm_names,
+            broadcast=self._network.broadcast,
+            now_ms=now_ms,
+        )
         self._crash_monitor = CrashMonitor(
             self._peers.quarantine, self._network, self._peers.part_gate
         )
@@ -183,6 +202,7 @@
             scheduler_task=self._scheduler_task,
             permit_client=self._permit_client,
             crash_monitor=self._crash_monitor,
+            rollout_leader=self._rollout_leader,
         )
 
     async def run(self) -> None:
@@ -222,6 +242,8 @@
             nursery.start_soon(replicas.run)
             nursery.start_soon(replicas.drop_unconfirmed)
             nursery.start_soon(self._registrar.run)
+            if self.state.rollouts.is_active:
+                nursery.start_soon(self._run_rollouts)
             nursery.start_soon(
                 BusyRecorder(
                     settings.region,
@@ -249,6 +271,28 @@
             nursery.cancel_scope.cancel()
         log.info("stopped")
 
+    async def _run_rollouts(self) -> None:
+        """Watch, judge and lead moves of services to other versions."""
+        watcher = RolloutWatcher(
+            self.state.rollouts,
+            self._store,
+            self._health,
+            is_relay=lambda: self._peers.exchange.is_relay,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watcher.run)
+            nursery.start_soon(self._rollout_leader.run)
+            while True:
+                await sleep_until_multiple(ROLLOUT_CHECK_S)
+                self.state.rollouts.examine()
+
+    def _send_to_peer(self, vm: str, message: Message) -> bool:
+        """Send a message to a VM, or to this one, on either link."""
+        if vm == self._settings.vm:
+            self._rollout_leader.on_report(vm, message)
+            return True
+        return self._network.send(vm, message) or self._network.reply(vm, message)
+
     async def _drain(self) -> None:
         """Drain: hand over pools, deregister and answer what is open."""
         self.state.shutdown.begin()
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -132,6 +132,20 @@
             self.exchange.relays
         )
 
+    @property
+    def leads_rollouts(self) -> bool:
+        """Whether this VM leads moves to other versions.
+
+        It is the scheduler of the first region.
+        """
+        domain = min(self.membership.domains(), default="")
+        scheduler = self.membership.scheduler_of("", domain, now_ms())
+        return scheduler == self._entry.vm
+
+    def vm_names(self) -> set[str]:
+        """Return the names of all registered VMs."""
+        return set(self._vm_list.entries)
+
     def sync(self) -> None:
         """Update membership and links from the registered VMs and replicas."""
         region_of_zone = self._state.settings.region_of_zone
@@ -153,6 +167,7 @@
         )
         vms = tuple(_vm_record(entry) for entry in self._vm_list.entries.values())
         self.membership.apply_listing(Listing(vms, upstreams))
+        self._state.rollouts.on_replicas_changed()
         if self.scheduler_task is not None:
             self.scheduler_task.refresh()
         own_domain = self.membership.candidates(self._entry.region, CANDIDATE_COUNT)
--- a/src/hemlocktrestle/edge/_handlers.py
+++ b/src/hemlocktrestle/edge/_handlers.py
@@ -3,6 +3,7 @@
 from hemlocktrestle.edge._fleet import EdgeFleet
 from hemlocktrestle.edge._state import EdgeState
 from hemlocktrestle.edge.attempts._crash_monitor import CrashMonitor
+from hemlocktrestle.edge.rollouts._leader import RolloutLeader
 from hemlocktrestle.peers import PeerNetwork, PermitClient, SchedulerTask
 from hemlocktrestle.wire import (
     Ask,
@@ -17,6 +18,8 @@
     ReplicaBatch,
     ReplicaFetch,
     ReplicaNews,
+    RolloutGrant,
+    RolloutReport,
     Running,
     Suspicion,
     TreeFetch,
@@ -32,6 +35,7 @@
     scheduler_task: SchedulerTask,
     permit_client: PermitClient,
     crash_monitor: CrashMonitor,
+    rollout_leader: RolloutLeader,
 ) -> None:
     """Register the handlers of messages and of opened and closed links."""
     for request_type in (Ask, Release, Withdraw, Running, Pulse):
@@ -47,6 +51,8 @@
     network.register_handler(TreeFetch, fleet.exchange.on_fetch)
     for crash_type in (Suspicion, PartTrial):
         network.register_handler(crash_type, crash_monitor.on_message)
+    network.register_handler(RolloutGrant, state.rollouts.on_grant)
+    network.register_handler(RolloutReport, rollout_leader.on_report)
     state.on_configuration = fleet.on_configuration_changed
     network.on_opened(crash_monitor.on_link_opened)
     network.on_dialled_closed(permit_client.on_link_closed)
--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -7,6 +7,7 @@
 
 from hemlocktrestle.edge.callers._shutdown import Phase, Shutdown
 from hemlocktrestle.edge.replicas._replica_notices import ReplicaNotices
+from hemlocktrestle.edge.rollouts._rollouts import Rollouts
 from hemlocktrestle.gateway import (
     AnswerTimes,
     CallerLimits,
@@ -53,6 +54,12 @@
         self.on_configuration: Callable[[], None] = lambda: None
         self.replicas = ReplicaRegistry()
         self.replica_notices = ReplicaNotices(self.replicas, now_ms=now_ms)
+        self.rollouts = Rollouts(
+            self.replicas,
+            settings.bounds.rollouts,
+            now_ms=now_ms,
+            scheduler_count=len(set(settings.region_of_zone.values())),
+        )
         self.has_loaded_replicas = False
         self.has_loaded_vms = False
         self.quotas = QuotaTracker(now_ms())
--- a/src/hemlocktrestle/edge/placing/_local_placer.py
+++ b/src/hemlocktrestle/edge/placing/_local_placer.py
@@ -51,13 +51,15 @@
             RequestError: of kind ``NO_UPSTREAM``.
         """
         excluded |= self._state.replica_notices.unusable_ids(job.service.name, excluded)
-        candidates = [
-            record
-            for record in self._state.replicas.replicas()
-            if record.service == job.service.name
-            and not record.is_draining
-            and record.replica_id not in excluded
-        ]
+        candidates = self._state.rollouts.usable_locally(
+            [
+                record
+                for record in self._state.replicas.replicas()
+                if record.service == job.service.name
+                and not record.is_draining
+                and record.replica_id not in excluded
+            ]
+        )
         if not candidates:
             raise RequestError(ErrorKind.NO_UPSTREAM, "no replica takes this work")
         chosen = min(candidates, key=self._load)
--- a/src/hemlocktrestle/edge/placing/_notice_placer.py
+++ b/src/hemlocktrestle/edge/placing/_notice_placer.py
@@ -22,6 +22,9 @@
 A caller may leave as soon as it has the answer.
 """
 
+_VERSION_OBSTACLE = Obstacle("version", 0.0)
+"""The replica's version may get nothing more, or nothing without a permit."""
+
 HELD_BACK_MAX = 8
 """Placements that are held back for one attempt before the request is refused.
 
@@ -43,6 +46,7 @@
 
     def __init__(self, state: EdgeState, placer: Placer) -> None:
         self._notices = state.replica_notices
+        self._rollouts = state.rollouts
         self._placer = placer
 
     async def obtain(self, job: Job, *, excluded: frozenset[str]) -> Placement:
@@ -55,10 +59,14 @@
                 raise
             # The connection is opened without another wait in between.
             obstacle = self._notices.obstacle(placement, job.service.name, excluded)
-            if obstacle is None:
+            forbidden = self._rollouts.forbidden_ids(
+                placement.replica_id, has_permit=bool(placement.permit_id)
+            )
+            if obstacle is None and not forbidden:
+                self._rollouts.on_attempt_started(placement.replica_id)
                 return self._notices.start_attempt(placement)
-            self._hold_back(job, placement, obstacle)
-            excluded |= {placement.replica_id}
+            self._hold_back(job, placement, obstacle or _VERSION_OBSTACLE)
+            excluded |= forbidden | {placement.replica_id}
         raise RequestError(ErrorKind.NO_UPSTREAM, "no replica takes this work")
 
     def report_speed(
@@ -70,6 +78,7 @@
 
     def release(self, job: Job, placement: Placement, report: AttemptReport) -> None:
         """Release a placement after its attempt has ended."""
+        self._rollouts.on_attempt_ended(placement.replica_id)
         pauses = self._notices.pauses
         pauses.record_ended(placement.replica_id, placement.round_id)
         # The success of a longer stream was recorded with its speed.
--- a/src/hemlocktrestle/edge/rollouts/_rollouts.py
+++ b/src/hemlocktrestle/edge/rollouts/_rollouts.py
@@ -107,6 +107,8 @@
             if not has_old and follower.phase is Phase.CANARY:
                 return Use.ALL
             return follower.use(version, self._now_ms())
+        if follower is not None and follower.is_rejected(version):
+            return Use.NOTHING
         if not self._is_usual(service, version):
             return Use.NOTHING
         if follower is None or order is None:
@@ -155,6 +157,8 @@
 
     def on_attempt_ended(self, replica_id: str) -> None:
         """Discount a request that has ended."""
+        if not self.is_active:
+            return
         if self._running[replica_id] > 1:
             self._running[replica_id] -= 1
         else:
--- /dev/null
+++ b/src/hemlocktrestle/edge/store/_rollout_watcher.py
@@ -0,0 +1,80 @@
+"""Watches the operator's orders to move services to other versions."""
+
+import logging
+from collections.abc import Callable
+
+import trio
+
+from hemlocktrestle.edge.rollouts._rollouts import Rollouts
+from hemlocktrestle.edge.store._store_task import StoreHealth, StoreTask
+from hemlocktrestle.errors import RequestError
+from hemlocktrestle.platform import ORDERS_PREFIX, Item, PlatformStore, decode_order
+from hemlocktrestle.timers import sleep_until_multiple
+
+log = logging.getLogger(__name__)
+
+WAIT_MS = 3_000
+"""Longest wait of one watch, in milliseconds: its answer shows that it works."""
+
+GRACE_S = 1.0
+"""Time by which its answer may be late, in seconds."""
+
+ROLE_CHECK_S = 0.25
+"""Time between checks whether this VM has to watch, in seconds."""
+
+
+class RolloutWatcher(StoreTask):
+    """Reads the orders while this VM is one of its region's relays.
+
+    Args:
+        rollouts: the orders that this VM knows.
+        store: the platform's store.
+        health: records whether the store answers.
+        is_relay: tells whether this VM has to watch.
+    """
+
+    name = "rollouts"
+
+    def __init__(
+        self,
+        rollouts: Rollouts,
+        store: PlatformStore,
+        health: StoreHealth,
+        *,
+        is_relay: Callable[[], bool],
+    ) -> None:
+        super().__init__(store, health)
+        self._rollouts = rollouts
+        self._is_relay = is_relay
+
+    async def _run_until_error(self) -> None:
+        while not self._is_relay():
+            await sleep_until_multiple(ROLE_CHECK_S)
+        page = await self._store.list(ORDERS_PREFIX)
+        self._apply(page.items)
+        # What the store holds may be older than before: records are read again.
+        self._rollouts.read_count += 1
+        revision = page.revision
+        while self._is_relay():
+            watched = await self._store.watch(
+                ORDERS_PREFIX, after=revision, wait_ms=WAIT_MS, timeout_s=GRACE_S
+            )
+            revision = watched.revision
+            self._apply(
+                tuple(found for found in watched.events if isinstance(found, Item))
+            )
+            await trio.lowlevel.checkpoint()
+
+    def _apply(self, items: tuple[Item, ...]) -> None:
+        self._health.record_answer(self.name)
+        for item in items:
+            try:
+                order = decode_order(item.value, source=item.key)
+            except RequestError as error:
+                log.error(
+                    "rollout_order_refused",
+                    extra={"reason": error.message, "store_revision": item.revision},
+                )
+                continue
+            self._rollouts.take_order(order)
+        self._rollouts.on_orders_confirmed()
--- a/src/hemlocktrestle/rollout/_evidence.py
+++ b/src/hemlocktrestle/rollout/_evidence.py
@@ -1,5 +1,6 @@
 """Counts of answers by version, replica and route, from which versions are judged."""
 
+import math
 from collections import deque
 from collections.abc import Iterable
 from statistics import median
@@ -81,24 +82,48 @@
     total_ms: float = 0.0
 
 
+class OrdinaryTimes:
+    """Latest times of the old version's answers on one route."""
+
+    def __init__(self) -> None:
+        self._times_ms: deque[float] = deque(maxlen=TIMES_KEPT)
+        self._learned_count = 0
+        self.slow_ms = math.inf
+
+    def learn(self, value_ms: float) -> None:
+        """Learn a time; what counts as slow follows every few answers."""
+        self._times_ms.append(value_ms)
+        self._learned_count += 1
+        if self._learned_count % TIMES_MIN == 0:
+            ordinary_ms = median(self._times_ms)
+            self.slow_ms = max(ordinary_ms * SLOW_FACTOR, ordinary_ms + SLOW_MS_MIN)
+
+    def quantile_ms(self, share: float) -> float:
+        """Return the time within which a share of the answers came."""
+        times = sorted(self._times_ms)
+        return times[min(len(times) - 1, int(len(times) * share))]
+
+
 class Evidence:
     """What one scheduler has seen of both versions of a service since an order."""
 
     def __init__(self) -> None:
         self.tallies: Tallies = {}
-        self._first_ms: dict[str, deque[float]] = {}
-        self._total_ms: dict[str, deque[float]] = {}
+        self._first: dict[str, OrdinaryTimes] = {}
+        self._total: dict[str, OrdinaryTimes] = {}
 
     def learn_times(self, route: str, first_ms: float, total_ms: float) -> None:
         """Learn the ordinary times of a route from an answer of the old version."""
-        for times, value in ((self._first_ms, first_ms), (self._total_ms, total_ms)):
-            if value > 0:
-                times.setdefault(route, deque(maxlen=TIMES_KEPT)).append(value)
+        for times, value_ms in ((self._first, first_ms), (self._total, total_ms)):
+            if value_ms > 0:
+                times.setdefault(route, OrdinaryTimes()).learn(value_ms)
 
     def is_slow(self, sample: Sample) -> bool:
         """Tell whether an answer took several times the old version's time."""
-        return _exceeds(self._first_ms.get(sample.route), sample.first_ms) or _exceeds(
-            self._total_ms.get(sample.route), sample.total_ms
+        first = self._first.get(sample.route)
+        total = self._total.get(sample.route)
+        return (first is not None and sample.first_ms > first.slow_ms) or (
+            total is not None and sample.total_ms > total.slow_ms
         )
 
     def count(self, key: TallyKey, change: Tally) -> None:
@@ -107,21 +132,9 @@
 
     def drain_ms(self) -> float:
         """Return the time in which the old version's requests usually end, or 0."""
-        return max(
-            (
-                sorted(times)[int(len(times) * DRAIN_QUANTILE)]
-                for times in self._total_ms.values()
-            ),
-            default=0.0,
-        )
+        times = [found.quantile_ms(DRAIN_QUANTILE) for found in self._total.values()]
+        return max(times, default=0.0)
 
     def restart(self) -> None:
         """Drop the counts for a new order; the ordinary times stay known."""
         self.tallies = {}
-
-
-def _exceeds(times: deque[float] | None, value_ms: float) -> bool:
-    if times is None or len(times) < TIMES_MIN or value_ms <= 0:
-        return False
-    ordinary_ms = median(times)
-    return value_ms > max(ordinary_ms * SLOW_FACTOR, ordinary_ms + SLOW_MS_MIN)
--- a/src/hemlocktrestle/rollout/_follower.py
+++ b/src/hemlocktrestle/rollout/_follower.py
@@ -72,6 +72,9 @@
             self._began_ms = min(self._began_ms, began_ms)
             return False
         self._remember()
+        for done in [*self._outcomes]:
+            if done.target == order.target and done != order:
+                del self._outcomes[done]
         self.order = order
         self.phase = self._outcomes.get(order, Phase.CANARY)
         self._began_ms = began_ms
@@ -115,6 +118,11 @@
         times = schedule(self.order.duration_ms, drain_ms)
         return self.elapsed_ms(now_ms) >= times.ramp_ms
 
+    @property
+    def has_been_granted(self) -> bool:
+        """Whether a leader has ever granted this order here."""
+        return self._granted_ms > float("-inf") or self.phase is not Phase.CANARY
+
     @property
     def is_running(self) -> bool:
         """Whether there is an order that has no outcome yet."""
@@ -127,6 +135,13 @@
         uses = _USES[self.phase, self.is_granted(now_ms)]
         return uses.target if version == self.order.target else uses.old
 
+    def is_rejected(self, version: str) -> bool:
+        """Tell whether a version was found bad under an earlier order."""
+        return any(
+            order.target == version and phase is not Phase.COMPLETED
+            for order, phase in self._outcomes.items()
+        )
+
     def _remember(self) -> None:
         if self.order is not None and not is_behind(self.phase, Phase.STOPPED):
             self._outcomes[self.order] = self.phase
--- a/src/hemlocktrestle/rollout/_records.py
+++ b/src/hemlocktrestle/rollout/_records.py
@@ -21,7 +21,8 @@
 NEXT_PHASES: dict[Phase, frozenset[Phase]] = {
     Phase.CANARY: frozenset({Phase.SHIFTING, Phase.STOPPED, Phase.ROLLED_BACK}),
     Phase.SHIFTING: frozenset({Phase.COMPLETED, Phase.STOPPED, Phase.ROLLED_BACK}),
-    Phase.STOPPED: frozenset({Phase.ROLLED_BACK}),
+    # The outcome that was recorded counts, also for a VM that judged later.
+    Phase.STOPPED: frozenset({Phase.ROLLED_BACK, Phase.COMPLETED}),
     Phase.COMPLETED: frozenset(),
     Phase.ROLLED_BACK: frozenset(),
 }
