--- a/src/hemlocktrestle/rollout/_plan.py
+++ b/src/hemlocktrestle/rollout/_plan.py
@@ -14,6 +14,12 @@
 DRAIN_SHARE_MAX = 0.4
 """Share of the duration that the old version's last requests get at most to end."""
 
+DRAIN_SHARE_MIN = 0.1
+"""Share that the target is judged under all of the load, also if they end sooner."""
+
+DRAIN_SHARE_UNKNOWN = 0.25
+"""Share for their end if no answer has told how long they take."""
+
 RAMP_FROM = 0.75
 """Share of the canary's time after which it gets more requests."""
 
@@ -40,10 +46,11 @@
 
     Args:
         duration_ms: time from the order to its deadline.
-        drain_ms: time in which requests at the old version usually end.
+        drain_ms: time in which requests at the old version usually end, or 0.
     """
     complete_ms = duration_ms - min(MARGIN_MS_MAX, duration_ms * MARGIN_SHARE)
-    drain_ms = min(drain_ms, duration_ms * DRAIN_SHARE_MAX)
+    drain_share = drain_ms / duration_ms or DRAIN_SHARE_UNKNOWN
+    drain_ms = duration_ms * min(DRAIN_SHARE_MAX, max(DRAIN_SHARE_MIN, drain_share))
     shift_ms = complete_ms - drain_ms
     return Schedule(shift_ms * RAMP_FROM, shift_ms, complete_ms)
 
--- /dev/null
+++ b/tests/edge/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of moves of services to other versions at the edge."""
