--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -53,7 +53,11 @@
         self.configuration_confirmed_ms = -math.inf
         self.on_configuration: Callable[[], None] = lambda: None
         self.replicas = ReplicaRegistry()
-        self.replica_notices = ReplicaNotices(self.replicas, now_ms=now_ms)
+        self.replica_notices = ReplicaNotices(
+            self.replicas,
+            now_ms=now_ms,
+            drops_replaced=settings.bounds.rollouts is not None,
+        )
         self.rollouts = Rollouts(
             self.replicas,
             settings.bounds.rollouts,
--- a/src/hemlocktrestle/scheduler/_core.py
+++ b/src/hemlocktrestle/scheduler/_core.py
@@ -94,7 +94,7 @@
 
     def grant_reserved(self, vm: str, ask: Ask, now_ms: float) -> list[Outgoing]:
         """Grant a request a reserved upstream at once; empty if none has room."""
-        model = self._upstreams.reserved_with_room(ask)
+        model = self._upstreams.take_reserved(ask)
         if model is None:
             return []
         deadline_ms = now_ms + ask.deadline_ms
--- a/src/hemlocktrestle/scheduler/_upstream_set.py
+++ b/src/hemlocktrestle/scheduler/_upstream_set.py
@@ -1,5 +1,6 @@
 """The upstreams of a pool, indexed by free slots, load and cached prefix."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
@@ -67,6 +68,7 @@
         self._fastest_decode = 0.0
         self._slot_count = 0
         self._reserved: frozenset[str] = frozenset()
+        self._reserved_counts: Counter[str] = Counter()
 
     def __len__(self) -> int:
         return len(self._models)
@@ -102,24 +104,31 @@
 
     def reserve(self, names: frozenset[str]) -> None:
         """Keep upstreams from requests that do not ask for a reserved one."""
+        if names != self._reserved:
+            self._reserved_counts.clear()
         self._reserved = names
         for name, model in self._models.items():
             if model.is_reserved != (name in names):
                 model.is_reserved = name in names
                 self._reindex(model)
 
-    def reserved_with_room(self, ask: Ask) -> UpstreamModel | None:
-        """Return the least loaded reserved upstream for a request, if one has room."""
-        found = (
-            model
-            for name, model in self._models.items()
-            if model.is_reserved and model.free_slots and name not in ask.excluded
-        )
-        return min(
-            found,
-            key=lambda model: (len(model.in_flight), model.record.name),
+    def take_reserved(self, ask: Ask) -> UpstreamModel | None:
+        """Take the least loaded reserved upstream for a request, if one has room.
+
+        Equally loaded ones take turns, so that each of them gets requests.
+        """
+        chosen = min(
+            (
+                (len(model.in_flight), self._reserved_counts[name], name)
+                for name, model in self._models.items()
+                if model.is_reserved and model.free_slots and name not in ask.excluded
+            ),
             default=None,
         )
+        if chosen is None:
+            return None
+        self._reserved_counts[chosen[-1]] += 1
+        return self._models[chosen[-1]]
 
     @property
     def has_room(self) -> bool:
