--- a/src/hemlocktrestle/edge/_gauges.py
+++ b/src/hemlocktrestle/edge/_gauges.py
@@ -70,4 +70,13 @@
         pool_oldest_in_hand_ms=scheduler_task.oldest_in_flight_ms,
         customer_quota_left=lambda: state.quotas.remaining(fleet.fleet(), now_ms()),
         service_repeats_left=state.retries_remaining,
+        service_rollout_phase=state.rollouts.phase_numbers,
+        service_target_requests=lambda: {
+            service: float(tally.request_count)
+            for service, tally in state.rollouts.target_tallies().items()
+        },
+        service_target_bad=lambda: {
+            service: float(tally.bad_count)
+            for service, tally in state.rollouts.target_tallies().items()
+        },
     )
--- a/src/hemlocktrestle/edge/_metrics.py
+++ b/src/hemlocktrestle/edge/_metrics.py
@@ -72,6 +72,9 @@
     pool_oldest_in_hand_ms: Callable[[], Labels]
     customer_quota_left: Callable[[], Labels]
     service_repeats_left: Callable[[], Labels]
+    service_rollout_phase: Callable[[], Labels]
+    service_target_requests: Callable[[], Labels]
+    service_target_bad: Callable[[], Labels]
 
 
 _HELP = {
@@ -99,6 +102,10 @@
     "pool_free_slots": "Requests that a pool kept here may still be given.",
     "customer_quota_left": "What a customer may still spend in this window.",
     "service_repeats_left": "Repeats that this VM may still send to a service.",
+    "service_rollout_phase": "Phase of a service's last order: 1 canary, 2 shifting, "
+    "3 stopped, 4 completed, 5 rolled back.",
+    "service_target_requests": "Requests permitted here to an order's target.",
+    "service_target_bad": "Failures and slow answers of an order's target seen here.",
 }
 
 
--- a/src/hemlocktrestle/edge/rollouts/_rollouts.py
+++ b/src/hemlocktrestle/edge/rollouts/_rollouts.py
@@ -12,6 +12,7 @@
     Order,
     Phase,
     PoolRollout,
+    Tally,
     Use,
     Verdict,
 )
@@ -150,6 +151,24 @@
             if record.version == version
         ) | {replica_id}
 
+    def phase_numbers(self) -> dict[str, float]:
+        """Return the number of the phase of each service's order, from 1 on."""
+        phases = list(Phase)
+        return {
+            service: phases.index(follower.phase) + 1.0
+            for service, follower in self.followers.items()
+            if follower.order is not None
+        }
+
+    def target_tallies(self) -> dict[str, Tally]:
+        """Return the counts of each service's target at this scheduler."""
+        found: dict[str, Tally] = {}
+        for service, pool in self.pools.items():
+            for key, tally in pool.tallies.items():
+                if key.is_target:
+                    found[service] = found.get(service, Tally()).plus(tally)
+        return found
+
     def on_attempt_started(self, replica_id: str) -> None:
         """Count a request that is sent to a replica."""
         if self.is_active:
