Refuse at once where only reserved upstreams are left, and ask for a clear difference

Cause: a request waited until its deadline if all upstreams of a region were reserved; a summary counted their slots as room. With many answers a small difference between versions was a verdict. Change: reserved upstreams do not count for both; a bad version has at least 5 % of bad answers and twice the old version's share.

--- a/src/hemlocktrestle/rollout/_judge.py
+++ b/src/hemlocktrestle/rollout/_judge.py
@@ -23,6 +23,15 @@
 USUAL_BAD_SHARE_MIN = 0.01
 """Share of bad answers that is always taken for ordinary."""
 
+BAD_SHARE_MIN = 0.05
+"""Share of bad answers without which no version is judged."""
+
+BAD_SHARE_FACTOR = 2.0
+"""Factor on the old version's share that it has to reach.
+
+With many answers a small difference is certain, which is no reason to go back.
+"""
+
 RECENT_MS = 3_000.0
 """Window in which badness that begins late is looked for, in milliseconds."""
 
@@ -117,6 +126,9 @@
     if target.bad_count < BAD_COUNT_MIN:
         return None
     usual = max(_usual_share(counted, route), _usual_share(whole, route))
+    needed = max(BAD_SHARE_MIN, usual * BAD_SHARE_FACTOR)
+    if target.bad_count < needed * target.request_count:
+        return None
     probability = tail_probability(target, usual)
     if probability > FALSE_ALARM:
         return None
--- a/src/hemlocktrestle/scheduler/_core.py
+++ b/src/hemlocktrestle/scheduler/_core.py
@@ -191,14 +191,13 @@
 
     def summary(self, now_ms: float) -> PoolSummary:
         """Return the load of the pool, by which other VMs choose a domain."""
-        free_slots = sum(model.free_slots for model in self._upstreams)
         queued_count = len(self._queue)
         wait_ms = saturated(queued_count * self._pace.gap_ms(now_ms))
         return PoolSummary(
             self.pool,
             queued_count,
             wait_ms,
-            saturated(free_slots),
+            saturated(self._upstreams.free_slots),
             self._standing.highest_tier(now_ms),
         )
 
--- a/src/hemlocktrestle/scheduler/_upstream_set.py
+++ b/src/hemlocktrestle/scheduler/_upstream_set.py
@@ -151,7 +151,8 @@
 
     def serves(self, excluded: tuple[str, ...]) -> bool:
         """Tell whether there is an upstream that is not excluded, free or not."""
-        return len(self._models) > sum(name in self._models for name in set(excluded))
+        closed = self._reserved.union(excluded)
+        return len(self._models) > sum(name in self._models for name in closed)
 
     def candidates(self, ask: Ask) -> list[UpstreamModel]:
         """Return the least loaded with room, and those with its prefix cached."""
@@ -275,6 +276,11 @@
         )
         return self._slot_count - excluded_count
 
+    @property
+    def free_slots(self) -> int:
+        """How many more requests of the highest tier may be granted."""
+        return sum(model.free_slots for model in self if not model.is_reserved)
+
     def idle_ms(self, ask: Ask) -> float:
         """Estimate the time of a request on the fastest upstream, if it were idle."""
         tokens = max(1, ask.prompt_tokens - PREFIX_TOKENS)
