--- a/src/hemlocktrestle/edge/rollouts/_gate.py
+++ b/src/hemlocktrestle/edge/rollouts/_gate.py
@@ -42,10 +42,13 @@
         found = tuple(records)
         if not rollouts.is_active:
             return UsableUpstreams(found)
-        by_use: dict[Use, list[UpstreamRecord]] = {use: [] for use in Use}
+        by_version: dict[str, list[UpstreamRecord]] = {}
         for record in found:
-            service, version = rollouts.versions.of(record.name)
-            by_use[rollouts.use(service or pool, version)].append(record)
+            _, version = rollouts.versions.of(record.name)
+            by_version.setdefault(version, []).append(record)
+        by_use: dict[Use, list[UpstreamRecord]] = {use: [] for use in Use}
+        for version, upstreams in by_version.items():
+            by_use[rollouts.use(pool, version)] += upstreams
         reserved = self._reserved(pool, by_use[Use.CANARY])
         usable = (*by_use[Use.ALL], *reserved)
         return UsableUpstreams(usable, frozenset(record.name for record in reserved))
--- a/src/hemlocktrestle/edge/rollouts/_rollouts.py
+++ b/src/hemlocktrestle/edge/rollouts/_rollouts.py
@@ -123,10 +123,12 @@
         """Return the replicas that may be used without a permit."""
         if not self.is_active:
             return records
+        versions = {(record.service, record.version) for record in records}
+        uses = {version: self.use(*version) for version in versions}
         return [
             record
             for record in records
-            if self.use(record.service, record.version) is Use.ALL
+            if uses[record.service, record.version] is Use.ALL
         ]
 
     def forbidden_ids(self, replica_id: str, *, has_permit: bool) -> frozenset[str]:
@@ -140,7 +142,7 @@
         follower = self.followers.get(service)
         if follower is None or follower.order is None:
             return frozenset()
-        if version != follower.order.target:
+        if version != follower.order.target or follower.phase is Phase.COMPLETED:
             return frozenset()
         use = self.use(service, version)
         if use is Use.ALL or (use is Use.CANARY and has_permit):
--- a/src/hemlocktrestle/edge/rollouts/_versions.py
+++ b/src/hemlocktrestle/edge/rollouts/_versions.py
@@ -3,6 +3,9 @@
 from hemlocktrestle.gateway import ReplicaRecord, ReplicaRegistry
 from hemlocktrestle.rollout import SeenVersions
 
+KNOWN_COUNT_MAX = 8_192
+"""Replicas, also gone ones, beyond which the gone ones are forgotten."""
+
 
 class ReplicaVersions:
     """Versions by replica, also of replicas that are gone.
@@ -27,9 +30,23 @@
             versions = born.setdefault(record.service, {})
             first_ms = versions.get(record.version, record.born_ms)
             versions[record.version] = min(first_ms, record.born_ms)
+        if len(self._known) > KNOWN_COUNT_MAX:
+            self._forget_gone()
         for service, versions in born.items():
             self.seen.observe(service, versions, now_ms)
 
+    def _forget_gone(self) -> None:
+        live = {found.replica_id: found for found in self._registry.replicas()}
+        self._known = {
+            name: version for name, version in self._known.items() if name in live
+        }
+        starts = set(map(_incarnation, live.values()))
+        self._cold_until_ms = {
+            start: until_ms
+            for start, until_ms in self._cold_until_ms.items()
+            if start in starts
+        }
+
     def of(self, replica_id: str) -> tuple[str, str]:
         """Return service and version of a replica, empty if it was never known."""
         return self._known.get(replica_id, ("", ""))
--- a/src/hemlocktrestle/rollout/_evidence.py
+++ b/src/hemlocktrestle/rollout/_evidence.py
@@ -22,7 +22,7 @@
 """Answers of the old version that are needed to know it."""
 
 
-DRAIN_QUANTILE = 0.95
+DRAIN_QUANTILE = 0.99
 """Share of the old version's requests that have ended after the drain time."""
 
 
