Wake no VM for roll-outs before there is an order, and watch from one VM a region

Cause: four timers ran on each VM where roll-outs are in force, and four VMs watched the orders. Change: judging and leading wait for the first order; only the scheduler of each region watches, one call in five seconds.

--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -277,11 +277,12 @@
             self.state.rollouts,
             self._store,
             self._health,
-            is_relay=lambda: self._peers.exchange.is_relay,
+            is_watching=lambda: self._peers.is_scheduler,
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watcher.run)
             nursery.start_soon(self._rollout_leader.run)
+            await self.state.rollouts.has_orders.wait()
             while True:
                 await sleep_until_multiple(ROLLOUT_CHECK_S)
                 self.state.rollouts.examine()
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -139,7 +139,13 @@
         It is the scheduler of the first region.
         """
         domain = min(self.membership.domains(), default="")
-        scheduler = self.membership.scheduler_of("", domain, now_ms())
+        return self.membership.domain == domain and self.is_scheduler
+
+    @property
+    def is_scheduler(self) -> bool:
+        """Whether this VM schedules the pools of its region."""
+        membership = self.membership
+        scheduler = membership.scheduler_of("", membership.domain, now_ms())
         return scheduler == self._entry.vm
 
     def vm_names(self) -> set[str]:
--- a/src/hemlocktrestle/edge/rollouts/_leader.py
+++ b/src/hemlocktrestle/edge/rollouts/_leader.py
@@ -107,6 +107,8 @@
 
     async def run(self) -> None:
         """Lead until cancelled, whenever this VM has the role."""
+        # An idle VM of a large fleet is not woken for nothing.
+        await self._rollouts.has_orders.wait()
         async with trio.open_nursery() as nursery:
             # Grants go on while a call to the store takes its time.
             nursery.start_soon(self._grant_periodically)
--- a/src/hemlocktrestle/edge/rollouts/_rollouts.py
+++ b/src/hemlocktrestle/edge/rollouts/_rollouts.py
@@ -4,6 +4,8 @@
 from collections import Counter
 from collections.abc import Callable
 
+import trio
+
 from hemlocktrestle.edge.rollouts._versions import ReplicaVersions
 from hemlocktrestle.gateway import ReplicaRecord, ReplicaRegistry
 from hemlocktrestle.rollout import (
@@ -46,6 +48,7 @@
         self.followers: dict[str, Follower] = {}
         self.pools: dict[str, PoolRollout] = {}
         self.read_count = 0
+        self.has_orders = trio.Event()
         self.on_changed: Callable[[], None] = lambda: None
         self.send: Callable[[str, Message], bool] = lambda vm, message: False
         self._now_ms = now_ms
@@ -279,6 +282,7 @@
         )
 
     def _on_new_order(self, order: Order, *, source: str) -> None:
+        self.has_orders.set()
         pool = self.pools.get(order.service)
         if pool is not None:
             pool.restart()
--- a/src/hemlocktrestle/edge/store/_rollout_watcher.py
+++ b/src/hemlocktrestle/edge/store/_rollout_watcher.py
@@ -13,24 +13,24 @@
 
 log = logging.getLogger(__name__)
 
-WAIT_MS = 3_000
+WAIT_MS = 5_000
 """Longest wait of one watch, in milliseconds: its answer shows that it works."""
 
 GRACE_S = 1.0
 """Time by which its answer may be late, in seconds."""
 
-ROLE_CHECK_S = 0.25
+ROLE_CHECK_S = 0.5
 """Time between checks whether this VM has to watch, in seconds."""
 
 
 class RolloutWatcher(StoreTask):
-    """Reads the orders while this VM is one of its region's relays.
+    """Reads the orders while this VM schedules its region's pools.
 
     Args:
         rollouts: the orders that this VM knows.
         store: the platform's store.
         health: records whether the store answers.
-        is_relay: tells whether this VM has to watch.
+        is_watching: tells whether this VM has to watch.
     """
 
     name = "rollouts"
@@ -41,21 +41,21 @@
         store: PlatformStore,
         health: StoreHealth,
         *,
-        is_relay: Callable[[], bool],
+        is_watching: Callable[[], bool],
     ) -> None:
         super().__init__(store, health)
         self._rollouts = rollouts
-        self._is_relay = is_relay
+        self._is_watching = is_watching
 
     async def _run_until_error(self) -> None:
-        while not self._is_relay():
+        while not self._is_watching():
             await sleep_until_multiple(ROLE_CHECK_S)
         page = await self._store.list(ORDERS_PREFIX)
         self._apply(page.items)
         # What the store holds may be older than before: records are read again.
         self._rollouts.read_count += 1
         revision = page.revision
-        while self._is_relay():
+        while self._is_watching():
             watched = await self._store.watch(
                 ORDERS_PREFIX, after=revision, wait_ms=WAIT_MS, timeout_s=GRACE_S
             )
--- a/tests/edge/rollouts/fleet.py
+++ b/tests/edge/rollouts/fleet.py
@@ -64,7 +64,7 @@
             now_ms=now_ms,
         )
         self.watcher = RolloutWatcher(
-            self.rollouts, store, StoreHealth(self.state), is_relay=lambda: True
+            self.rollouts, store, StoreHealth(self.state), is_watching=lambda: True
         )
         self.scope = trio.CancelScope()
 
