Count nothing of requests that ran before an order for its target

Cause: requests of the last target that failed after the next order counted as failures of the new target. Change: what runs when an order begins is kept apart, as running at an old version.

--- a/src/hemlocktrestle/rollout/_pool.py
+++ b/src/hemlocktrestle/rollout/_pool.py
@@ -66,12 +66,24 @@
         self._scheduler_count = scheduler_count
         self.evidence = Evidence()
         self._started: dict[str, Started] = {}
+        self._earlier: dict[str, Started] = {}
         self._judged: set[str] = set()
         self._judge = Judge()
         self.ledger = ExposureLedger(bounds, scheduler_count=scheduler_count)
 
     def restart(self) -> None:
-        """Begin the counts of a new order."""
+        """Begin the counts of a new order.
+
+        Requests that run already tell nothing of its target.
+        """
+        self._earlier = {
+            **self._earlier,
+            **{
+                ask_id: started._replace(is_target=False)
+                for ask_id, started in self._started.items()
+            },
+        }
+        self._started.clear()
         self.evidence.restart()
         self._judge = Judge()
         self._judged.clear()
@@ -107,6 +119,7 @@
         """
         started = self._started.get(ask_id)
         if started is None:
+            self._forget(ask_id)
             return
         sample = Sample(started.route, answer.first_ms, answer.total_ms)
         self._judge_early(ask_id, sample)
@@ -135,7 +148,8 @@
 
     def running_count(self, *, is_target: bool) -> int:
         """Return how many permitted requests run at one of the versions."""
-        return sum(item.is_target == is_target for item in self._started.values())
+        running = (*self._started.values(), *self._earlier.values())
+        return sum(item.is_target == is_target for item in running)
 
     def _judge_early(self, ask_id: str, sample: Sample) -> None:
         """Count a request that is slow already; its end will not count again."""
@@ -148,4 +162,5 @@
 
     def _forget(self, ask_id: str) -> Started | None:
         self._judged.discard(ask_id)
+        self._earlier.pop(ask_id, None)
         return self._started.pop(ask_id, None)
