--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -277,7 +277,8 @@
             self.state.rollouts,
             self._store,
             self._health,
-            is_watching=lambda: self._peers.is_scheduler,
+            # Before the list of VMs is known, each VM takes itself for the scheduler.
+            is_watching=lambda: self.state.has_loaded_vms and self._peers.is_scheduler,
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watcher.run)
