--- a/src/hemlocktrestle/edge/_daemon.py
+++ b/src/hemlocktrestle/edge/_daemon.py
@@ -12,8 +12,9 @@
 import trio
 
 from hemlocktrestle.edge._fleet import EdgeFleet
-from hemlocktrestle.edge._labelled_gauges import labelled_gauges
-from hemlocktrestle.edge._metrics import EdgeMetrics, Gauges
+from hemlocktrestle.edge._gauges import gauges, labelled_gauges
+from hemlocktrestle.edge._handlers import register_handlers
+from hemlocktrestle.edge._metrics import EdgeMetrics
 from hemlocktrestle.edge._stall_monitor import StallMonitor
 from hemlocktrestle.edge._state import EdgeState, now_ms
 from hemlocktrestle.edge.attempts._crash_monitor import CrashMonitor
@@ -33,7 +34,10 @@
 from hemlocktrestle.edge.placing._placement import AttemptReport, Placement
 from hemlocktrestle.edge.placing._request_preview import RequestPreview
 from hemlocktrestle.edge.placing._way_planner import WayPlanner
+from hemlocktrestle.edge.rollouts._gate import RolloutGate
+from hemlocktrestle.edge.rollouts._leader import RolloutLeader
 from hemlocktrestle.edge.store._registration import BusyRecorder, VmEntry, VmRegistrar
+from hemlocktrestle.edge.store._rollout_watcher import RolloutWatcher
 from hemlocktrestle.edge.store._store_task import StoreHealth
 from hemlocktrestle.edge.store._watchers import ConfigurationWatcher, ReplicaWatcher
 from hemlocktrestle.errors import RequestError
@@ -42,26 +46,7 @@
 from hemlocktrestle.platform import EdgeSettings, PlatformStore, read_settings
 from hemlocktrestle.relay import CutReason
 from hemlocktrestle.timers import sleep_until_multiple
-from hemlocktrestle.wire import (
-    PROTOCOL_VERSION,
-    Ask,
-    ConfigurationNews,
-    Heartbeat,
-    Hello,
-    PartTrial,
-    Permit,
-    Pulse,
-    Queued,
-    Refusal,
-    Release,
-    ReplicaBatch,
-    ReplicaFetch,
-    ReplicaNews,
-    Running,
-    Suspicion,
-    TreeFetch,
-    Withdraw,
-)
+from hemlocktrestle.wire import PROTOCOL_VERSION, Hello, Message
 
 log = logging.getLogger(__name__)
 
@@ -71,6 +56,9 @@
 SCHEDULER_CHECK_S = 0.25
 """Time between checks whether a pool's scheduler has moved, in seconds."""
 
+ROLLOUT_CHECK_S = 0.1
+"""Time between judgements of versions that services are moved to, in seconds."""
+
 DESCRIPTORS_PER_CALLER = 2
 """File descriptors that one caller needs: its connection and one to a replica."""
 
@@ -130,6 +118,7 @@
         )
         self._peers.network = self._network
         quotas = EdgeQuotas(self.state)
+        rollouts = self.state.rollouts
         self._scheduler_task = SchedulerTask(
             membership,
             reply=self._network.reply,
@@ -137,8 +126,20 @@
             policy=lambda: QUEUE_POLICY,
             acknowledges=True,
             gate=quotas,
+            versions=RolloutGate(rollouts, now_ms=now_ms),
         )
         self._peers.scheduler_task = self._scheduler_task
+        rollouts.on_changed = self._scheduler_task.refresh
+        rollouts.send = self._send_to_peer
+        self._rollout_leader = RolloutLeader(
+            rollouts,
+            self._store,
+            settings.vm,
+            is_leader=lambda: self._peers.leads_rollouts,
+            vms=self._peers.vm_names,
+            broadcast=self._network.broadcast,
+            now_ms=now_ms,
+        )
         self._crash_monitor = CrashMonitor(
             self._peers.quarantine, self._network, self._peers.part_gate
         )
@@ -200,10 +201,28 @@
             is_current=self._peers.has_current_vms,
         )
         self._metrics = EdgeMetrics(
-            self._gauges(dropped_count),
-            labelled_gauges(self.state, self._scheduler_task),
+            gauges(
+                self.state,
+                self._peers,
+                store=self._store,
+                health=self._health,
+                server=self._server,
+                listener=self._caller_listener,
+                scheduler_task=self._scheduler_task,
+                stall_monitor=self._stall_monitor,
+                dropped_count=dropped_count,
+            ),
+            labelled_gauges(self.state, self._peers, self._scheduler_task),
+        )
+        register_handlers(
+            self._network,
+            self.state,
+            self._peers,
+            scheduler_task=self._scheduler_task,
+            permit_client=self._permit_client,
+            crash_monitor=self._crash_monitor,
+            rollout_leader=self._rollout_leader,
         )
-        self._register_handlers()
 
     async def run(self) -> None:
         """Serve until a graceful shutdown is done."""
@@ -243,6 +262,8 @@
             nursery.start_soon(replicas.run)
             nursery.start_soon(replicas.drop_unconfirmed)
             nursery.start_soon(self._registrar.run)
+            if self.state.rollouts.is_active:
+                nursery.start_soon(self._run_rollouts)
             nursery.start_soon(
                 BusyRecorder(
                     settings.region,
@@ -276,6 +297,30 @@
             nursery.cancel_scope.cancel()
         log.info("stopped")
 
+    async def _run_rollouts(self) -> None:
+        """Watch, judge and lead moves of services to other versions."""
+        watcher = RolloutWatcher(
+            self.state.rollouts,
+            self._store,
+            self._health,
+            # Before the list of VMs is known, each VM takes itself for the scheduler.
+            is_watching=lambda: self.state.has_loaded_vms and self._peers.is_scheduler,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watcher.run)
+            nursery.start_soon(self._rollout_leader.run)
+            await self.state.rollouts.has_orders.wait()
+            while True:
+                await sleep_until_multiple(ROLLOUT_CHECK_S)
+                self.state.rollouts.examine()
+
+    def _send_to_peer(self, vm: str, message: Message) -> bool:
+        """Send a message to a VM, or to this one, on either link."""
+        if vm == self._settings.vm:
+            self._rollout_leader.on_report(vm, message)
+            return True
+        return self._network.send(vm, message) or self._network.reply(vm, message)
+
     async def _drain(self) -> None:
         """Drain: hand over pools, deregister and answer what is open."""
         self.state.shutdown.begin()
@@ -302,41 +347,6 @@
         self.state.settings = settings
         log.info("settings_reloaded")
 
-    def _gauges(self, dropped_count: Callable[[], int]) -> Gauges:
-        health = self._health
-        kept = self.state.kept_connections
-        return Gauges(
-            running=lambda: self._server.running_count,
-            connections=lambda: self._caller_listener.connection_count,
-            configuration_version=self._configuration_version,
-            configuration_age_ms=lambda: health.age_ms(ConfigurationWatcher.name),
-            replicas_ready=lambda: sum(
-                not record.is_draining for record in self.state.replicas.replicas()
-            ),
-            replicas_age_ms=lambda: health.age_ms(ReplicaWatcher.name),
-            store_is_lost=lambda: float(health.is_lost),
-            store_answered_age_ms=health.age_ms,
-            store_calls=lambda: self._store.call_count,
-            store_era=lambda: max(0, self.state.store_era),
-            vms_heard=lambda: self._fleet().reporting_count,
-            stalls=lambda: self._stall_monitor.count,
-            log_lines_dropped=dropped_count,
-            inbox_wait_ms=lambda: self._scheduler_task.inbox_wait_ms,
-            configuration_bytes_sent=lambda: self._peers.exchange.bytes_sent,
-            replicas_paused=self.state.replica_notices.paused_count,
-            replicas_leaving=lambda: len(self.state.replica_notices.leaving),
-            parts_quarantined=lambda: self._peers.part_gate.quarantined_count,
-            part_refusals=lambda: self._peers.part_gate.refused_count,
-            replica_connections_opened=lambda: kept.opened_count,
-            replica_connections_reused=lambda: kept.reused_count,
-            replica_connections_dead=lambda: kept.dead_count,
-            replica_connections_idle=lambda: kept.count,
-        )
-
-    def _configuration_version(self) -> float:
-        configuration = self.state.configuration
-        return float(configuration.version) if configuration is not None else 0.0
-
     def _on_attempt_ended(
         self, job: Job, placement: Placement, report: AttemptReport
     ) -> None:
@@ -351,30 +361,6 @@
     def _fleet(self, customer: str | None = None) -> FleetSnapshot:
         return self._peers.fleet(customer)
 
-    def _register_handlers(self) -> None:
-        """Register the handlers of messages and of opened and closed links."""
-        network = self._network
-        for request_type in (Ask, Release, Withdraw, Running, Pulse):
-            network.register_handler(request_type, self._scheduler_task.on_message)
-        for reply_type in (Permit, Refusal, Queued):
-            network.register_handler(reply_type, self._permit_client.on_message)
-        network.register_handler(Heartbeat, self._peers.on_heartbeat)
-        replicas = self._peers.replica_exchange
-        network.register_handler(ReplicaNews, replicas.on_news)
-        network.register_handler(ReplicaBatch, replicas.on_batch)
-        network.register_handler(ReplicaFetch, replicas.on_fetch)
-        network.register_handler(ConfigurationNews, self._peers.exchange.on_news)
-        network.register_handler(TreeFetch, self._peers.exchange.on_fetch)
-        for crash_type in (Suspicion, PartTrial):
-            network.register_handler(crash_type, self._crash_monitor.on_message)
-        self.state.on_configuration = self._peers.on_configuration_changed
-        network.on_opened(self._crash_monitor.on_link_opened)
-        network.on_dialled_closed(self._permit_client.on_link_closed)
-        network.on_dialled_closed(self._peers.membership.on_disconnected)
-        network.on_dialled_closed(replicas.on_link_closed)
-        network.on_accepted_closed(self._scheduler_task.on_requester_disconnected)
-        network.on_accepted_closed(replicas.on_link_closed)
-
     async def _report_held_permits(self) -> None:
         while True:
             await sleep_until_multiple(SCHEDULER_CHECK_S)
--- a/src/hemlocktrestle/edge/_fleet.py
+++ b/src/hemlocktrestle/edge/_fleet.py
@@ -135,6 +135,26 @@
             self.exchange.relays
         )
 
+    @property
+    def leads_rollouts(self) -> bool:
+        """Whether this VM leads moves to other versions.
+
+        It is the scheduler of the first region.
+        """
+        domain = min(self.membership.domains(), default="")
+        return self.membership.domain == domain and self.is_scheduler
+
+    @property
+    def is_scheduler(self) -> bool:
+        """Whether this VM schedules the pools of its region."""
+        membership = self.membership
+        scheduler = membership.scheduler_of("", membership.domain, now_ms())
+        return scheduler == self._entry.vm
+
+    def vm_names(self) -> set[str]:
+        """Return the names of all registered VMs."""
+        return set(self._vm_list.entries)
+
     def sync(self) -> None:
         """Update membership and links from the registered VMs and replicas."""
         region_of_zone = self._state.settings.region_of_zone
@@ -157,6 +177,7 @@
         )
         vms = tuple(_vm_record(entry) for entry in self._vm_list.entries.values())
         self.membership.apply_listing(Listing(vms, upstreams))
+        self._state.rollouts.on_replicas_changed()
         if self.scheduler_task is not None:
             self.scheduler_task.refresh()
         own_domain = self.membership.candidates(self._entry.region, CANDIDATE_COUNT)
--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -13,6 +13,7 @@
 from hemlocktrestle.edge.callers._memory_plan import MemoryPlan
 from hemlocktrestle.edge.callers._shutdown import Phase, Shutdown
 from hemlocktrestle.edge.replicas._replica_notices import ReplicaNotices
+from hemlocktrestle.edge.rollouts._rollouts import Rollouts
 from hemlocktrestle.gateway import (
     NO_ERA,
     NO_REVISION,
@@ -55,7 +56,17 @@
         self.configuration_confirmed_ms = -math.inf
         self.on_configuration: Callable[[], None] = lambda: None
         self.replicas = ReplicaRegistry()
-        self.replica_notices = ReplicaNotices(self.replicas, now_ms=now_ms)
+        self.replica_notices = ReplicaNotices(
+            self.replicas,
+            now_ms=now_ms,
+            drops_replaced=settings.bounds.rollouts is not None,
+        )
+        self.rollouts = Rollouts(
+            self.replicas,
+            settings.bounds.rollouts,
+            now_ms=now_ms,
+            scheduler_count=len(set(settings.region_of_zone.values())),
+        )
         self.store_era = NO_ERA
         """Highest era of the store that this VM or another one has seen."""
         self.on_store_restored: list[Callable[[], None]] = []
--- a/src/hemlocktrestle/edge/replicas/_replica_exchange.py
+++ b/src/hemlocktrestle/edge/replicas/_replica_exchange.py
@@ -281,6 +281,7 @@
         record.cold_ms,
         record.born_ms,
         era=era,
+        version=record.version,
     )
 
 
@@ -304,6 +305,7 @@
             is_draining=news.is_draining,
             cold_ms=news.cold_ms,
             born_ms=news.born_ms,
+            version=news.version,
         )
         try:
             record = check(
--- a/src/hemlocktrestle/platform/_store.py
+++ b/src/hemlocktrestle/platform/_store.py
@@ -3,7 +3,7 @@
 import base64
 import json
 import socket
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from contextlib import AsyncExitStack
 from types import TracebackType
 from typing import Any, Self
@@ -224,9 +224,33 @@
 
     async def put(self, key: str, value: bytes, *, lease: int = 0) -> StoreRevision:
         """Write one key unconditionally and return its revision."""
-        encoded = base64.b64encode(value).decode()
-        put = {"key": key, "value": encoded, "lease": lease}
-        return await self._transact(puts=[put])
+        return await self.write({key: value}, lease=lease)
+
+    async def write(
+        self,
+        values: Mapping[str, bytes],
+        *,
+        expected: Mapping[str, int] | None = None,
+        lease: int = 0,
+    ) -> StoreRevision:
+        """Write several keys together, and return their revision.
+
+        Args:
+            values: the values by key.
+            expected: revisions that keys must have, 0 for one that must be absent;
+                if one differs, nothing is written and the error is of kind
+                ``CONDITION_FAILED``.
+            lease: the lease of the keys, 0 for none.
+        """
+        puts = [
+            {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
+            for key, value in values.items()
+        ]
+        expect = [
+            {"key": key, "revision": revision}
+            for key, revision in (expected or {}).items()
+        ]
+        return await self._transact(expect=expect, puts=puts)
 
     async def delete(self, key: str, *, revision: StoreRevision) -> None:
         """Remove one key.
--- a/src/hemlocktrestle/scheduler/_core.py
+++ b/src/hemlocktrestle/scheduler/_core.py
@@ -15,8 +15,10 @@
 from hemlocktrestle.scheduler._chooser import CHOOSERS
 from hemlocktrestle.scheduler._early_refusal import EARLY_REFUSALS, DeadlineForecast
 from hemlocktrestle.scheduler._forecast import StartForecaster
+from hemlocktrestle.scheduler._grant_pace import GrantPace
 from hemlocktrestle.scheduler._heap import LazyHeap
 from hemlocktrestle.scheduler._outgoing import Outgoing
+from hemlocktrestle.scheduler._permits import permit_for
 from hemlocktrestle.scheduler._policy import PoolPolicy
 from hemlocktrestle.scheduler._queue import QUEUES, QueuedAsk
 from hemlocktrestle.scheduler._queue_meter import QueueMeter, TierReport
@@ -28,7 +30,6 @@
 from hemlocktrestle.wire import (
     NO_PART_LIMIT,
     Ask,
-    Permit,
     PoolSummary,
     Pulse,
     Refusal,
@@ -37,12 +38,6 @@
     Withdraw,
 )
 
-PERMIT_VALID_MS = 1_000
-"""How long after its grant a permit may be used, in milliseconds."""
-
-GAP_SMOOTHING = 0.1
-"""Weight of a new observation in the moving average of the time between grants."""
-
 STRAGGLER_CHECK_MS = 500.0
 """Interval between checks for stragglers, in milliseconds."""
 
@@ -89,8 +84,7 @@
         )
         self._deadlines: LazyHeap[tuple[float, str]] = LazyHeap(self._is_current)
         self._stragglers_checked_ms = float("-inf")
-        self._last_grant_ms = 0.0
-        self._grant_gap_ms = 0.0
+        self._pace = GrantPace()
         self._routes: dict[str, str] = {}
         self._zone_choices: Counter[ZoneReason] = Counter()
         self._work = WorkEstimates()
@@ -124,6 +118,23 @@
         ]
         return outgoing + self._grant(now_ms)
 
+    def reserve(self, names: frozenset[str]) -> None:
+        """Keep upstreams for :meth:`grant_reserved`, also ones that come later."""
+        self._upstreams.reserve(names)
+
+    def grant_reserved(self, vm: str, ask: Ask, now_ms: float) -> list[Outgoing]:
+        """Grant a request a reserved upstream at once; empty if none has room."""
+        model = self._upstreams.take_reserved(ask)
+        if model is None:
+            return []
+        deadline_ms = now_ms + ask.deadline_ms
+        waiting = QueuedAsk(ask, vm, now_ms, deadline_ms, deadline_ms, NO_WORK)
+        return [self._assign(waiting, model, now_ms)]
+
+    def route_of(self, ask_id: str) -> str:
+        """Return the route of a request that was granted here and runs."""
+        return self._routes.get(ask_id, "")
+
     def enqueue(self, vm: str, ask: Ask, now_ms: float) -> list[Outgoing]:
         """Queue a permit request; over the limit, shed from the lowest tier up."""
         self._queue.remove(ask.ask_id)
@@ -210,17 +221,13 @@
 
     def summary(self, now_ms: float) -> PoolSummary:
         """Return the load of the pool, by which other VMs choose a domain."""
-        free_slots = sum(model.free_slots for model in self._upstreams)
         queued_count = len(self._queue)
-        # Until a request that had to wait is granted, the time since the last
-        # grant is the only estimate of the gap.
-        gap_ms = self._grant_gap_ms or now_ms - self._last_grant_ms
-        wait_ms = saturated(queued_count * gap_ms)
+        wait_ms = saturated(queued_count * self._pace.gap_ms(now_ms))
         return PoolSummary(
             self.pool,
             queued_count,
             wait_ms,
-            saturated(free_slots),
+            saturated(self._upstreams.free_slots),
             self._standing.highest_tier(now_ms),
         )
 
@@ -300,34 +307,21 @@
                 outgoing.append(self._refusals.refuse(waiting, kind, now_ms))
                 continue
             self._queue.serve(ask.ask_id)
-            self._record_grant(waiting, now_ms)
+            self._pace.record(waiting, now_ms)
             self._meter.record_granted(waiting, now_ms)
-            if ask.zone:
-                self._zone_choices[self._upstreams.zone_reason(model, ask)] += 1
-            self._upstreams.assign(model, ask, waiting.vm, now_ms)
-            self._routes[ask.ask_id] = ask.route
             self._forecaster.start(ask.ask_id, waiting.work)
-            outgoing.append(Outgoing(waiting.vm, self._permit(waiting, model, now_ms)))
+            outgoing.append(self._assign(waiting, model, now_ms))
         return outgoing
 
-    def _permit(
+    def _assign(
         self, waiting: QueuedAsk, model: UpstreamModel, now_ms: float
-    ) -> Permit:
-        return Permit(
-            waiting.ask.ask_id,
-            self.pool,
-            model.record.name,
-            model.record.address,
-            int(now_ms - waiting.arrived_ms),
-            PERMIT_VALID_MS,
-        )
-
-    def _record_grant(self, waiting: QueuedAsk, now_ms: float) -> None:
-        """Update the average time between grants, from requests that had to wait."""
-        if waiting.arrived_ms < now_ms:
-            gap_ms = now_ms - max(self._last_grant_ms, waiting.arrived_ms)
-            self._grant_gap_ms += GAP_SMOOTHING * (gap_ms - self._grant_gap_ms)
-        self._last_grant_ms = now_ms
+    ) -> Outgoing:
+        ask = waiting.ask
+        if ask.zone:
+            self._zone_choices[self._upstreams.zone_reason(model, ask)] += 1
+        self._upstreams.assign(model, ask, waiting.vm, now_ms)
+        self._routes[ask.ask_id] = ask.route
+        return permit_for(waiting, self.pool, model, now_ms)
 
     def _forget_running(self, ask_id: str) -> str | None:
         """Forget a request that ran; return its route, if it was granted here."""
--- a/src/hemlocktrestle/scheduler/_upstream_set.py
+++ b/src/hemlocktrestle/scheduler/_upstream_set.py
@@ -1,5 +1,6 @@
 """The upstreams of a pool, indexed by free slots, load and cached prefix."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
@@ -71,6 +72,8 @@
         self._fastest_decode = 0.0
         self._slot_count = 0
         self._zones: set[str] = set()
+        self._reserved: frozenset[str] = frozenset()
+        self._reserved_counts: Counter[str] = Counter()
 
     def __len__(self) -> int:
         return len(self._models)
@@ -94,16 +97,45 @@
         for name in sorted(wanted.keys() - self._models.keys()):
             model = self._removed.pop(name, None) or self._new_model(wanted[name])
             model.record = wanted[name]
+            model.is_reserved = name in self._reserved
             self._models[name] = model
             self._reindex(model)
         for name in [
             name for name, model in self._removed.items() if not model.in_flight
         ]:
             del self._removed[name]
-        self._slot_count = sum(model.slots for model in self)
+        self._slot_count = sum(model.slots for model in self if not model.is_reserved)
         self._zones = {model.record.zone for model in self}
         return is_changed
 
+    def reserve(self, names: frozenset[str]) -> None:
+        """Keep upstreams from requests that do not ask for a reserved one."""
+        if names != self._reserved:
+            self._reserved_counts.clear()
+        self._reserved = names
+        for name, model in self._models.items():
+            if model.is_reserved != (name in names):
+                model.is_reserved = name in names
+                self._reindex(model)
+
+    def take_reserved(self, ask: Ask) -> UpstreamModel | None:
+        """Take the least loaded reserved upstream for a request, if one has room.
+
+        Equally loaded ones take turns, so that each of them gets requests.
+        """
+        chosen = min(
+            (
+                (len(model.in_flight), self._reserved_counts[name], name)
+                for name, model in self._models.items()
+                if model.is_reserved and model.free_slots and name not in ask.excluded
+            ),
+            default=None,
+        )
+        if chosen is None:
+            return None
+        self._reserved_counts[chosen[-1]] += 1
+        return self._models[chosen[-1]]
+
     @property
     def has_room(self) -> bool:
         """Whether an upstream has room for requests of some kind."""
@@ -125,7 +157,8 @@
 
     def serves(self, excluded: tuple[str, ...]) -> bool:
         """Tell whether there is an upstream that is not excluded, free or not."""
-        return len(self._models) > sum(name in self._models for name in set(excluded))
+        closed = self._reserved.union(excluded)
+        return len(self._models) > sum(name in self._models for name in closed)
 
     def candidates(self, ask: Ask) -> list[UpstreamModel]:
         """Return the least loaded with room, and those with its prefix cached.
@@ -227,7 +260,7 @@
 
     def check_stragglers(self, now_ms: float) -> None:
         """Compare each upstream's speed with its own past and with its peers."""
-        self._slot_count = sum(model.slots for model in self)
+        self._slot_count = sum(model.slots for model in self if not model.is_reserved)
         if not self._models:
             return
         self._fastest_prefill = min(model.rates.prefill.ms_per_token for model in self)
@@ -274,6 +307,11 @@
         )
         return self._slot_count - excluded_count
 
+    @property
+    def free_slots(self) -> int:
+        """How many more requests of the highest tier may be granted."""
+        return sum(model.free_slots for model in self if not model.is_reserved)
+
     def idle_ms(self, ask: Ask) -> float:
         """Estimate the time of a request on the fastest upstream, if it were idle."""
         tokens = max(1, ask.prompt_tokens - PREFIX_TOKENS)
--- a/src/hemlocktrestle/wire/_messages.py
+++ b/src/hemlocktrestle/wire/_messages.py
@@ -16,6 +16,7 @@
     Withdraw,
 )
 from hemlocktrestle.wire._registry import message
+from hemlocktrestle.wire._rollout_messages import RolloutGrant, RolloutReport
 
 PROTOCOL_VERSION = 1
 """Protocol version sent in :class:`Hello`; a peer with another one is refused."""
@@ -253,6 +254,7 @@
     cold_ms: float = 0.0
     born_ms: int = 0
     era: int = 0
+    version: str = ""
 
 
 @message("replicaBatch")
@@ -309,4 +311,6 @@
     | ReplicaFetch
     | ConfigurationNews
     | PartTrial
+    | RolloutGrant
+    | RolloutReport
 )
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -195,10 +195,12 @@
         self, query: dict[str, str], request: Request, rest: list[str]
     ) -> tuple[int, Any] | None:
         body = request.json()
+        found = {row["key"]: self.entries.get(row["key"]) for row in body["expect"]}
         for row in body["expect"]:
-            entry = self.entries.get(row["key"])
-            if row["revision"] != (entry.revision if entry is not None else 0):
-                return 412, {"items": []}
+            entry = found[row["key"]]
+            if row["revision"] != (entry.revision if entry else 0):
+                items = [_item(key, entry) for key, entry in found.items() if entry]
+                return 412, {"items": items}
         for key in body["deletes"]:
             self.remove(key)
         for row in body["puts"]:
