--- a/tests/platform/test_registrations.py
+++ b/tests/platform/test_registrations.py
@@ -27,8 +27,7 @@
     except RequestError as error:
         assert error.kind is ErrorKind.SETTINGS_INVALID
         return False
-    *fields, version = record[1:]
-    news = ReplicaNews(replica_id, 1, False, *fields, version=version)
+    news = ReplicaNews(replica_id, 1, False, *record[1:-1], version=record.version)
     assert decode(encode(news)) == news
     host, _, port = record.address.rpartition(":")
     assert socket.inet_aton(host) and 1 <= int(port) <= 65_535
