Let one mechanism tell that another replica has an address

Cause: two parts had each built an answer to refusals as misdirected; that of the roll-outs counted any, in some deployments only.

Change: the marks of displaced replicas serve both; the tests of reused addresses keep their checks, with a refusal that names its replica as the platform's do.

Result: tests/edge/replicas, tests/edge/rollouts and tests/platform pass.

--- a/src/hemlocktrestle/edge/_state.py
+++ b/src/hemlocktrestle/edge/_state.py
@@ -56,11 +56,7 @@
         self.configuration_confirmed_ms = -math.inf
         self.on_configuration: Callable[[], None] = lambda: None
         self.replicas = ReplicaRegistry()
-        self.replica_notices = ReplicaNotices(
-            self.replicas,
-            now_ms=now_ms,
-            drops_replaced=settings.bounds.rollouts is not None,
-        )
+        self.replica_notices = ReplicaNotices(self.replicas, now_ms=now_ms)
         self.rollouts = Rollouts(
             self.replicas,
             settings.bounds.rollouts,
--- a/src/hemlocktrestle/edge/replicas/_replica_notices.py
+++ b/src/hemlocktrestle/edge/replicas/_replica_notices.py
@@ -54,18 +54,12 @@
     left_ms: float | None = None
 
 
-MISDIRECTED_STATUS = 421
-"""Status of a replica that is not the one that the request names."""
-
-
 class ReplicaNotices:
     """Notices of replicas, by incarnation.
 
     Args:
         registry: the replicas that are considered live.
         now_ms: returns the time of the process in milliseconds.
-        drops_replaced: whether a replica is gone once another one answers at its
-            address.
     """
 
     def __init__(
@@ -73,9 +67,7 @@
         registry: ReplicaRegistry,
         *,
         now_ms: Callable[[], float],
-        drops_replaced: bool = False,
     ) -> None:
-        self.drops_replaced = drops_replaced
         self._registry = registry
         self._now_ms = now_ms
         self.leaving = LeavingIncarnations()
@@ -91,12 +83,7 @@
         self, placement: Placement, status: int, metadata: AnswerMetadata
     ) -> None:
         """Record what the head of a replica's answer says about the replica."""
-        is_replaced = (
-            self.drops_replaced
-            and status == MISDIRECTED_STATUS
-            and metadata.is_not_executed
-        )
-        if metadata.is_leaving or is_replaced:
+        if metadata.is_leaving:
             incarnation = Incarnation(placement.replica_id, placement.born_ms)
             self._record_leaving(
                 incarnation, request_id=metadata.request_id, status=status
