Renew a lease at its usual pace after a grant that states a new era

Cause: the event of a restore was created before the lease was granted. If the grant's answer was the first to state the new era, the event stayed set, and each wait between renewals ended at once: as many renewals as the store answers.

Change: the event is created once the grant is recorded.

Measured: RenewalTests.test_a_grant_that_states_a_new_era fails before, with 957 renewals in ten seconds at 10 ms an answer; it passes now (1 to 4). tests/edge/store and tests/gateway: 149 passed.

--- a/src/hemlocktrestle/edge/store/_registration.py
+++ b/src/hemlocktrestle/edge/store/_registration.py
@@ -148,9 +148,10 @@
         self._restored.set()
 
     async def _run_until_error(self) -> None:
-        self._restored = trio.Event()
         lease = await self._store.grant_lease(VM_LEASE_MS)
         self._record_answer(lease.era)
+        # A restore that the grant itself has told of is no reason for another lease.
+        self._restored = trio.Event()
         value = json.dumps(self._entry._asdict()).encode()
         revision = await self._store.put(self._key, value, lease=lease.lease_id)
         self._record_answer(revision.era)
--- a/tests/edge/store/test_registration.py
+++ b/tests/edge/store/test_registration.py
@@ -107,6 +107,40 @@
                 nursery.cancel_scope.cancel()
 
 
+class RenewalTests(TrioTestCase):
+    """The lease is renewed every few seconds, whoever learns first of a restore."""
+
+    async def test_a_grant_that_states_a_new_era(self) -> None:
+        """Guards against renewals without a pause after it."""
+        store = PlatformStoreStandIn()
+        state = EdgeState(
+            decode_settings(SETTINGS, source="test"),
+            fleet=lambda customer=None: FleetSnapshot(1, 1, {}),
+        )
+        async with trio.open_nursery() as nursery:
+            backend = MemoryBackend(store, nursery)
+            async with PlatformStore("10.0.0.1:80", backend=backend) as client:
+                registrar = VmRegistrar(
+                    ENTRY,
+                    client,
+                    StoreHealth(state),
+                    on_vms=lambda entries: None,
+                    on_busy=lambda customers: None,
+                    is_current=lambda: True,
+                )
+                nursery.start_soon(registrar.run)
+                await trio.sleep(1)
+                copy, store.status = store.copy(), 503
+                await trio.sleep(5)
+                store.restore(copy)
+                store.status, store.delay_s = 0, 0.01
+                store.calls.clear()
+                await trio.sleep(10)
+                renewals = [call for call in store.calls if "kv-keep" in call]
+                self.assertTrue(1 <= len(renewals) <= 4, len(renewals))
+                nursery.cancel_scope.cancel()
+
+
 class EntryTests(TrioTestCase):
     """Entries of earlier and later versions can be read."""
 
