Take the first era for no restore if other VMs' facts are of the same era

Cause: a process that had got replicas from another VM before its own first answer of the store took that answer for a restore, also where the store states no era. Removals then waited for 2.2 s, in which replicas that leave got work.

Change: the first era is a restore only if a known fact is of another era.

--- a/src/hemlocktrestle/gateway/_replicas.py
+++ b/src/hemlocktrestle/gateway/_replicas.py
@@ -104,7 +104,10 @@
         Returns:
             The number of replicas that the new era has to confirm.
         """
-        is_first = self._era == NO_ERA and not self._updates
+        # Another VM may have sent facts before the store answered here.
+        is_first = self._era == NO_ERA and all(
+            update.revision.era == era for update in self._updates.values()
+        )
         self._era = era
         if is_first:
             return 0
--- a/tests/gateway/test_replicas.py
+++ b/tests/gateway/test_replicas.py
@@ -204,3 +204,19 @@
         registry.apply_update(replica_update("a", 5, era=3))
         registry.apply_removal("a", at(6, era=3), 10)
         self.assertEqual([], ids(registry))
+
+    def test_what_another_vm_sent_before_the_first_answer_is_no_restore(self) -> None:
+        """Guards against removals that wait although the store states no era."""
+        registry = ReplicaRegistry()
+        registry.apply_update(replica_update("a", 5))
+        registry.begin_era(0, 0)
+        registry.apply_removal("a", at(6), 10)
+        self.assertEqual([], ids(registry))
+
+    def test_a_restore_before_the_first_answer_is_one(self) -> None:
+        """What another VM sent of an earlier era may be missing in the copy."""
+        registry = ReplicaRegistry()
+        registry.apply_update(replica_update("a", 5))
+        registry.begin_era(1, 0)
+        registry.apply_removal("a", at(6, era=1), 10)
+        self.assertEqual(["a"], ids(registry))
