Count a caller that reads slowly as reading

Cause: the time since which a caller takes in nothing began with each send and did not move until a whole block of 64 kB was taken. While memory or connections were short, a caller on a slow link lost its answer after a second, although it read.

Change: a block is sent in parts of 16 kB, and each part that is taken moves that time. The limit of a whole send stays as it was.

Measured: SlowReaderTests fails before (1.2 s after 20,000 bytes at 33 kB/s) and passes now. tests/relay and tests/edge/callers: 102 passed.

--- a/src/hemlocktrestle/relay/_answer_sender.py
+++ b/src/hemlocktrestle/relay/_answer_sender.py
@@ -9,6 +9,9 @@
 SEND_TIMEOUT_S = 10.0
 """Timeout of a single send to a caller, in seconds."""
 
+PROGRESS_BYTES = 16_384
+"""Bytes after which a caller that reads slowly counts as reading, in bytes."""
+
 
 class AnswerSender:
     """Sends the answers of one connection.
@@ -33,13 +36,14 @@
         self.is_answer_started = False
         self.is_head_request = False
         self.handler_scope: trio.CancelScope | None = None
+        self._sending_since_s = math.inf
         self.stuck_since_s = math.inf
         """Since when the connection has taken nothing of what is being sent."""
 
     @property
     def has_timed_out(self) -> bool:
         """Whether a send took too long."""
-        return trio.current_time() - self.stuck_since_s >= SEND_TIMEOUT_S
+        return trio.current_time() - self._sending_since_s >= SEND_TIMEOUT_S
 
     def start_answer(
         self, status: int, headers: list[tuple[bytes, bytes]], *, reason: bytes = b""
@@ -95,25 +99,31 @@
         self._unsent_head = b""
         if not data:
             return
-        self.stuck_since_s = trio.current_time()
+        self._sending_since_s = trio.current_time()
         if self.handler_scope is None:
             await self._send_before_handler(data)
         else:
             await self._send_in_handler(data, self.handler_scope)
-        self.stuck_since_s = math.inf
+        self._sending_since_s = self.stuck_since_s = math.inf
 
     async def _send_in_handler(self, data: bytes, scope: trio.CancelScope) -> None:
         # A caller that reads too little counts as disconnected.  The scope of the
         # handler bounds the send: a scope for each event would cost more than the
         # event itself.
-        scope.deadline = self.stuck_since_s + SEND_TIMEOUT_S
+        scope.deadline = self._sending_since_s + SEND_TIMEOUT_S
         try:
-            await self._stream.send_all(data)
+            await self._send_parts(data)
         finally:
             scope.deadline = math.inf
 
     async def _send_before_handler(self, data: bytes) -> None:
         with trio.move_on_after(SEND_TIMEOUT_S) as scope:
-            await self._stream.send_all(data)
+            await self._send_parts(data)
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("caller took in too little")
+
+    async def _send_parts(self, data: bytes) -> None:
+        """Send bytes, and note each part that the connection takes."""
+        for start in range(0, len(data), PROGRESS_BYTES):
+            self.stuck_since_s = trio.current_time()
+            await self._stream.send_all(data[start : start + PROGRESS_BYTES])
--- a/tests/relay/test_sent_ahead.py
+++ b/tests/relay/test_sent_ahead.py
@@ -102,3 +102,32 @@
             await trio.sleep(30)
             nursery.cancel_scope.cancel()
         self.assertEqual([CutReason.UNREAD], self.reasons)
+
+
+class SlowReaderTests(TrioTestCase):
+    """Who reads slowly is not taken for one who reads nothing."""
+
+    async def test_a_caller_that_reads_slowly_is_not_stuck(self) -> None:
+        """Guards against a slow link that loses its answers while memory is short."""
+        block = b"x" * 65_000
+
+        async def answer(request: CallerRequest, connection: CallerConnection) -> None:
+            await connection.send_blocks(200, [], [block])
+
+        ours, theirs = trio.testing.lockstep_stream_pair()
+        connection = CallerConnection(
+            theirs,
+            limits=CallerLimits,
+            is_closing=lambda: False,
+            body_budget=BodyMemoryBudget(1_000),
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection.serve, answer)
+            await ours.send_all(GET)
+            received = 0
+            while received < len(block):
+                await trio.sleep(0.6)
+                stuck_s = trio.current_time() - connection.stuck_since_s
+                self.assertTrue(stuck_s < 1.0, f"{stuck_s} s after {received} bytes")
+                received += len(await ours.receive_some(20_000))
+            nursery.cancel_scope.cancel()
