Go on accepting callers after the kernel was short of memory

Cause: ENOBUFS and ENOMEM in accept ended the process; only a lack of descriptors was waited for.

Change: all four shortages pause and log.

Measured: test_a_kernel_that_is_short_of_memory fails before and passes now; tests/edge/callers/test_listeners.py: 6 passed.

--- a/src/hemlocktrestle/edge/callers/_listeners.py
+++ b/src/hemlocktrestle/edge/callers/_listeners.py
@@ -24,8 +24,11 @@
 INTERNAL_DESCRIPTORS = 64
 """File descriptors reserved for peer links, the store and health checks."""
 
+SHORTAGES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+"""Errors of a kernel that is short of descriptors or memory, which pass."""
+
 ACCEPT_PAUSE_S = 0.05
-"""Pause before accepting again when no file descriptor is free, in seconds."""
+"""Pause before accepting again after such an error, in seconds."""
 
 FULL_CHECK_S = 0.25
 """Time between checks for a caller to cut while all connections are taken, in s."""
@@ -111,9 +114,9 @@
                     stream = await listener.accept()
                 except OSError as error:
                     self._connection_limit.release_on_behalf_of(token)
-                    if error.errno not in {errno.EMFILE, errno.ENFILE}:
+                    if error.errno not in SHORTAGES:
                         raise
-                    log.warning("no_descriptor_free")
+                    log.warning("no_descriptor_free", extra={"reason": str(error)})
                     await trio.sleep(ACCEPT_PAUSE_S)
                     continue
                 nursery.start_soon(self._serve, stream, token)
--- a/tests/edge/callers/test_listeners.py
+++ b/tests/edge/callers/test_listeners.py
@@ -3,6 +3,7 @@
 import os
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
+from unittest.mock import patch
 
 import trio
 from testtools import TestCase
@@ -10,6 +11,7 @@
 from hemlocktrestle.edge._state import EdgeState
 from hemlocktrestle.edge.callers._listeners import (
     IDLE_CLOSE_S,
+    SHORTAGES,
     CallerListener,
     address_of,
     listen,
@@ -121,6 +123,34 @@
             self.assertIn(CutReason.ROOM, reasons)
             nursery.cancel_scope.cancel()
 
+    def test_a_kernel_that_is_short_of_memory(self) -> None:
+        """Guards against the end of the process by a crowd that takes buffers."""
+        trio.run(self._accept_after_shortage)
+
+    async def _accept_after_shortage(self) -> None:
+        listening = listen("127.0.0.1:0")
+        host, _, port = address_of(listening).rpartition(":")
+        shortages = [OSError(number, "short") for number in sorted(SHORTAGES)]
+        accept = listening.accept
+
+        async def accept_after_shortages() -> trio.SocketStream:
+            if shortages:
+                raise shortages.pop()
+            return await accept()
+
+        async with AsyncExitStack() as stack:
+            stack.enter_context(trio.fail_after(30))
+            stack.enter_context(
+                patch.object(listening, "accept", accept_after_shortages)
+            )
+            nursery = await stack.enter_async_context(trio.open_nursery())
+            nursery.start_soon(_listener(_state()).run, listening)
+            stream = await trio.open_tcp_stream(host, int(port))
+            stack.push_async_callback(trio.aclose_forcefully, stream)
+            await stream.send_all(GET)
+            self.assertIn(b"200", bytes(await stream.receive_some()))
+            nursery.cancel_scope.cancel()
+
 
 class ClosingTests(TestCase):
     """Connections that are closed in a shutdown cut off no request."""
