Close idle connections while new callers wait for room

Cause: the plan of memory bounds the connections (656 with 150 MB, 103 with 88 MB; 1,918 by descriptors before), and connections that wait for a request held their place until the idle timeout. Callers inside the limits keep such connections, so that a process could take no new one for seconds while it said that it is ready.

Change: while all are taken, the connection that is idle for longest is closed, after 0.5 s at the earliest. A request that crosses the close has not run.

--- a/src/hemlocktrestle/cli/_edge_limits.py
+++ b/src/hemlocktrestle/cli/_edge_limits.py
@@ -36,7 +36,8 @@
     Limit(
         "connections of callers",
         f"{CONNECTIONS_SHARE:.0%} of the rest, at {CONNECTION_BYTES} bytes each",
-        "more wait to be accepted; a caller that takes in nothing is closed (`room`)",
+        "more wait to be accepted; the one that is idle for longest is closed "
+        "(`idle`), or a caller that takes in nothing (`room`)",
     ),
     Limit(
         "an answer of which nothing is taken in",
--- a/src/hemlocktrestle/edge/callers/_listeners.py
+++ b/src/hemlocktrestle/edge/callers/_listeners.py
@@ -31,7 +31,7 @@
 """Pause before accepting again after such an error, in seconds."""
 
 FULL_CHECK_S = 0.25
-"""Time between checks for a caller to cut while all connections are taken, in s."""
+"""Time between checks for one to close while all connections are taken, in seconds."""
 
 STUCK_S = 1.0
 """Time without taking in any of an answer after which a caller may be cut, in seconds.
@@ -40,9 +40,10 @@
 """
 
 IDLE_CLOSE_S = 0.5
-"""Time without a request after which a connection is closed at shutdown, in seconds.
+"""Time without a request after which a connection may be closed, in seconds.
 
-A new connection's first request arrives within it, also from another region.
+It is at shutdown, and while others need the room.  A new connection's first request
+arrives within it, also from another region.
 """
 
 
@@ -125,10 +126,26 @@
         """Wait until one more connection may be open; return its token."""
         token = object()
         while True:
+            if not self._connection_limit.available_tokens:
+                self._close_longest_idle() or self.cut_stuck_caller()
             with trio.move_on_after(FULL_CHECK_S):
                 await self._connection_limit.acquire_on_behalf_of(token)
                 return token
-            self.cut_stuck_caller()
+
+    def _close_longest_idle(self) -> bool:
+        """Close the connection that is idle for longest; ``False`` if none is."""
+        idle = min(
+            (caller for caller in self._open if caller.is_idle),
+            key=lambda caller: caller.idle_since_s,
+            default=None,
+        )
+        until_s = trio.current_time() - IDLE_CLOSE_S
+        if idle is None or idle.idle_since_s > until_s:
+            return False
+        idle.stop_reading()
+        self._on_cut(CutReason.IDLE)
+        log.info("connection_cut", extra={"reason": CutReason.IDLE.value})
+        return True
 
     def cut_stuck_caller(self) -> bool:
         """Cut the caller that has read nothing for longest; ``False`` if none has."""
--- a/src/hemlocktrestle/relay/_cut_reason.py
+++ b/src/hemlocktrestle/relay/_cut_reason.py
@@ -20,3 +20,6 @@
 
     ROOM = "room"
     """The caller did not take in its answer, and others needed the room."""
+
+    IDLE = "idle"
+    """It waited for a request, and others needed the room."""
--- a/tests/edge/callers/test_listeners.py
+++ b/tests/edge/callers/test_listeners.py
@@ -123,6 +123,26 @@
             self.assertIn(CutReason.ROOM, reasons)
             nursery.cancel_scope.cancel()
 
+    def test_idle_connections_make_room(self) -> None:
+        """Guards against callers that wait for the idle timeout of others."""
+        trio.run(self._close_idle)
+
+    async def _close_idle(self) -> None:
+        listening = listen("127.0.0.1:0")
+        host, _, port = address_of(listening).rpartition(":")
+        async with AsyncExitStack() as stack:
+            stack.enter_context(trio.fail_after(10))
+            nursery = await stack.enter_async_context(trio.open_nursery())
+            nursery.start_soon(_listener(_state()).run, listening)
+            streams = []
+            for _ in range(2 * CONNECTIONS_MAX):
+                streams.append(await trio.open_tcp_stream(host, int(port)))
+                stack.push_async_callback(trio.aclose_forcefully, streams[-1])
+                await streams[-1].send_all(GET)
+                self.assertIn(b"200", bytes(await streams[-1].receive_some()))
+            self.assertEqual(b"", bytes(await streams[0].receive_some()))
+            nursery.cancel_scope.cancel()
+
     def test_a_kernel_that_is_short_of_memory(self) -> None:
         """Guards against the end of the process by a crowd that takes buffers."""
         trio.run(self._accept_after_shortage)
