Keep a start that drains from work after the store's grace

Cause: the older copy may list as ready a replica that was known to drain. After 2.2 s, or at once if the store is first read later than that, the copy counted, and a replica that had not written its state again by then got work later than drainMs.

Change: a fact of a later era leaves a start (born) draining if it drained before; a start that drains only ends. A later start, or one that states no born, is taken as listed, as before.

--- a/src/hemlocktrestle/gateway/_replicas.py
+++ b/src/hemlocktrestle/gateway/_replicas.py
@@ -70,7 +70,7 @@
 
     After a restore of the store, the facts of the era before hold as long, whether
     the older copy lacks a replica or lists one that has left since.  Then the new era
-    alone counts.
+    alone counts, except that a start which drains is not taken for ready again.
     """
 
     def __init__(self) -> None:
@@ -145,6 +145,8 @@
         if known is not None and self._has_to_wait(update, known):
             self._held[update.replica_id] = update
             return
+        if known is not None and known.revision.era < update.revision.era:
+            update = _still_draining(update, known)
         self._held.pop(update.replica_id, None)
         self._unconfirmed.pop(update.replica_id, None)
         self._updates[update.replica_id] = update
@@ -244,3 +246,16 @@
         """Return the updates since the last call, to forward to the other VMs."""
         updates, self._pending_updates = self._pending_updates, []
         return updates
+
+
+def _still_draining(update: ReplicaUpdate, known: ReplicaUpdate) -> ReplicaUpdate:
+    """Return an update as draining if the same start was draining before.
+
+    A start that drains only ends after it, however old the store's copy is.
+    """
+    record, before = update.record, known.record
+    if record is None or before is None or not before.is_draining:
+        return update
+    if record.born_ms == BORN_UNKNOWN or record.born_ms != before.born_ms:
+        return update
+    return update._replace(record=record._replace(is_draining=True))
--- a/tests/gateway/test_replicas.py
+++ b/tests/gateway/test_replicas.py
@@ -179,6 +179,26 @@
             assert found is not None
             self.assertEqual(address, found.address)
 
+    def test_a_start_that_drains_takes_no_work_again(self) -> None:
+        """Guards against work for a replica that writes its state again too late."""
+        for born_ms, expected in ((8, True), (9, False), (0, False)):
+            registry = self.restored()
+            registry.apply_update(
+                replica_update("a", 8, era=1, born_ms=8, is_draining=True)
+            )
+            registry.begin_era(2, 50)
+            for is_late in (False, True):
+                if is_late:
+                    registry.begin_era(3, 60)
+                    registry.drop_unconfirmed(60 + STORE_RECOVERY_GRACE_MS)
+                era = 2 + is_late
+                registry.apply_update(replica_update("a", 3, era=era, born_ms=born_ms))
+                registry.drop_unconfirmed(60 + STORE_RECOVERY_GRACE_MS)
+                found = registry.find("a")
+                assert found is not None
+                self.assertEqual(expected, found.is_draining)
+                self.assertEqual(born_ms, found.born_ms)
+
     def test_facts_of_an_earlier_era_are_refused(self) -> None:
         """A VM that has not seen the restore overwrites nothing."""
         registry = self.restored()
