Give up at once an answer that can never find memory

Cause: an answer larger than its part of the memory for answers waited for two seconds, in which it held the replica's slot and cut callers that read nothing.

Change: it is given up at once, as before the wait was introduced.

Measured: test_an_answer_that_never_fits_is_given_up_at_once fails before (40 calls to make room in 2 s) and passes now; tests/edge/callers: 79 passed.

--- a/src/hemlocktrestle/edge/callers/_answer_body.py
+++ b/src/hemlocktrestle/edge/callers/_answer_body.py
@@ -60,6 +60,7 @@
 
     def __init__(self, budget: BodyMemoryBudget, *, bytes_max: int) -> None:
         self._share = BudgetShare(budget)
+        self._budget_bytes = budget.bytes_max
         self._spared_bytes = int(budget.bytes_max * RESERVED_SHARE)
         self._bytes_max = bytes_max
         self._blocks: list[bytearray] = []
@@ -105,6 +106,9 @@
         if size_bytes > self._bytes_max:
             raise RequestError(ErrorKind.UPSTREAM_BROKEN, "answer is too large")
         spared_bytes = self._spared_bytes if size_bytes > SMALL_BODY_BYTES else 0
+        if size_bytes + spared_bytes > self._budget_bytes:
+            # No other answer's end makes room for it.
+            raise _no_memory()
         return self._share.resize(size_bytes, spared_bytes=spared_bytes)
 
     def _store(self, piece: bytes) -> None:
--- a/tests/edge/callers/test_answer_body.py
+++ b/tests/edge/callers/test_answer_body.py
@@ -34,6 +34,13 @@
             self.assertEqual([b"x" * 900], body.blocks)
         self.assertEqual(BUDGET_BYTES, self.budget.available_bytes)
 
+    async def test_an_answer_that_never_fits_is_given_up_at_once(self) -> None:
+        """Guards against callers that are cut for it, and a slot that it holds."""
+        body = AnswerBody(self.budget, bytes_max=2 * BUDGET_BYTES)
+        with body, self.assertRaises(RequestError):
+            await body.add(b"x" * (BUDGET_BYTES + 1), make_room=self.make_room)
+        self.assertEqual((0, 0), (self.cut_count, trio.current_time()))
+
     async def test_the_wait_is_bounded(self) -> None:
         """Without memory in time the answer is given up."""
         body = AnswerBody(self.budget, bytes_max=BUDGET_BYTES)
