--- a/src/hemlocktrestle/edge/callers/_listeners.py
+++ b/src/hemlocktrestle/edge/callers/_listeners.py
@@ -24,11 +24,14 @@
 INTERNAL_DESCRIPTORS = 64
 """File descriptors reserved for peer links, the store and health checks."""
 
+SHORTAGES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+"""Errors of a kernel that is short of descriptors or memory, which pass."""
+
 ACCEPT_PAUSE_S = 0.05
-"""Pause before accepting again when no file descriptor is free, in seconds."""
+"""Pause before accepting again after such an error, in seconds."""
 
 FULL_CHECK_S = 0.25
-"""Time between checks for a caller to cut while all connections are taken, in s."""
+"""Time between checks for one to close while all connections are taken, in seconds."""
 
 STUCK_S = 1.0
 """Time without taking in any of an answer after which a caller may be cut, in seconds.
@@ -37,9 +40,10 @@
 """
 
 IDLE_CLOSE_S = 0.5
-"""Time without a request after which a connection is closed at shutdown, in seconds.
+"""Time without a request after which a connection may be closed, in seconds.
 
-A new connection's first request arrives within it, also from another region.
+It is at shutdown, and while others need the room.  A new connection's first request
+arrives within it, also from another region.
 """
 
 
@@ -111,9 +115,9 @@
                     stream = await listener.accept()
                 except OSError as error:
                     self._connection_limit.release_on_behalf_of(token)
-                    if error.errno not in {errno.EMFILE, errno.ENFILE}:
+                    if error.errno not in SHORTAGES:
                         raise
-                    log.warning("no_descriptor_free")
+                    log.warning("no_descriptor_free", extra={"reason": str(error)})
                     await trio.sleep(ACCEPT_PAUSE_S)
                     continue
                 nursery.start_soon(self._serve, stream, token)
@@ -122,10 +126,26 @@
         """Wait until one more connection may be open; return its token."""
         token = object()
         while True:
+            if not self._connection_limit.available_tokens:
+                self._close_longest_idle() or self.cut_stuck_caller()
             with trio.move_on_after(FULL_CHECK_S):
                 await self._connection_limit.acquire_on_behalf_of(token)
                 return token
-            self.cut_stuck_caller()
+
+    def _close_longest_idle(self) -> bool:
+        """Close the connection that is idle for longest; ``False`` if none is."""
+        idle = min(
+            (caller for caller in self._open if caller.is_idle),
+            key=lambda caller: caller.idle_since_s,
+            default=None,
+        )
+        until_s = trio.current_time() - IDLE_CLOSE_S
+        if idle is None or idle.idle_since_s > until_s:
+            return False
+        idle.stop_reading()
+        self._on_cut(CutReason.IDLE)
+        log.info("connection_cut", extra={"reason": CutReason.IDLE.value})
+        return True
 
     def cut_stuck_caller(self) -> bool:
         """Cut the caller that has read nothing for longest; ``False`` if none has."""
