--- a/src/hemlocktrestle/scheduler/_upstream_set.py
+++ b/src/hemlocktrestle/scheduler/_upstream_set.py
@@ -184,13 +184,10 @@
         for entry in popped:
             free.by_load.push(entry)
         for name in self._by_prefix.get(ask.prefix_digest, ()):
-            model = self._models[name]
-            if (
-                name in free.names
-                and name not in ask.excluded
-                and model.has_memory(ask)
-            ):
-                found[name] = model
+            if name not in free.names or name in ask.excluded:
+                continue
+            if self._models[name].has_memory(ask):
+                found[name] = self._models[name]
         return list(found.values())
 
     def zone_reason(self, model: UpstreamModel, ask: Ask) -> ZoneReason:
