Prefer a near replica only if it is neither later than the way takes nor fuller

The choice of zones allowed a near replica a twentieth of the answer's time more, and half of its slots filled, whatever the others had, for few bytes saved. Not ruled out: kept connections.

Change: both allowances are gone; the way's time alone decides, and no fuller replica is taken.

--- a/src/hemlocktrestle/locality/_zone_choice.py
+++ b/src/hemlocktrestle/locality/_zone_choice.py
@@ -4,15 +4,6 @@
 from enum import Enum
 from typing import Generic, NamedTuple, TypeVar
 
-ALIKE_SHARE = 0.05
-"""Share of an answer's time by which estimates of equal replicas differ anyway."""
-
-FILLED_SHARE_MAX = 0.5
-"""Share of its slots that a near replica may fill while a farther one is emptier.
-
-Above it the estimates say little: one more request may be rejected or slow others.
-"""
-
 _ReplicaT = TypeVar("_ReplicaT")
 
 
@@ -55,7 +46,8 @@
     """Choose the replica that finishes first, a near one if the caller sees no odds.
 
     The caller is served alike if the near replica finishes later by no more than the
-    way to the other one takes, or than the estimates of equal replicas differ.
+    way to the other one takes, and is not fuller: one more request slows the others
+    that run there.
 
     Args:
         options: the replicas with room.
@@ -67,14 +59,9 @@
     )
     if fastest is None or near is None or fastest.is_near:
         return fastest
-    alike_ms = way_ms + ALIKE_SHARE * fastest.expected_ms
-    if near.expected_ms - fastest.expected_ms > alike_ms:
-        return fastest
-    is_crowded = (
-        near.filled_share > FILLED_SHARE_MAX
-        and near.filled_share > fastest.filled_share
-    )
-    return fastest if is_crowded else near
+    is_later = near.expected_ms - fastest.expected_ms > way_ms
+    is_fuller = near.filled_share > fastest.filled_share
+    return fastest if is_later or is_fuller else near
 
 
 def _by_time(option: ZoneOption[_ReplicaT]) -> tuple[float, int, str]:
