Read the orders once for a new version also where nothing is scheduled

Cause: only the scheduler of a region read the orders, so another VM never admitted a version that no order explains. It left those replicas unused when it placed by itself, and, having taken the role while the store was away, until the store was back, as long as one replica of the version that had run longest was ready.

--- a/src/hemlocktrestle/edge/rollouts/_rollouts.py
+++ b/src/hemlocktrestle/edge/rollouts/_rollouts.py
@@ -71,6 +71,17 @@
         for service in {record.service for record in self.versions.all_ready()}:
             self.versions.seen.admit(service, self._now_ms())
 
+    @property
+    def has_unexplained(self) -> bool:
+        """Whether replicas have waited for an order that this VM has not looked for."""
+        found = {(item.service, item.version) for item in self.versions.all_ready()}
+        now_ms = self._now_ms()
+        return any(
+            self.versions.seen.is_due(service, version, now_ms)
+            and not self._is_target(service, version)
+            for service, version in found
+        )
+
     def take_order(self, order: Order) -> None:
         """Take an order that was read from the store."""
         follower = self.follower(order.service)
@@ -272,6 +283,11 @@
         permitted = pool.running_count(is_target=False) if pool is not None else 0
         return sent + permitted
 
+    def _is_target(self, service: str, version: str) -> bool:
+        follower = self.followers.get(service)
+        order = follower.order if follower is not None else None
+        return order is not None and order.target == version
+
     def _is_usual(self, service: str, version: str) -> bool:
         seen = self.versions.seen
         if seen.is_usual(service, version):
--- a/src/hemlocktrestle/edge/store/_rollout_watcher.py
+++ b/src/hemlocktrestle/edge/store/_rollout_watcher.py
@@ -26,6 +26,9 @@
 class RolloutWatcher(StoreTask):
     """Reads the orders while this VM schedules its region's pools.
 
+    Another VM reads them once for each new version that nobody has explained to it:
+    it places requests itself, or takes the role, while the store may be away.
+
     Args:
         rollouts: the orders that this VM knows.
         store: the platform's store.
@@ -48,7 +51,7 @@
         self._is_watching = is_watching
 
     async def _run_until_error(self) -> None:
-        while not self._is_watching():
+        while not (self._is_watching() or self._rollouts.has_unexplained):
             await sleep_until_multiple(ROLE_CHECK_S)
         page = await self._store.list(ORDERS_PREFIX)
         self._apply(page.items, era=page.revision.era)
--- a/src/hemlocktrestle/rollout/_follower.py
+++ b/src/hemlocktrestle/rollout/_follower.py
@@ -186,6 +186,11 @@
             if found == service and seen_ms + HOLD_MS <= confirmed_ms:
                 usual.add(version)
 
+    def is_due(self, service: str, version: str, now_ms: float) -> bool:
+        """Tell whether a version has waited long enough for its order."""
+        seen_ms = self._first_seen_ms.get((service, version), now_ms)
+        return not self.is_usual(service, version) and seen_ms + HOLD_MS <= now_ms
+
     def is_usual(self, service: str, version: str) -> bool:
         """Tell whether a version may be used without an order."""
         usual = self._usual.get(service)
--- a/tests/edge/rollouts/fleet.py
+++ b/tests/edge/rollouts/fleet.py
@@ -64,7 +64,10 @@
             now_ms=now_ms,
         )
         self.watcher = RolloutWatcher(
-            self.rollouts, store, StoreHealth(self.state), is_watching=lambda: True
+            self.rollouts,
+            store,
+            StoreHealth(self.state),
+            is_watching=lambda: name not in fleet.not_watching,
         )
         self.scope = trio.CancelScope()
 
@@ -98,6 +101,7 @@
             )
         self.vms: dict[str, Vm] = {}
         self.cut: set[str] = set()
+        self.not_watching: set[str] = set()
         self.states: list[str] = []
 
     @property
