Let no estimate that only asks correct rule a region out

Cause: a region was dropped from the order if round trips and bytes over the room of the link took longer than the caller had. The room grows only while it is used, and round trips are measured by asks only. After a link was full once, or slow once, requests that seemed too large or too short-lived never asked the region again, although it had room and the own one had none.

Change: only the shortest round trips of the last 30 s rule a region out. The existing test of that states its shortest way now; it asserts the same.

Both new tests failed on the code before: south was not in the order.

--- a/src/hemlocktrestle/edge/placing/_way_planner.py
+++ b/src/hemlocktrestle/edge/placing/_way_planner.py
@@ -197,6 +197,7 @@
             wait_ms,
             way_ms + room.extra_ms(size_bytes),
             room.has_room(size_bytes, tier=job.rank, now_ms=now_ms),
+            REGION_ROUND_TRIPS * self._round_trips.recent_floor_ms(region, now_ms),
         )
 
     def _zone_way_ms(self, own_zone: str) -> float:
--- a/src/hemlocktrestle/locality/_region_choice.py
+++ b/src/hemlocktrestle/locality/_region_choice.py
@@ -20,6 +20,7 @@
         wait_ms: expected wait for a slot there.
         way_ms: what the way there takes, the transfer of its bytes included.
         has_room: whether the link there has room for its bytes.
+        least_way_ms: what the way takes at least, without the bytes; 0 if unknown.
     """
 
     region: str
@@ -27,6 +28,7 @@
     wait_ms: float
     way_ms: float = 0.0
     has_room: bool = True
+    least_way_ms: float = 0.0
 
     @property
     def served_ms(self) -> float:
@@ -54,7 +56,8 @@
 
         A region comes before the own one if the wait that it saves exceeds the time
         of the way, and the link has room.  After the own one come all others that
-        may still be in time, for a request that it refuses.
+        may still be in time, for a request that it refuses: an estimate that is too
+        long would never be corrected if nothing was sent.
 
         Args:
             pool: the service.
@@ -84,7 +87,7 @@
         )
         if own is None:
             return RegionOrder(_names(others), "no own replica"), None
-        others = [option for option in others if option.way_ms < left_ms]
+        others = [option for option in others if option.least_way_ms < left_ms]
         factor = 1.0 if pool in self._leaving else LEAVE_FACTOR
         sooner = [
             option
--- a/src/hemlocktrestle/locality/_round_trips.py
+++ b/src/hemlocktrestle/locality/_round_trips.py
@@ -14,13 +14,14 @@
 class _Floor:
     """Minimum over one to two windows."""
 
-    __slots__ = ("_current_ms", "_previous_ms", "_since_ms")
+    __slots__ = ("_current_ms", "_previous_ms", "_since_ms", "learned_ms")
 
     def __init__(self, now_ms: float) -> None:
         self._current_ms = self._previous_ms = math.inf
-        self._since_ms = now_ms
+        self._since_ms = self.learned_ms = now_ms
 
     def learn(self, value_ms: float, now_ms: float) -> None:
+        self.learned_ms = now_ms
         if now_ms - self._since_ms >= FLOOR_WINDOW_MS:
             self._previous_ms, self._current_ms = self._current_ms, math.inf
             self._since_ms = now_ms
@@ -54,3 +55,10 @@
         """Return the shortest of late, 0 if nothing was measured."""
         floor = self._floors.get(destination)
         return floor.value_ms if floor is not None else 0.0
+
+    def recent_floor_ms(self, destination: str, now_ms: float) -> float:
+        """Return the shortest of late, 0 if nothing was measured of late."""
+        floor = self._floors.get(destination)
+        if floor is None or now_ms - floor.learned_ms > FLOOR_WINDOW_MS:
+            return 0.0
+        return floor.value_ms
--- a/tests/edge/placing/test_way_planner.py
+++ b/tests/edge/placing/test_way_planner.py
@@ -135,3 +135,22 @@
         self.assertEqual(
             (Locality.OWN_ZONE, Locality.OTHER_ZONE), (near.locality, far.locality)
         )
+
+    async def test_a_low_rate_does_not_end_the_asks_that_would_raise_it(self) -> None:
+        """A region with room is asked last, whatever its bytes seem to take."""
+        planner = self.planner(0)
+        now_ms = trio.current_time() * 1000
+        room = planner._room("south", now_ms)
+        room.spend(100_000)
+        room.observe(round_trip_ms=900, floor_ms=40, now_ms=now_ms + 2_500)
+        self.assertGreater(room.extra_ms(2_000_000), 20_000)
+        plan = self.plan(planner, body=bytes(2_000_000), at=2_500)
+        self.assertEqual(("north", "south"), plan.order.regions)
+
+    async def test_an_old_slow_round_trip_is_measured_again(self) -> None:
+        """Nothing else measures the way than the asks themselves."""
+        for age_ms, regions in ((1_000, ("north",)), (31_000, ("north", "south"))):
+            planner = self.planner(0, round_trip_ms=0.0)
+            at_ms = trio.current_time() * 1000 - age_ms
+            self.round_trips.learn("south", 20_000.0, at_ms)
+            self.assertEqual(regions, self.plan(planner).order.regions)
--- a/tests/locality/test_region_choice.py
+++ b/tests/locality/test_region_choice.py
@@ -44,7 +44,7 @@
         self.assertEqual(("own", "far"), self.order(500.0, full))
 
     def test_a_way_longer_than_the_caller_stays_is_not_taken(self) -> None:
-        far = RegionOption("far", False, 0.0, way_ms=900.0)
+        far = RegionOption("far", False, 0.0, way_ms=900.0, least_way_ms=900.0)
         self.assertEqual(("own",), self.order(5_000.0, far, left_ms=800.0))
 
     def test_without_an_own_replica_the_nearest_in_time_is_first(self) -> None:
