Use a version that is released after a completed order

Cause: after an order was completed, every version but its target counted as the old one. A version released later without an order was not used while one replica of the target was ready, so a replacement one after the other lost its capacity.

What the move replaced started before the target and stays unused.

--- a/src/hemlocktrestle/edge/rollouts/_rollouts.py
+++ b/src/hemlocktrestle/edge/rollouts/_rollouts.py
@@ -126,7 +126,7 @@
             return Use.NOTHING
         if not self._is_usual(service, version):
             return Use.NOTHING
-        if follower is None or order is None:
+        if follower is None or order is None or self._is_later(service, version):
             return Use.ALL
         has_target = any(
             record.version == order.target for record in self.versions.ready(service)
@@ -288,6 +288,17 @@
         order = follower.order if follower is not None else None
         return order is not None and order.target == version
 
+    def _is_later(self, service: str, version: str) -> bool:
+        """Tell whether a version was released after a completed move.
+
+        What the move replaced is older than its target.
+        """
+        follower = self.followers[service]
+        if follower.order is None or follower.phase is not Phase.COMPLETED:
+            return False
+        target = follower.order.target
+        return self.versions.seen.is_newer(service, version, target)
+
     def _is_usual(self, service: str, version: str) -> bool:
         seen = self.versions.seen
         if seen.is_usual(service, version):
--- a/src/hemlocktrestle/rollout/_follower.py
+++ b/src/hemlocktrestle/rollout/_follower.py
@@ -160,6 +160,7 @@
     def __init__(self) -> None:
         self._first_seen_ms: dict[tuple[str, str], float] = {}
         self._usual: dict[str, set[str]] = {}
+        self._first_born_ms: dict[tuple[str, str], int] = {}
 
     def observe(
         self, service: str, born_by_version: dict[str, int], now_ms: float
@@ -176,8 +177,11 @@
                 born_by_version, key=lambda name: (born_by_version[name], name)
             )
             self._usual[service] = {oldest}
-        for version in born_by_version:
-            self._first_seen_ms.setdefault((service, version), now_ms)
+        for version, born_ms in born_by_version.items():
+            key = service, version
+            self._first_seen_ms.setdefault(key, now_ms)
+            known_ms = self._first_born_ms.get(key, born_ms)
+            self._first_born_ms[key] = min(known_ms, born_ms)
 
     def admit(self, service: str, confirmed_ms: float) -> None:
         """Admit versions for which no order has come, as the store was read since."""
@@ -186,6 +190,12 @@
             if found == service and seen_ms + HOLD_MS <= confirmed_ms:
                 usual.add(version)
 
+    def is_newer(self, service: str, version: str, other: str) -> bool:
+        """Tell whether the first replica of a version started after that of another."""
+        born_ms = self._first_born_ms.get((service, version))
+        other_ms = self._first_born_ms.get((service, other))
+        return born_ms is not None and other_ms is not None and born_ms > other_ms
+
     def is_due(self, service: str, version: str, now_ms: float) -> bool:
         """Tell whether a version has waited long enough for its order."""
         seen_ms = self._first_seen_ms.get((service, version), now_ms)
--- a/tests/edge/rollouts/test_watcher.py
+++ b/tests/edge/rollouts/test_watcher.py
@@ -2,8 +2,9 @@
 
 import trio
 
-from hemlocktrestle.rollout import Use
+from hemlocktrestle.rollout import Phase, Use
 from tests.edge.rollouts.fleet import SERVICE, running_fleet
+from tests.gateway.records import replica_update
 from tests.support import TrioTestCase
 
 
@@ -36,3 +37,18 @@
             vm = fleet.vms["c"]
             self.assertEqual((Use.ALL, Use.NOTHING), (vm.use("v1"), vm.use("v2")))
             self.assertIsNotNone(vm.rollouts.followers[SERVICE].order)
+
+    async def test_a_version_released_after_a_completed_order_is_used(self) -> None:
+        """While replicas of the order's target are still there, and no old ones."""
+        async with running_fleet() as fleet:
+            fleet.order()
+            await fleet.until(Phase.COMPLETED)
+            update = replica_update("r9", 1, version="v3", born_ms=900)
+            fleet.registry.apply_update(update)
+            for vm in fleet.vms.values():
+                vm.rollouts.on_replicas_changed()
+            self.assertEqual(Use.NOTHING, fleet.vms["a"].use("v3"))
+            await trio.sleep(8)
+            for vm in fleet.vms.values():
+                uses = [vm.use(version) for version in ("v1", "v2", "v3")]
+                self.assertEqual([Use.NOTHING, Use.ALL, Use.ALL], uses)
