Break off streams that stop inside an event, however they are framed

Cause: the edge took the end of an answer's framing (the last chunk, a stated length) for the end of its stream. Bytes after the last whole event counted as a break only if the answer had no framing or continued another one; else they were sent on as they were, and the answer was finished.

Change: the splitter tells whether part of an event came after the last one. Such an answer is broken off: it goes on at another replica after the last whole event, or is visibly cut. Empty lines and comments are part of no event, so that a whole stream may close with them.

Answers that end with their connection, continuations, sealed failures and other types behave as before.

Why it works: completeness is judged where the events are known, after the framing has ended, for all framings alike.

--- a/src/hemlocktrestle/daemon/_dispatch.py
+++ b/src/hemlocktrestle/daemon/_dispatch.py
@@ -10,6 +10,7 @@
 from opentelemetry.trace import Tracer
 
 from hemlocktrestle.adapters import Responder
+from hemlocktrestle.adapters._http_server import EVENT_STREAM_TYPE
 from hemlocktrestle.daemon._crash_monitor import CrashMonitor
 from hemlocktrestle.daemon._relay import (
     HOP_BY_HOP_HEADERS,
@@ -390,6 +391,10 @@
 
 
 def _is_streamed(answer: UpstreamAnswer) -> bool:
-    """Return whether an answer is a success of a length unknown at its start."""
-    has_length = any(name == b"content-length" for name, _ in answer.headers)
-    return answer.status == 200 and not has_length
+    """Return whether an answer is a stream of events.
+
+    A success without a length counts as one, whatever its type.
+    """
+    lines = dict(answer.headers)
+    is_event_stream = lines.get(b"content-type", b"").startswith(EVENT_STREAM_TYPE)
+    return answer.status == 200 and (is_event_stream or b"content-length" not in lines)
--- a/src/hemlocktrestle/daemon/_relay.py
+++ b/src/hemlocktrestle/daemon/_relay.py
@@ -1,5 +1,6 @@
 """Relays an upstream's answer to a caller, so that a truncated one is recognisable."""
 
+import re
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -27,8 +28,10 @@
 STREAM_END = b"data: [DONE]"
 """Last line of a complete stream of a model engine."""
 
-_TAIL_BYTES = 64
-"""Bytes kept from the end of a stream to check its last line."""
+LINE_BYTES_MAX = 64
+"""Bytes kept of an incomplete line; no end mark is as long."""
+
+_LINE_ENDS = re.compile(rb"[\r\n]+")
 
 _BODYLESS_STATUSES = frozenset({204, 304})
 
@@ -75,6 +78,29 @@
     return tail.rstrip(b"\r\n").endswith(b"\n" + end_mark)
 
 
+class LastLine:
+    """The last line of a stream that is neither empty nor a comment."""
+
+    def __init__(self) -> None:
+        self._whole = b""
+        self._open = b""
+
+    @property
+    def text(self) -> bytes:
+        """The line, or its beginning; empty if there is none."""
+        return self._open if _has_text(self._open) else self._whole
+
+    def add(self, data: bytes) -> None:
+        """Add the next bytes of the stream."""
+        *lines, last = _LINE_ENDS.split(self._open + data)
+        self._open = last[:LINE_BYTES_MAX]
+        self._whole = next(filter(_has_text, reversed(lines)), self._whole)
+
+
+def _has_text(line: bytes) -> bool:
+    return bool(line) and not line.startswith(b":")
+
+
 def is_self_delimited(answer: UpstreamAnswer, *, is_head: bool = False) -> bool:
     """Return whether a truncated body of the answer could be recognised.
 
@@ -149,20 +175,23 @@
     """
     if not end_mark and not is_self_delimited(answer):
         raise RequestError(ErrorKind.UPSTREAM_BROKEN, "answer states no length")
-    await responder.send_head(
-        answer.status, forwarded_headers(answer.headers), Outcome.UNKNOWN
-    )
+    # More than the upstream's body may be sent.
+    headers = [
+        line
+        for line in forwarded_headers(answer.headers)
+        if line[0] != b"content-length"
+    ]
+    await responder.send_head(answer.status, headers, Outcome.UNKNOWN)
     first_ms = 0.0
     bytes_count = piece_count = 0
-    tail = b"\n"
+    last_line = LastLine()
     joined = bytearray()
 
     async def pass_on() -> None:
-        nonlocal tail
         if joined:
             data = bytes(joined)
             joined.clear()
-            tail = (tail + data[-_TAIL_BYTES:])[-_TAIL_BYTES:]
+            last_line.add(data)
             await responder.send_chunk(data)
 
     # Pieces that arrived together are sent together, before the body waits for more.
@@ -181,7 +210,7 @@
         await pass_on()
         raise
     await pass_on()
-    if end_mark and not ends_with_mark(tail, end_mark):
+    if end_mark and not ends_with_mark(b"\n" + last_line.text, end_mark):
         raise RequestError(ErrorKind.UPSTREAM_BROKEN, "stream ended before its end")
     if end_mark:
         await responder.send_chunk(OUTCOME_COMMENT)
--- a/src/hemlocktrestle/daemon/_stream_resume.py
+++ b/src/hemlocktrestle/daemon/_stream_resume.py
@@ -8,9 +8,9 @@
 
 import trio
 
-from hemlocktrestle.daemon._relay import STREAM_END, ends_with_mark
+from hemlocktrestle.daemon._relay import STREAM_END, LastLine, ends_with_mark
 from hemlocktrestle.errors import ErrorKind, RequestError
-from hemlocktrestle.gateway import ID_DIGITS_MAX
+from hemlocktrestle.gateway import ID_DIGITS_MAX, is_comment
 from hemlocktrestle.ports import (
     STREAM_ID_HEADER,
     BeforeWait,
@@ -120,6 +120,7 @@
         self._stack = stack
         self._splitter = EventSplitter()
         self._recent_pieces: deque[bytes] = deque(maxlen=RECENT_PIECES_MAX)
+        self._last_line = LastLine()
         self._seen_ids: Sequence[bytes] = ()
         self._before_wait: BeforeWait = _no_action
         self._successor: UpstreamAnswer | None = None
@@ -162,8 +163,7 @@
                 await self._resume(error)
                 continue
             if events:
-                self._recent_pieces.append(events)
-                return events
+                return self._record(events)
 
     async def _next_piece(self) -> bytes:
         if self._answer.before_wait is None:
@@ -193,13 +193,19 @@
             and self.resumed_count < RESUME_ATTEMPTS_MAX
         )
 
+    def _record(self, events: bytes) -> bytes:
+        """Record and return events that are passed on."""
+        self._recent_pieces.append(events)
+        self._last_line.add(events)
+        return events
+
     async def _on_end(self) -> bytes:
         rest = self._splitter.pop_remainder()
-        last = self._recent_pieces[-1] if self._recent_pieces else b""
         if rest and ends_with_mark(b"\n" + rest, STREAM_END):
-            self._recent_pieces.append(b"\n" + rest)
-            return rest.rstrip(b"\r\n") + b"\n\n"
-        if ends_with_mark(b"\n" + last, STREAM_END):
+            return self._record(rest.rstrip(b"\r\n") + b"\n\n")
+        if ends_with_mark(b"\n" + self._last_line.text, STREAM_END):
+            if rest.strip() and is_comment(rest):
+                return self._record(rest.rstrip(b"\r\n") + b"\n\n")
             raise StopAsyncIteration
         await self._resume(
             RequestError(ErrorKind.UPSTREAM_BROKEN, "stream ended before its end")
--- a/src/hemlocktrestle/edge/attempts/_attempt.py
+++ b/src/hemlocktrestle/edge/attempts/_attempt.py
@@ -298,7 +298,6 @@
         return AttemptEnd.FAILED if answer.status >= 500 else AttemptEnd.RELAYED
 
     async def _relay_events(self, answer: ReplicaAnswer) -> AttemptEnd:
-        is_continuation = self._connection.is_answer_started
         splitter = EventSplitter()
         reader = EventReader(
             self._state,
@@ -326,7 +325,11 @@
                     b"".join(event.data for event in events)
                 )
                 self._progress.record_events(len(events), now_ms())
-        if splitter.remainder and (is_continuation or not answer.has_framing):
+        # The end of the framing tells that the replica stopped, not that its stream
+        # is whole.
+        if splitter.is_inside_event or (
+            splitter.is_inside_line and not answer.has_framing
+        ):
             raise RequestError(
                 ErrorKind.UPSTREAM_BROKEN, "stream ended within an event"
             )
--- a/src/hemlocktrestle/gateway/__init__.py
+++ b/src/hemlocktrestle/gateway/__init__.py
@@ -22,7 +22,7 @@
 )
 from hemlocktrestle.gateway._displaced import DisplacedReplicas
 from hemlocktrestle.gateway._event_sequence import ID_DIGITS_MAX, EventSequence
-from hemlocktrestle.gateway._events import EventSplitter, StreamEvent
+from hemlocktrestle.gateway._events import EventSplitter, StreamEvent, is_comment
 from hemlocktrestle.gateway._fleet_demand import FleetDemand
 from hemlocktrestle.gateway._idle_connections import (
     IdleConnections,
@@ -97,6 +97,7 @@
     "choose_service",
     "classify_answer",
     "idle_limit_ms",
+    "is_comment",
     "kept_per_replica",
     "part_due_ms",
     "urgency_rank",
--- a/src/hemlocktrestle/gateway/_event_sequence.py
+++ b/src/hemlocktrestle/gateway/_event_sequence.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from hemlocktrestle.gateway._events import StreamEvent
+from hemlocktrestle.gateway._events import StreamEvent, is_comment
 
 CONSECUTIVE_EVENTS_MIN = 2
 """Events after which a stream whose ids had no gap is expected to have none."""
@@ -50,7 +50,7 @@
         answer has the next id; otherwise one would be missing in between.
         """
         if not event.event_id:
-            return _is_comment(event.data)
+            return is_comment(event.data)
         step = self._step_to(event.event_id)
         has_no_gaps = (
             self._is_consecutive and self._event_count >= CONSECUTIVE_EVENTS_MIN
@@ -78,7 +78,3 @@
 
 def _is_number(event_id: str) -> bool:
     return event_id.isdecimal() and len(event_id) <= ID_DIGITS_MAX
-
-
-def _is_comment(event: bytes) -> bool:
-    return all(line.startswith(b":") for line in event.splitlines() if line)
--- a/src/hemlocktrestle/gateway/_events.py
+++ b/src/hemlocktrestle/gateway/_events.py
@@ -1,5 +1,6 @@
 """Splits a byte stream into server-sent events."""
 
+import re
 from typing import NamedTuple
 
 from hemlocktrestle.errors import ErrorKind, RequestError
@@ -10,6 +11,9 @@
 _MARKS = (b"\n\n", b"\r\n\r\n")
 """What ends an event: an empty line."""
 
+_FIELD_LINE = re.compile(rb"(?:\A|[\r\n])[^:\r\n]")
+"""The start of a line that is neither empty nor a comment."""
+
 
 class StreamEvent(NamedTuple):
     """One complete event with its closing blank line; ``event_id`` may be empty."""
@@ -49,12 +53,30 @@
         """Number of bytes after the last complete event."""
         return len(self._buffer)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether part of another event came after the last complete one.
+
+        Empty lines and comments belong to no event.
+        """
+        return not is_comment(self._buffer)
+
+    @property
+    def is_inside_line(self) -> bool:
+        """Whether the last line, of an event or a comment, is not complete."""
+        return not self._buffer.endswith((b"\r", b"\n")) and bool(self._buffer)
+
     @property
     def remainder(self) -> bytes:
         """Bytes after the last complete event."""
         return bytes(self._buffer)
 
 
+def is_comment(data: bytes | bytearray) -> bool:
+    """Return whether lines of a stream are all empty or comments."""
+    return _FIELD_LINE.search(data) is None
+
+
 def _end_of_event(buffer: bytearray, start: int) -> int:
     ends = [at + len(mark) for mark in _MARKS if (at := buffer.find(mark, start)) >= 0]
     return min(ends, default=-1)
--- a/tests/daemon/test_promise_3_answers.py
+++ b/tests/daemon/test_promise_3_answers.py
@@ -167,6 +167,14 @@
         """An answer that ends well-formed but early is reported as broken."""
         await self._check_truncated(end_after=2)
 
+    async def test_an_end_within_an_event(self) -> None:
+        """Guards against a torn event at the end of an answer that looks complete.
+
+        The last chunk or the stated length came, as after a whole stream.
+        """
+        for has_length in (False, True):
+            await self._check_truncated(torn_after=2, has_length=has_length)
+
     async def test_a_connection_that_breaks(self) -> None:
         """An answer whose connection breaks is reported as broken."""
         await self._check_truncated(break_after=2)
@@ -185,6 +193,30 @@
         self.assertTrue(reply.body.endswith(b"data: [DONE]\n\n" + COMPLETE))
 
 
+class ClosingCommentTests(TrioTestCase):
+    """Comments after the last event of a stream belong to no event."""
+
+    async def test_a_whole_stream_may_close_with_comments(self) -> None:
+        """Guards against whole streams that are reported as broken."""
+        comments = (": bye\n\n", ": bye\r\n: bye\r\n\r\n" * 50, ": bye\n", ": bye")
+        for closing in comments:
+            for has_length in (False, True):
+                with self.subTest(closing=closing[:9], has_length=has_length):
+                    async with open_scene(engine_count=1) as scene:
+                        scene.engines["e1"].faults.update(
+                            closing=closing, has_length=has_length, resume=False
+                        )
+                        body = chat_body("closing", stream=True)
+                        caller = scene.connect()
+                        reply = await caller.call(
+                            "POST", CHAT, body, authorization=bearer()
+                        )
+                    self.assertTrue(reply.is_ended)
+                    self.assertEqual(answer_words(body, 4), words_in(reply.body))
+                    self.assertTrue(reply.body.endswith(COMPLETE))
+                    self.assertIn(closing.encode().strip(), reply.body)
+
+
 class ResumedStreamTests(TrioTestCase):
     """A broken stream of an engine that supports resuming is resumed."""
 
@@ -226,6 +258,12 @@
         """After an end without the last event the stream is resumed."""
         await self._check_resumed(end_after=3)
 
+    async def test_after_an_end_within_an_event(self) -> None:
+        """Guards against a torn event, and a gap or an event twice at the seam."""
+        for has_length in (False, True):
+            for torn_after in (1, 3, 7):
+                await self._check_resumed(torn_after=torn_after, has_length=has_length)
+
     async def test_events_that_come_again_are_dropped(self) -> None:
         """Events that an engine repeats are passed on once."""
         await self._check_resumed(break_after=3, repeated=2)
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -33,10 +33,13 @@
     ``silent_after`` stalls after that many tokens, ``pause_after`` does so for
     ``pause_s`` seconds and then goes on; ``break_after`` closes the
     connection after that many; ``end_after`` ends the answer cleanly after that
-    many, but without the event that ends a stream; these three affect resumed
-    streams only with ``also_resumed``; without ``resume`` no stream can be resumed,
-    ``repeated`` makes a resumed stream start that many events early, ``resumed_type``
-    gives it a content type, and ``resumed_text`` is sent in its place; ``silent``
+    many, but without the event that ends a stream, ``torn_after`` within the event
+    after that many; these four affect resumed streams only with ``also_resumed``;
+    ``has_length`` states the length of a stream that is not resumed, ``closing`` is
+    sent after the event that ends a stream; without ``resume`` no stream can be
+    resumed, ``repeated`` makes a resumed stream start that many events early,
+    ``resumed_type`` gives it a content type, and ``resumed_text`` is sent in its
+    place; ``silent``
     never answers new requests; without ``exit_on_crash`` a marked prompt only
     closes the connection.
     ``crash`` is called for a prompt with ``CRASH_MARK``.
@@ -56,6 +59,9 @@
             "pause_s": 0.0,
             "break_after": None,
             "end_after": None,
+            "torn_after": None,
+            "has_length": False,
+            "closing": "",
             "resume": True,
             "also_resumed": False,
             "repeated": 0,
@@ -135,10 +141,15 @@
         if body.get("stream"):
             stream_id = f"s{next(self._stream_numbers)}"
             self._streams[stream_id] = (request.body, entry)
-            await connection.send_head(
-                200,
-                {"content-type": "text/event-stream", "x-stream-id": stream_id},
-            )
+            lines = {"content-type": "text/event-stream", "x-stream-id": stream_id}
+            if self.faults["has_length"]:
+                data = self._stream_bytes(stream_id, words, body["model"])
+                lines["content-length"] = str(len(data))
+                await connection.send_head(200, lines)
+                await connection.send_chunk(data)
+                await connection.finish()
+                return
+            await connection.send_head(200, lines)
             await self._stream(
                 connection, stream_id, words, model=body["model"], first=0, entry=entry
             )
@@ -181,13 +192,31 @@
                 await connection.finish()
                 return
             await self._pause(self.decode_ms)
-            await connection.send_chunk(
-                _event(f"{stream_id}:{index}", words[index], model)
-            )
+            event = _event(f"{stream_id}:{index}", words[index], model)
+            if is_faulty and index == self.faults["torn_after"]:
+                await connection.send_chunk(event[: len(event) // 2])
+                await connection.finish()
+                return
+            await connection.send_chunk(event)
         entry["done"] = True
         await connection.send_chunk(b"data: [DONE]\n\n")
+        if self.faults["closing"]:
+            await connection.send_chunk(self.faults["closing"].encode())
         await connection.finish()
 
+    def _stream_bytes(self, stream_id: str, words: list[str], model: str) -> bytes:
+        """Return the body of a stream that is sent at once."""
+        events = [
+            _event(f"{stream_id}:{index}", word, model)
+            for index, word in enumerate(words)
+        ]
+        torn_after: int | None = self.faults["torn_after"]
+        if torn_after is not None:
+            torn = events[torn_after]
+            return b"".join(events[:torn_after]) + torn[: len(torn) // 2]
+        closing: str = self.faults["closing"]
+        return b"".join(events) + b"data: [DONE]\n\n" + closing.encode()
+
     async def _resume(self, connection: Connection, request: Request) -> None:
         last = request.headers.get("last-event-id", "")
         stream_id, _, index = last.rpartition(":")
