Bound the work that a peer's bytes make between two checkpoints

Change: - One splitter for the edge and the zone daemon. It searches on where it stopped, for all ends of an event at once, lone carriage returns among them. - 4 KiB are split, and 64 chunks read, between two checkpoints: answers, refusals, callers' bodies, the store's answers. - An answer that brings no event with data in 1 MiB is broken off. At the edge, comments go with the event after them and leave its time limit as it is. - The zone daemon drops repeated events of a resumed stream in one pass.

Why it works: the work for each byte no longer depends on what a stream holds, and other tasks run after each bounded part of it.

--- a/src/hemlocktrestle/adapters/_http_client.py
+++ b/src/hemlocktrestle/adapters/_http_client.py
@@ -24,6 +24,7 @@
     UpstreamAnswer,
     UpstreamCall,
 )
+from hemlocktrestle.timers import Checkpointer
 
 CONNECT_TIMEOUT_S = 2.0
 """Timeout of a connect to an upstream, in seconds."""
@@ -136,8 +137,11 @@
 async def _body_chunks(
     response: httpcore.Response, call: UpstreamCall
 ) -> AsyncIterator[bytes]:
+    checkpointer = Checkpointer()
     try:
         async for chunk in response.aiter_stream():
+            # One read may bring thousands of chunks.
+            await checkpointer.step()
             yield chunk
         _prevent_reuse_with_excess(response)
     except EXCHANGE_FAILURES as error:
--- a/src/hemlocktrestle/daemon/_stream_resume.py
+++ b/src/hemlocktrestle/daemon/_stream_resume.py
@@ -1,6 +1,5 @@
 """Resumes a stream of server-sent events over a new connection when it breaks."""
 
-import re
 from collections import deque
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
@@ -10,7 +9,13 @@
 
 from hemlocktrestle.daemon._relay import STREAM_END, LastLine, ends_with_mark
 from hemlocktrestle.errors import ErrorKind, RequestError
-from hemlocktrestle.gateway import ID_DIGITS_MAX, is_comment
+from hemlocktrestle.gateway import (
+    ID_DIGITS_MAX,
+    EventSplitter,
+    StreamEvent,
+    is_comment,
+    parts_of,
+)
 from hemlocktrestle.ports import (
     STREAM_ID_HEADER,
     BeforeWait,
@@ -28,14 +33,9 @@
 STREAM_SILENCE_S_MAX = 5.0
 """Silence of a resumable stream after which it is asked for anew, in seconds."""
 
-EVENT_BYTES_MAX = 1024 * 1024
-"""Largest event that is buffered until it is complete, in bytes."""
-
-RECENT_PIECES_MAX = 32
-"""Latest pieces of a stream that are kept to find the IDs of its last events."""
+RECENT_IDS_MAX = 128
+"""IDs of the last events that are kept to know them again."""
 
-_EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
-_ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 _RESUME_HEADERS = frozenset({b"host", b"x-request-id", b"traceparent", b"tracestate"})
 
 
@@ -53,40 +53,6 @@
     )
 
 
-class EventSplitter:
-    """Splits a byte stream at event boundaries, without parsing the events."""
-
-    def __init__(self) -> None:
-        self._buffer = b""
-
-    def feed(self, piece: bytes) -> bytes:
-        """Add a piece and return the events that are complete.
-
-        Raises:
-            RequestError: ``UPSTREAM_BROKEN`` if an event exceeds the limit.
-        """
-        if self._buffer:
-            piece = self._buffer + piece
-            self._buffer = b""
-        if piece.endswith(_EVENT_ENDS[0]):
-            return piece
-        cut = max(_last_boundary(piece, end) for end in _EVENT_ENDS)
-        self._buffer = piece[cut:]
-        if len(self._buffer) > EVENT_BYTES_MAX:
-            raise RequestError(ErrorKind.UPSTREAM_BROKEN, "event is too large")
-        return piece[:cut]
-
-    def pop_remainder(self) -> bytes:
-        """Return and clear the bytes after the last complete event."""
-        rest, self._buffer = self._buffer, b""
-        return rest
-
-
-def _last_boundary(piece: bytes, end: bytes) -> int:
-    found = piece.rfind(end)
-    return 0 if found < 0 else found + len(end)
-
-
 async def _no_action() -> None:
     """Default for ``before_wait``: do nothing."""
 
@@ -119,7 +85,8 @@
         self._client = client
         self._stack = stack
         self._splitter = EventSplitter()
-        self._recent_pieces: deque[bytes] = deque(maxlen=RECENT_PIECES_MAX)
+        self._parts: deque[bytes] = deque()
+        self._recent_ids: deque[bytes] = deque(maxlen=RECENT_IDS_MAX)
         self._last_line = LastLine()
         self._seen_ids: Sequence[bytes] = ()
         self._before_wait: BeforeWait = _no_action
@@ -154,7 +121,7 @@
         """
         while True:
             try:
-                events = self._splitter.feed(await self._next_piece())
+                events = self._splitter.feed(await self._next_part())
                 if self._seen_ids:
                     events = self._drop_seen(events)
             except StopAsyncIteration:
@@ -165,6 +132,14 @@
             if events:
                 return self._record(events)
 
+    async def _next_part(self) -> bytes:
+        """Return the next bytes; other tasks run between the parts of one piece."""
+        if self._parts:
+            await trio.lowlevel.checkpoint()
+        else:
+            self._parts.extend(parts_of(await self._next_piece()))
+        return self._parts.popleft()
+
     async def _next_piece(self) -> bytes:
         if self._answer.before_wait is None:
             await self._before_wait()
@@ -178,7 +153,7 @@
         Raises:
             RequestError: ``UPSTREAM_SILENT``; a successor was found.
         """
-        ids = self._recent_ids()
+        ids = self._recent_ids
         if not self._may_resume(ids):
             return
         self.resumed_count += 1
@@ -193,19 +168,24 @@
             and self.resumed_count < RESUME_ATTEMPTS_MAX
         )
 
-    def _record(self, events: bytes) -> bytes:
-        """Record and return events that are passed on."""
-        self._recent_pieces.append(events)
-        self._last_line.add(events)
-        return events
+    def _record(self, events: Sequence[StreamEvent]) -> bytes:
+        """Record events and return them in the form in which they are passed on."""
+        self._recent_ids.extend(
+            event.event_id.encode("latin-1") for event in events if event.event_id
+        )
+        data = b"".join(event.data for event in events)
+        self._last_line.add(data)
+        return data
 
     async def _on_end(self) -> bytes:
-        rest = self._splitter.pop_remainder()
-        if rest and ends_with_mark(b"\n" + rest, STREAM_END):
-            return self._record(rest.rstrip(b"\r\n") + b"\n\n")
-        if ends_with_mark(b"\n" + self._last_line.text, STREAM_END):
-            if rest.strip() and is_comment(rest):
-                return self._record(rest.rstrip(b"\r\n") + b"\n\n")
+        rest = self._splitter.remainder
+        self._splitter = EventSplitter()
+        is_ended = ends_with_mark(b"\n" + self._last_line.text, STREAM_END)
+        if rest.strip() and (
+            ends_with_mark(b"\n" + rest, STREAM_END) or (is_ended and is_comment(rest))
+        ):
+            return self._record([StreamEvent(rest.rstrip(b"\r\n") + b"\n\n", "")])
+        if is_ended:
             raise StopAsyncIteration
         await self._resume(
             RequestError(ErrorKind.UPSTREAM_BROKEN, "stream ended before its end")
@@ -217,8 +197,9 @@
         if error.kind is ErrorKind.SLOW_READER:
             raise error
         await self._before_wait()
-        self._splitter.pop_remainder()
-        ids = self._recent_ids()
+        self._splitter = EventSplitter()
+        self._parts.clear()
+        ids = tuple(self._recent_ids)
         answer, self._successor = self._successor, None
         pause_s = 0.0
         while answer is None:
@@ -231,9 +212,6 @@
         self._read_from(answer)
         self._seen_ids = ids
 
-    def _recent_ids(self) -> list[bytes]:
-        return _ID_LINE.findall(b"".join(self._recent_pieces))
-
     async def _request_remainder(self, last_id: bytes) -> UpstreamAnswer | None:
         kept = [line for line in self._call.headers if line[0] in _RESUME_HEADERS]
         call = UpstreamCall(
@@ -252,27 +230,29 @@
         is_same = _stream_identity(answer) == self._identity
         return answer if answer.status == 200 and is_same else None
 
-    def _drop_seen(self, events: bytes) -> bytes:
+    def _drop_seen(self, events: list[StreamEvent]) -> list[StreamEvent]:
         """Drop events that the engine repeats at the start of a resumed stream.
 
         Raises:
             RequestError: ``UPSTREAM_BROKEN`` if what follows is no event of the stream.
         """
-        while events:
-            ends = [
-                at + len(end) for end in _EVENT_ENDS if (at := events.find(end)) + 1
-            ]
-            event = events[: min(ends)]
-            found = _ID_LINE.search(event)
-            if found is None and not ends_with_mark(b"\n" + event, STREAM_END):
+        comments = []
+        for index, event in enumerate(events):
+            if event.is_comment:
+                comments.append(event)
+                continue
+            if not event.event_id and not ends_with_mark(
+                b"\n" + event.data, STREAM_END
+            ):
                 raise RequestError(
                     ErrorKind.UPSTREAM_BROKEN, "engine did not resume the stream"
                 )
-            if found is None or not self._is_seen(found[1]):
+            if not event.event_id or not self._is_seen(
+                event.event_id.encode("latin-1")
+            ):
                 self._seen_ids = ()
-                return events
-            events = events[len(event) :]
-        return b""
+                return comments + events[index:]
+        return comments
 
     def _is_seen(self, event_id: bytes) -> bool:
         """Return whether the caller has an event already.
--- a/src/hemlocktrestle/edge/attempts/_attempt.py
+++ b/src/hemlocktrestle/edge/attempts/_attempt.py
@@ -316,15 +316,15 @@
             )
             async for events in batches:
                 self._answer_bytes = reader.received_bytes
-                if not self._event_count:
-                    self._first_ms = now_ms() - self._started_ms
-                    self._learn_first()
-                self._record_events(len(events))
+                count = sum(not event.is_comment for event in events)
+                if count:
+                    self._record_events(count)
                 self._start_answer(answer.status, headers)
                 await self._connection.send_chunk(
                     b"".join(event.data for event in events)
                 )
-                self._progress.record_events(len(events), now_ms())
+                if count:
+                    self._progress.record_events(count, now_ms())
         # The end of the framing tells that the replica stopped, not that its stream
         # is whole.
         if splitter.is_inside_event or (
@@ -334,13 +334,16 @@
                 ErrorKind.UPSTREAM_BROKEN, "stream ended within an event"
             )
         self._start_answer(answer.status, headers)
-        if splitter.remainder:
-            await self._connection.send_chunk(splitter.remainder)
+        if rest := reader.comments + splitter.remainder:
+            await self._connection.send_chunk(rest)
         await self._connection.finish()
         return AttemptEnd.RELAYED
 
     def _record_events(self, count: int) -> None:
         """Count received events and report the stream's speed once, early."""
+        if not self._event_count:
+            self._first_ms = now_ms() - self._started_ms
+            self._learn_first()
         before_count = self._event_count
         self._event_count += count
         if before_count < SPEED_REPORT_EVENTS <= self._event_count:
--- a/src/hemlocktrestle/gateway/__init__.py
+++ b/src/hemlocktrestle/gateway/__init__.py
@@ -22,7 +22,14 @@
 )
 from hemlocktrestle.gateway._displaced import DisplacedReplicas
 from hemlocktrestle.gateway._event_sequence import ID_DIGITS_MAX, EventSequence
-from hemlocktrestle.gateway._events import EventSplitter, StreamEvent, is_comment
+from hemlocktrestle.gateway._events import (
+    EVENT_BYTES_MAX,
+    PART_BYTES_MAX,
+    EventSplitter,
+    StreamEvent,
+    is_comment,
+    parts_of,
+)
 from hemlocktrestle.gateway._fleet_demand import FleetDemand
 from hemlocktrestle.gateway._idle_connections import (
     IdleConnections,
@@ -53,9 +60,11 @@
 
 __all__ = [
     "BORN_UNKNOWN",
+    "EVENT_BYTES_MAX",
     "ID_DIGITS_MAX",
     "NO_ERA",
     "NO_REVISION",
+    "PART_BYTES_MAX",
     "STORE_RECOVERY_GRACE_MS",
     "AnswerClass",
     "AnswerMetadata",
@@ -100,5 +109,6 @@
     "is_comment",
     "kept_per_replica",
     "part_due_ms",
+    "parts_of",
     "urgency_rank",
 ]
--- a/src/hemlocktrestle/gateway/_events.py
+++ b/src/hemlocktrestle/gateway/_events.py
@@ -1,4 +1,8 @@
-"""Splits a byte stream into server-sent events."""
+"""Splits a byte stream into server-sent events.
+
+The format (HTML, section 9.2.5) ends a line with a line feed, a carriage return or
+both, and an event with an empty line.
+"""
 
 import re
 from typing import NamedTuple
@@ -6,46 +10,93 @@
 from hemlocktrestle.errors import ErrorKind, RequestError
 
 EVENT_BYTES_MAX = 1024 * 1024
-"""Largest event that is buffered, in bytes; engines send some tokens in each."""
+"""Most that comes without the end of an event with data, in bytes."""
+
+PART_BYTES_MAX = 4_096
+"""Most bytes that are split into events at once, in bytes.
+
+They may hold a thousand events, after which other work has its turn.
+"""
+
+_TEXT = re.compile(rb"[^\r\n]")
 
-_MARKS = (b"\n\n", b"\r\n\r\n")
-"""What ends an event: an empty line."""
+_EVENT_END = re.compile(
+    rb"\n\n|\n\r\n|\n\r(?=[^\n])|\r\r|\r\n\n|\r\n\r\n|\r\n\r(?=[^\n])"
+)
+"""A line end and an empty line.
+
+After a line feed, a carriage return may be half of a line end, which its successor
+tells; an event so ends at the same byte wherever the stream is cut.
+"""
+
+_EVENT_END_BYTES_MAX = 4
+"""Longest end of an event, in bytes."""
 
 _FIELD_LINE = re.compile(rb"(?:\A|[\r\n])[^:\r\n]")
 """The start of a line that is neither empty nor a comment."""
 
+_DATA_LINE = re.compile(rb"(?:\A|[\r\n])data[:\r\n]")
+_ID_LINE = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
+
 
 class StreamEvent(NamedTuple):
-    """One complete event with its closing blank line; ``event_id`` may be empty."""
+    """One complete event, or comments, with the closing empty line.
+
+    Args:
+        data: the bytes, with empty lines that came before.
+        event_id: the id, empty if there is none.
+    """
 
     data: bytes
     event_id: str
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has no field."""
+        return is_comment(self.data)
+
+    @property
+    def has_data(self) -> bool:
+        """Whether it brings anything to the one who reads the stream."""
+        return _DATA_LINE.search(self.data) is not None
+
 
 class EventSplitter:
-    """Splits a byte stream that arrives in chunks of any size into events."""
+    """Splits a byte stream that arrives in pieces of any size into events.
+
+    The work for each byte is bounded, whatever the stream holds.  Empty lines alone
+    are no event; they go before the next one.
+    """
 
     def __init__(self) -> None:
         self._buffer = bytearray()
         self._searched_bytes = 0
+        self._has_text = False
+        self._idle_bytes = 0
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that they complete.
 
         Raises:
-            RequestError: of kind ``UPSTREAM_BROKEN`` if an event is too large.
+            RequestError: of kind ``UPSTREAM_BROKEN`` if too many bytes came without
+                the end of an event with data.
         """
         self._buffer += data
         events = []
-        while (end := _end_of_event(self._buffer, self._searched_bytes)) >= 0:
-            whole = bytes(self._buffer[:end])
-            del self._buffer[:end]
-            self._searched_bytes = 0
-            events.append(StreamEvent(whole, _event_id(whole)))
-        # An empty line may begin within the bytes that were searched.
-        self._searched_bytes = max(0, len(self._buffer) - len(_MARKS[-1]) + 1)
-        if len(self._buffer) > EVENT_BYTES_MAX:
-            raise RequestError(ErrorKind.UPSTREAM_BROKEN, "event is too large")
+        start = 0
+        while (end := self._end_of_event()) > 0:
+            event = _event(bytes(self._buffer[start:end]))
+            events.append(event)
+            self._idle_bytes += end - start
+            if event.has_data:
+                self._idle_bytes = 0
+            start = end
+        del self._buffer[:start]
+        self._searched_bytes -= start
+        if self._idle_bytes + len(self._buffer) > EVENT_BYTES_MAX:
+            raise RequestError(
+                ErrorKind.UPSTREAM_BROKEN, f"no event in {EVENT_BYTES_MAX} bytes"
+            )
         return events
 
     @property
@@ -71,19 +122,36 @@
         """Bytes after the last complete event."""
         return bytes(self._buffer)
 
+    def _end_of_event(self) -> int:
+        """Return the end of the next event in the buffer, 0 if it has not come."""
+        if not self._has_text:
+            text = _TEXT.search(self._buffer, self._searched_bytes)
+            self._has_text = text is not None
+            self._searched_bytes = text.start() if text else len(self._buffer)
+        end = _EVENT_END.search(self._buffer, self._searched_bytes)
+        if end is None:
+            # The end may have begun within the bytes that were searched.
+            unsearched = len(self._buffer) - (_EVENT_END_BYTES_MAX - 1)
+            self._searched_bytes = max(self._searched_bytes, unsearched)
+            return 0
+        self._has_text = False
+        self._searched_bytes = end.end()
+        return end.end()
+
+
+def parts_of(data: bytes) -> list[bytes]:
+    """Cut bytes into parts that are split into events at once, one after the other."""
+    if len(data) <= PART_BYTES_MAX:
+        return [data]
+    starts = range(0, len(data), PART_BYTES_MAX)
+    return [data[start : start + PART_BYTES_MAX] for start in starts]
+
 
 def is_comment(data: bytes | bytearray) -> bool:
     """Return whether lines of a stream are all empty or comments."""
     return _FIELD_LINE.search(data) is None
 
 
-def _end_of_event(buffer: bytearray, start: int) -> int:
-    ends = [at + len(mark) for mark in _MARKS if (at := buffer.find(mark, start)) >= 0]
-    return min(ends, default=-1)
-
-
-def _event_id(event: bytes) -> str:
-    for line in event.splitlines():
-        if line.startswith(b"id:"):
-            return line[3:].strip().decode("latin-1")
-    return ""
+def _event(data: bytes) -> StreamEvent:
+    found = _ID_LINE.search(data)
+    return StreamEvent(data, found[1].strip().decode("latin-1") if found else "")
--- a/src/hemlocktrestle/platform/_store.py
+++ b/src/hemlocktrestle/platform/_store.py
@@ -36,6 +36,7 @@
     StoreErrorKind,
     WatchResult,
 )
+from hemlocktrestle.timers import Checkpointer
 
 CONFIGURATION_KEY = "op/config"
 """Key of the operator's configuration."""
@@ -352,8 +353,10 @@
         StoreError: if it does not end within bounds; the connection is closed.
     """
     body = bytearray()
+    checkpointer = Checkpointer()
     with trio.move_on_after(BODY_TIMEOUT_S) as scope:
         async for piece in response.aiter_stream():
+            await checkpointer.step()
             body += piece
             if len(body) > ANSWER_BYTES_MAX:
                 raise StoreError(StoreErrorKind.MALFORMED, f"{call}: answer too large")
--- a/src/hemlocktrestle/relay/_client.py
+++ b/src/hemlocktrestle/relay/_client.py
@@ -18,6 +18,7 @@
 from hemlocktrestle.documents import host_and_port
 from hemlocktrestle.errors import ErrorKind, RequestError
 from hemlocktrestle.gateway import Headers
+from hemlocktrestle.timers import Checkpointer
 
 CONNECT_TIMEOUT_S = 0.5
 """Timeout of a connect to a replica, in seconds.
@@ -104,6 +105,7 @@
         self.machine = h11.Connection(
             our_role=h11.CLIENT, max_incomplete_event_size=HEAD_BYTES_MAX
         )
+        self._checkpointer = Checkpointer()
         self._informational_count = 0
         self._sending_ended = trio.Event()
         self._has_sent = False
@@ -146,6 +148,8 @@
         Raises:
             RequestError: of kind ``UPSTREAM_BROKEN`` if the answer is cut or invalid.
         """
+        # One read may bring thousands of chunks.
+        await self._checkpointer.step()
         try:
             while True:
                 event = self.machine.next_event()
--- a/src/hemlocktrestle/relay/_request_reader.py
+++ b/src/hemlocktrestle/relay/_request_reader.py
@@ -10,6 +10,7 @@
 from hemlocktrestle.relay._answer_sender import AnswerSender
 from hemlocktrestle.relay._body_budget import BodyMemoryBudget, BudgetShare
 from hemlocktrestle.relay._caller_request import CallerRequest, RequestBody
+from hemlocktrestle.timers import Checkpointer
 
 BODY_READ_BYTES = 65_536
 """Size of one read of a request's body, in bytes."""
@@ -61,6 +62,7 @@
         self.has_answered = False
         self.idle_since_s = trio.current_time()
         self._read_scope = trio.CancelScope()
+        self._checkpointer = Checkpointer()
 
     @property
     def is_idle(self) -> bool:
@@ -156,6 +158,8 @@
         pieces = bytearray()
         bytes_max = self._limits().body_bytes_max
         while True:
+            # One read may bring thousands of chunks.
+            await self._checkpointer.step()
             try:
                 event = self._machine.next_event()
             except h11.RemoteProtocolError as error:
--- a/tests/daemon/test_stream_resume.py
+++ b/tests/daemon/test_stream_resume.py
@@ -1,17 +1,22 @@
-"""Tests of splitting streams into events and of recognising their end."""
+"""Tests of recognising the end of a stream and the ids of its events."""
 
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack
+
+import httpcore
+import trio
 from testtools import TestCase
 
+from hemlocktrestle.adapters import HttpUpstreamClient
 from hemlocktrestle.daemon._relay import STREAM_END, ends_with_mark, is_self_delimited
-from hemlocktrestle.daemon._stream_resume import (
-    EVENT_BYTES_MAX,
-    EventSplitter,
-    _split_id,
-)
-from hemlocktrestle.errors import RequestError
+from hemlocktrestle.daemon._stream_resume import ResumableStream, _split_id
+from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.gateway import EVENT_BYTES_MAX, PART_BYTES_MAX, EventSplitter
 from hemlocktrestle.ports import Headers, UpstreamAnswer
-
-EVENTS = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n"
+from hemlocktrestle.timers import STEPS_PER_CHECKPOINT
+from tests.daemon.test_relay_joining import chunked, upstream_call
+from tests.support import FakeUpstreams, TrioTestCase
+from tests.support._step_work import StepWork, count_step_work
 
 
 async def _no_body() -> object:
@@ -23,27 +28,6 @@
     return UpstreamAnswer(status, headers, _no_body())  # type: ignore[arg-type]
 
 
-class EventSplitterTests(TestCase):
-    """Only complete events are passed on, however the pieces are cut."""
-
-    def test_every_cut_gives_whole_events(self) -> None:
-        """A stream cut in three at any two places gives only complete events."""
-        ends = {0, 15, 33, len(EVENTS)}
-        for first in range(len(EVENTS)):
-            for second in range(first, len(EVENTS)):
-                splitter = EventSplitter()
-                sent = b""
-                for piece in (EVENTS[:first], EVENTS[first:second], EVENTS[second:]):
-                    sent += splitter.feed(piece)
-                    self.assertIn(len(sent), ends)
-                self.assertEqual(EVENTS, sent)
-
-    def test_an_event_without_end_is_bounded(self) -> None:
-        """An event that never ends raises an error at the size limit."""
-        splitter = EventSplitter()
-        self.assertRaises(RequestError, splitter.feed, b"x" * (EVENT_BYTES_MAX + 1))
-
-
 class EndTests(TestCase):
     """A stream is complete by its last line, an answer by its framing."""
 
@@ -80,3 +64,64 @@
         """Guards against an id that is too long to be converted to a number."""
         self.assertEqual((b"a", 12), _split_id(b"a12"))
         self.assertEqual((b"a", None), _split_id(b"a" + b"9" * 5_000))
+
+
+class FloodTests(TrioTestCase):
+    """One engine's answer does not hold up the other requests of a daemon."""
+
+    PIECE_BYTES = 65_536
+
+    async def relay_endless(self, unit: bytes) -> None:
+        """Read a stream without end, and count the bytes that it passes on.
+
+        Raises:
+            RequestError: why it ended.
+        """
+
+        async def body() -> AsyncIterator[bytes]:
+            while True:
+                await trio.lowlevel.checkpoint()
+                yield unit * (self.PIECE_BYTES // len(unit))
+
+        self.relayed_bytes = 0
+        async with AsyncExitStack() as stack:
+            stream = ResumableStream(
+                UpstreamAnswer(200, (), body()),
+                call=upstream_call(),
+                client=FakeUpstreams(),
+                stack=stack,
+            )
+            async for events in stream:
+                self.relayed_bytes += len(events)
+
+    async def test_a_stream_without_events_ends(self) -> None:
+        """Guards against comments and empty lines that are relayed without end."""
+        for unit in (b"\n", b"\r\n", b":\n\n", b": note\n", b"x", b"id: 1\n\n"):
+            work = count_step_work(self, EventSplitter, "feed", amount_of=len)
+            with self.subTest(unit=unit):
+                try:
+                    await self.relay_endless(unit)
+                except RequestError as error:
+                    self.assertIs(ErrorKind.UPSTREAM_BROKEN, error.kind)
+                else:
+                    self.fail("the stream ended in order")
+                self.assertLess(self.relayed_bytes, EVENT_BYTES_MAX + self.PIECE_BYTES)
+                self.assertLessEqual(work.largest, PART_BYTES_MAX)
+
+    async def test_few_chunks_are_read_between_two_checkpoints(self) -> None:
+        """Guards against 64 KiB of chunks of one byte that are read in one go."""
+        body = bytes(range(256)) * 10
+        data = chunked([body[start : start + 1] for start in range(len(body))])
+        backend = httpcore.AsyncMockBackend([data])
+        received = b""
+        work = StepWork()
+        trio.lowlevel.add_instrument(work)
+        async with (
+            HttpUpstreamClient(backend=backend) as client,
+            client.call(upstream_call()) as answer,
+        ):
+            async for piece in answer.body:
+                work.add(1)
+                received += piece
+        self.assertEqual(body, received)
+        self.assertLessEqual(work.largest, STEPS_PER_CHECKPOINT + 1)
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -1,5 +1,6 @@
 """Tests of callers' connections: limits, shutdown, and invalid requests."""
 
+import h11
 import trio
 import trio.testing
 
@@ -7,7 +8,9 @@
 from hemlocktrestle.relay import BodyMemoryBudget, CallerConnection, CallerRequest
 from hemlocktrestle.relay._answer_sender import SEND_TIMEOUT_S
 from hemlocktrestle.relay._request_reader import BODY_READ_TIMEOUT_S
+from hemlocktrestle.timers import STEPS_PER_CHECKPOINT
 from tests.support import TrioTestCase
+from tests.support._step_work import count_step_work
 
 LIMITS = CallerLimits(
     header_bytes_max=400,
@@ -79,6 +82,20 @@
         )
         self.assertEqual([b"abc", b"abc"], self.bodies)
 
+    async def test_few_chunks_are_read_between_two_checkpoints(self) -> None:
+        """Guards against a caller's body that holds up the other requests."""
+        self.limits = LIMITS._replace(body_bytes_max=5_000)
+        self.body_budget = BodyMemoryBudget(10_000)
+        work = count_step_work(self, h11.Connection, "next_event")
+        body = bytes(range(256)) * 10
+        chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in body)
+        head = b"POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n"
+        await self.exchange(head + b"connection: close\r\n\r\n" + chunks + b"0\r\n\r\n")
+        self.assertEqual([body], self.bodies)
+        self.assertGreater(work.total, len(body))
+        # The head is read in the same step as the first chunks.
+        self.assertLessEqual(work.largest, STEPS_PER_CHECKPOINT + 2)
+
     async def test_a_body_is_free_once_its_request_has_ended(self) -> None:
         """Guards against bodies that frames of failed requests keep in memory."""
         post = b"POST /x HTTP/1.1\r\nhost: a\r\n"
