Read the lines of the store's watch in one pass

The rest of a piece was copied for each line, all lines of a piece were read without a checkpoint, and a line without end was buffered without a bound.

Change: a piece is split once, a checkpoint lets other tasks run after 64 lines, and a line may have 16 MiB.

Measured: `WatchLineTests` counts 65,536 lines of one piece with at most 64 between two checkpoints; the code before has no checkpoint there. The store was not seen to send such lines.

--- a/src/hemlocktrestle/adapters/_etcd_store.py
+++ b/src/hemlocktrestle/adapters/_etcd_store.py
@@ -19,6 +19,7 @@
     TxnResult,
     WatchBatch,
 )
+from hemlocktrestle.timers import Checkpointer
 
 IO_TIMEOUT_S = 2.0
 """Timeout of the connect, and of each read and write of a call, in seconds."""
@@ -26,6 +27,9 @@
 WATCH_READ_TIMEOUT_S = 15.0
 """Time without received data after which a watch counts as dead, in seconds."""
 
+LINE_BYTES_MAX = 16 * 1024 * 1024
+"""Longest line of a watch, in bytes: changes of values of up to a megabyte each."""
+
 _FAILURES = (*EXCHANGE_FAILURES, ValueError)
 
 _OTHER_FORMS = (ValueError, KeyError, TypeError, AttributeError, OverflowError)
@@ -230,21 +234,32 @@
 
 
 async def _batches(response: httpcore.Response) -> AsyncIterator[WatchBatch]:
-    buffer = b""
     try:
-        async for piece in response.aiter_stream():
-            buffer += piece
-            while (end := buffer.find(b"\n")) >= 0:
-                line, buffer = buffer[:end], buffer[end + 1 :]
-                if line.strip():
-                    with _reading_answer():
-                        batch = _batch(_parse(line))
-                    yield batch
+        async for line in _lines(response):
+            if line.strip():
+                with _reading_answer():
+                    batch = _batch(_parse(line))
+                yield batch
     except _FAILURES as error:
         raise _unavailable(error) from error
     raise RequestError(ErrorKind.STORE_UNAVAILABLE, "watch ended")
 
 
+async def _lines(response: httpcore.Response) -> AsyncIterator[bytes]:
+    """Yield the lines of a body; other tasks run between those of one piece."""
+    checkpointer = Checkpointer()
+    unfinished = bytearray()
+    async for piece in response.aiter_stream():
+        first, *others = piece.split(b"\n")
+        unfinished += first
+        for line in others:
+            await checkpointer.step()
+            yield bytes(unfinished)
+            unfinished = bytearray(line)
+        if len(unfinished) > LINE_BYTES_MAX:
+            raise ValueError("line is too large")
+
+
 def _batch(answer: dict[str, Any]) -> WatchBatch:
     result = answer["result"]
     if result.get("canceled"):
--- a/tests/adapters/test_etcd_store.py
+++ b/tests/adapters/test_etcd_store.py
@@ -5,13 +5,16 @@
 
 import httpcore
 import trio
-from testtools import TestCase
+from testtools import ExpectedException, TestCase
 
-from hemlocktrestle.adapters import EtcdStore
+from hemlocktrestle.adapters import EtcdStore, _etcd_store
+from hemlocktrestle.adapters._etcd_store import LINE_BYTES_MAX
 from hemlocktrestle.errors import ErrorKind, RequestError
+from hemlocktrestle.timers import STEPS_PER_CHECKPOINT, Checkpointer
 from tests.odd_values import ODD_BYTES
 from tests.standins.http import Connection, GoneError
 from tests.support import TrioTestCase
+from tests.support._step_work import count_step_work
 
 ODD_ANSWERS: tuple[bytes, ...] = (
     *ODD_BYTES,
@@ -113,3 +116,36 @@
                     await store.read("/a")
                     await call(store)
                 nursery.cancel_scope.cancel()
+
+
+class WatchLineTests(TrioTestCase):
+    """The lines of a watch are read a few at a time, and each is bounded."""
+
+    async def lines(self, *pieces: bytes) -> list[bytes]:
+        """Return the lines of a body that comes in pieces."""
+
+        async def body() -> AsyncIterator[bytes]:
+            for piece in pieces:
+                yield piece
+
+        response = httpcore.Response(200, content=body())
+        return [line async for line in _etcd_store._lines(response)]
+
+    async def test_lines_are_joined_over_pieces(self) -> None:
+        """A line may come in several pieces, and a piece may hold several lines."""
+        self.assertEqual(
+            [b"ab", b"", b"c", b"d"], await self.lines(b"a", b"b\n\nc\n", b"d\nrest")
+        )
+
+    async def test_few_lines_are_read_between_two_checkpoints(self) -> None:
+        """Guards against a piece of line feeds, which was copied for each of them."""
+        work = count_step_work(self, Checkpointer, "step")
+        lines = await self.lines(b"\n" * 65_536)
+        self.assertEqual((65_536, 65_536), (len(lines), work.total))
+        self.assertLessEqual(work.largest, STEPS_PER_CHECKPOINT)
+
+    async def test_a_line_without_end_is_bounded(self) -> None:
+        """Guards against a buffer that grows as long as bytes come."""
+        piece = b"x" * 65_536
+        with ExpectedException(ValueError, "line is too large"):
+            await self.lines(*[piece] * (LINE_BYTES_MAX // len(piece) + 1))
