Look at the end of a relayed stream only when it ends

Change: it keeps the last event that is no comment, and looks at its last line once the stream ends. Ids are encoded once they are asked for. The relay takes the last line of a piece that ends with an event from the end of that piece.

--- a/src/hemlocktrestle/daemon/_relay.py
+++ b/src/hemlocktrestle/daemon/_relay.py
@@ -31,6 +31,7 @@
 LINE_BYTES_MAX = 64
 """Bytes kept of an incomplete line; no end mark is as long."""
 
+_EVENT_END = b"\n\n"
 _LINE_ENDS = re.compile(rb"[\r\n]+")
 
 _BODYLESS_STATUSES = frozenset({204, 304})
@@ -92,6 +93,13 @@
 
     def add(self, data: bytes) -> None:
         """Add the next bytes of the stream."""
+        if data.endswith(_EVENT_END) and b"\r" not in data:
+            # Most pieces end with an event, whose last line is in the piece, too.
+            start = data.rfind(b"\n", 0, -len(_EVENT_END)) + 1
+            line = data[start : -len(_EVENT_END)]
+            if start and _has_text(line):
+                self._open, self._whole = b"", line
+                return
         *lines, last = _LINE_ENDS.split(self._open + data)
         self._open = last[:LINE_BYTES_MAX]
         self._whole = next(filter(_has_text, reversed(lines)), self._whole)
--- a/src/hemlocktrestle/daemon/_stream_resume.py
+++ b/src/hemlocktrestle/daemon/_stream_resume.py
@@ -86,8 +86,8 @@
         self._stack = stack
         self._splitter = EventSplitter()
         self._parts: deque[bytes] = deque()
-        self._recent_ids: deque[bytes] = deque(maxlen=RECENT_IDS_MAX)
-        self._last_line = LastLine()
+        self._recent_ids: deque[str] = deque(maxlen=RECENT_IDS_MAX)
+        self._last_event = StreamEvent(b"", "")
         self._seen_ids: Sequence[bytes] = ()
         self._before_wait: BeforeWait = _no_action
         self._successor: UpstreamAnswer | None = None
@@ -153,7 +153,7 @@
         Raises:
             RequestError: ``UPSTREAM_SILENT``; a successor was found.
         """
-        ids = self._recent_ids
+        ids = self._known_ids()
         if not self._may_resume(ids):
             return
         self.resumed_count += 1
@@ -170,20 +170,19 @@
 
     def _record(self, events: Sequence[StreamEvent]) -> bytes:
         """Record events and return them in the form in which they are passed on."""
-        self._recent_ids.extend(
-            event.event_id.encode("latin-1") for event in events if event.event_id
-        )
-        data = b"".join(event.data for event in events)
-        self._last_line.add(data)
-        return data
+        for event in events:
+            if event.event_id:
+                self._recent_ids.append(event.event_id)
+            if not event.is_comment:
+                self._last_event = event
+        return b"".join([event.data for event in events])
 
     async def _on_end(self) -> bytes:
         rest = self._splitter.remainder
         self._splitter = EventSplitter()
-        is_ended = ends_with_mark(b"\n" + self._last_line.text, STREAM_END)
-        if rest.strip() and (
-            ends_with_mark(b"\n" + rest, STREAM_END) or (is_ended and is_comment(rest))
-        ):
+        is_ended = _ends_stream(self._last_event.data)
+        is_last = _ends_stream(rest) or (is_ended and is_comment(rest))
+        if rest.strip() and is_last:
             return self._record([StreamEvent(rest.rstrip(b"\r\n") + b"\n\n", "")])
         if is_ended:
             raise StopAsyncIteration
@@ -199,7 +198,7 @@
         await self._before_wait()
         self._splitter = EventSplitter()
         self._parts.clear()
-        ids = tuple(self._recent_ids)
+        ids = self._known_ids()
         answer, self._successor = self._successor, None
         pause_s = 0.0
         while answer is None:
@@ -212,6 +211,9 @@
         self._read_from(answer)
         self._seen_ids = ids
 
+    def _known_ids(self) -> tuple[bytes, ...]:
+        return tuple(event_id.encode("latin-1") for event_id in self._recent_ids)
+
     async def _request_remainder(self, last_id: bytes) -> UpstreamAnswer | None:
         kept = [line for line in self._call.headers if line[0] in _RESUME_HEADERS]
         call = UpstreamCall(
@@ -241,9 +243,7 @@
             if event.is_comment:
                 comments.append(event)
                 continue
-            if not event.event_id and not ends_with_mark(
-                b"\n" + event.data, STREAM_END
-            ):
+            if not event.event_id and not _ends_stream(event.data):
                 raise RequestError(
                     ErrorKind.UPSTREAM_BROKEN, "engine did not resume the stream"
                 )
@@ -266,6 +266,13 @@
         return number <= last_number
 
 
+def _ends_stream(events: bytes) -> bool:
+    """Return whether the last event, or its beginning, is the end of a stream."""
+    line = LastLine()
+    line.add(events)
+    return ends_with_mark(b"\n" + line.text, STREAM_END)
+
+
 def _split_id(event_id: bytes) -> tuple[bytes, int | None]:
     """Split an event id into its text and the number at its end, if it has one."""
     prefix = event_id.rstrip(b"0123456789")
