--- a/src/hemlocktrestle/gateway/_events.py
+++ b/src/hemlocktrestle/gateway/_events.py
@@ -10,12 +10,12 @@
 from hemlocktrestle.errors import ErrorKind, RequestError
 
 EVENT_BYTES_MAX = 1024 * 1024
-"""Most that comes without the end of an event with data, in bytes."""
+"""Most bytes that may come up to the end of the next event with data, in bytes."""
 
 PART_BYTES_MAX = 4_096
-"""Most bytes that are split into events at once, in bytes.
+"""Most bytes that are split into events before other tasks run, in bytes.
 
-They may hold a thousand events, after which other work has its turn.
+They may hold a thousand events.
 """
 
 _TEXT = re.compile(rb"[^\r\n]")
@@ -40,10 +40,10 @@
 
 
 class StreamEvent(NamedTuple):
-    """One complete event, or comments, with the closing empty line.
+    """One complete event, or comments alone, with the closing empty line.
 
     Args:
-        data: the bytes, with empty lines that came before.
+        data: its bytes, after empty lines that came before it.
         event_id: the id, empty if there is none.
     """
 
@@ -57,7 +57,7 @@
 
     @property
     def has_data(self) -> bool:
-        """Whether it brings anything to the one who reads the stream."""
+        """Whether it has a data field; one without it tells a reader nothing."""
         return _DATA_LINE.search(self.data) is not None
 
 
@@ -84,7 +84,7 @@
         self._buffer += data
         events = []
         start = 0
-        while (end := self._end_of_event()) > 0:
+        while (end := self._search_end()) > 0:
             event = _event(bytes(self._buffer[start:end]))
             events.append(event)
             self._idle_bytes += end - start
@@ -115,15 +115,18 @@
     @property
     def is_inside_line(self) -> bool:
         """Whether the last line, of an event or a comment, is not complete."""
-        return not self._buffer.endswith((b"\r", b"\n")) and bool(self._buffer)
+        return bool(self._buffer) and not self._buffer.endswith((b"\r", b"\n"))
 
     @property
     def remainder(self) -> bytes:
         """Bytes after the last complete event."""
         return bytes(self._buffer)
 
-    def _end_of_event(self) -> int:
-        """Return the end of the next event in the buffer, 0 if it has not come."""
+    def _search_end(self) -> int:
+        """Return the end of the next event in the buffer, 0 if it has not come.
+
+        The next search goes on from where this one stopped.
+        """
         if not self._has_text:
             text = _TEXT.search(self._buffer, self._searched_bytes)
             self._has_text = text is not None
@@ -140,7 +143,7 @@
 
 
 def parts_of(data: bytes) -> list[bytes]:
-    """Cut bytes into parts that are split into events at once, one after the other."""
+    """Cut bytes into parts; other tasks are to run between two of them."""
     if len(data) <= PART_BYTES_MAX:
         return [data]
     starts = range(0, len(data), PART_BYTES_MAX)
