Play a torn stream and a flood against a real edge process

Change: two modes of the replica's stand-in, and a test for each with a real process: an answer that stops inside an event, and line feeds without end beside requests to a sound replica.

--- a/tests/edge/attempts/test_held_up_process.py
+++ b/tests/edge/attempts/test_held_up_process.py
@@ -4,6 +4,10 @@
 to sound replicas got no answer by their timeout.
 """
 
+import httpcore
+import trio
+from testtools import TestCase
+
 from hemlocktrestle.edge.placing._placement import AttemptEnd
 from hemlocktrestle.gateway import PART_BYTES_MAX, EventSplitter
 from hemlocktrestle.relay import AnswerReader
@@ -18,7 +22,10 @@
 from tests.edge.callers.test_endless_bytes import FLOOD_CHUNKS, endless
 from tests.edge.callers.test_server import ONCE, STREAM, WHOLE, event, stream_of
 from tests.edge.harness import EdgeHarness, Script
+from tests.edge.test_processes import fetch, running_edge
 from tests.gateway.records import configuration, replica
+from tests.platform.documents import CONFIGURATION
+from tests.standins.replica import ReplicaStandIn
 from tests.support import TrioTestCase
 from tests.support._step_work import count_step_work
 
@@ -99,6 +106,49 @@
         self.assertLessEqual(work.largest, PART_BYTES_MAX)
 
 
+class FloodedProcessTests(TestCase):
+    """A real process answers for sound replicas while another one floods it."""
+
+    SOUND_COUNT = 10
+
+    def test_requests_to_sound_replicas_are_answered(self) -> None:
+        """Guards against a process that stands still for the time of one stream.
+
+        Each request has the time of its route, and half a second.
+        """
+        trio.run(self._request_beside_a_flood)
+
+    async def _request_beside_a_flood(self) -> None:
+        timeout_s = CONFIGURATION["routes"][1]["timeoutMs"] / 1000 + 0.5
+        async with running_edge() as (edge, platform):
+            flooding = ReplicaStandIn("i-3")
+            flooding.mode = "flood"
+            # It takes the place of the only replica of the service.
+            platform.store.remove("servers/i-2")
+            await platform.add_replica(flooding, service="assistant")
+            callers = (await edge.logged("started"))["callers"]
+            await edge.logged("replicas_changed")
+            platform.nursery.start_soon(self._stream, callers)
+            while not flooding.runs:
+                await trio.sleep(0.01)
+            for _ in range(self.SOUND_COUNT):
+                with trio.fail_after(timeout_s):
+                    response = await fetch(callers, "/log/1")
+                self.assertEqual(200, response.status)
+            await edge.logged("request_ended", route="r-stream")
+
+    async def _stream(self, callers: str) -> None:
+        try:
+            while (
+                await fetch(callers, "/advice/1", **{"Api-Key": "k1"})
+            ).status == 503:
+                # The replica is not known yet.
+                await trio.sleep(0.05)
+        except httpcore.RemoteProtocolError:
+            # Its answer may have begun before it is broken off.
+            return
+
+
 class TinyChunkTests(TrioTestCase):
     """Chunks that have arrived are taken apart a few at a time."""
 
--- a/tests/edge/attempts/test_torn_streams.py
+++ b/tests/edge/attempts/test_torn_streams.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Callable, Mapping
 
+import httpcore
+import trio
 from hypothesis import given
 from hypothesis import strategies as st
+from testtools import ExpectedException, TestCase
 
 from hemlocktrestle.edge.placing._placement import AttemptEnd
 from tests.edge.attempts.test_replica_answers import (
@@ -15,7 +18,9 @@
 )
 from tests.edge.callers.test_server import STREAM, WHOLE, event, stream_of
 from tests.edge.harness import EdgeHarness, Script
+from tests.edge.test_processes import fetch_stream, running_edge
 from tests.gateway.records import configuration, replica
+from tests.standins.replica import ReplicaStandIn
 from tests.support import TrioTestCase
 from tests.support._case import run_virtual
 
@@ -163,3 +168,24 @@
                 (status, b'{"error": "no"}', True),
                 (reply.status, reply.body, reply.is_whole),
             )
+
+
+class TornProcessTests(TestCase):
+    """A real process passes no torn stream on as a whole one."""
+
+    def test_the_callers_answer_is_visibly_cut(self) -> None:
+        """Guards against half of an event and the end of a whole answer."""
+        trio.run(self._request_a_torn_stream)
+
+    async def _request_a_torn_stream(self) -> None:
+        async with running_edge() as (edge, platform):
+            torn = ReplicaStandIn("i-3")
+            torn.mode = "torn"
+            # It takes the place of the only replica of the service.
+            platform.store.remove("servers/i-2")
+            await platform.add_replica(torn, service="assistant")
+            callers = (await edge.logged("started"))["callers"]
+            with ExpectedException(httpcore.RemoteProtocolError):
+                await fetch_stream(callers)
+            cut = await edge.logged("answer_cut")
+            self.assertEqual("stream ended within an event", cut["failure"])
--- a/tests/edge/test_processes.py
+++ b/tests/edge/test_processes.py
@@ -122,6 +122,19 @@
             entry = self.replica.entry(self.addresses["replica"], service=service)
             self.store.put(f"servers/{'i-1' if service == 'ledger' else 'i-2'}", entry)
 
+    async def add_replica(self, replica: ReplicaStandIn, *, service: str) -> None:
+        """Start one more replica, and register it."""
+        serving = partial(
+            serve,
+            replica.handle,
+            announce=lambda at: self.addresses.update({replica.replica_id: at}),
+        )
+        self.nursery.start_soon(serving)
+        while replica.replica_id not in self.addresses:
+            await trio.sleep(0.01)
+        entry = replica.entry(self.addresses[replica.replica_id], service=service)
+        self.store.put(f"servers/{replica.replica_id}", entry)
+
     def configure(self, document: dict[str, Any]) -> None:
         """Write a configuration to the store."""
         self.store.put("op/config", as_bytes(document))
@@ -171,6 +184,15 @@
         return await pool.request("GET", f"http://{address}{path}", headers=lines)
 
 
+async def fetch_stream(address: str) -> httpcore.Response:
+    """Return the answer of the stream's route, once a replica of it is known."""
+    while True:
+        response = await fetch(address, "/advice/1", **{"Api-Key": "k1"})
+        if response.status != 503:
+            return response
+        await trio.sleep(0.05)
+
+
 class EndedProcessTests(TestCase):
     """A process that ended is noticed at once."""
 
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -13,6 +13,9 @@
 PAUSE_CHECK_S = 0.02
 """Time between checks whether a pause has ended, in seconds."""
 
+FLOOD_PIECE_BYTES = 65_536
+"""Size of one piece of a flood, in bytes."""
+
 
 class Run(NamedTuple):
     """One request that a replica began to execute; the time is in seconds."""
@@ -32,7 +35,8 @@
     ``mute`` executes and does not answer; ``fail`` executes and answers 500;
     ``garbage`` sends bytes that are not HTTP; ``late`` sends a second answer after
     the first; ``full`` refuses requests without executing them; ``unframed`` answers
-    with neither a length nor chunks, and ends with the connection.
+    with neither a length nor chunks, and ends with the connection; ``torn`` stops
+    inside an event and ends its chunks; ``flood`` sends line feeds without end.
 
     While ``is_paused`` it goes on running requests and sends nothing.  Its answers are
     ``whole``, and the data of an event has the attempt's id and ``padding``.
@@ -153,6 +157,17 @@
         await trio.aclose_forcefully(connection.stream)
         raise GoneError
 
+    async def _torn(self, connection: Connection, request: Request) -> None:
+        last = self.event_count // 2
+        await self._stream(connection, request, last)
+        await connection.send_chunk(f"id: {last + 1}\nda".encode())
+        await connection.finish()
+
+    async def _flood(self, connection: Connection, request: Request) -> None:
+        await self._stream(connection, request, 0)
+        while True:
+            await connection.send_chunk(b"\n" * FLOOD_PIECE_BYTES)
+
     async def _mute(self, connection: Connection, request: Request) -> None:
         await connection.wait_closed()
         raise GoneError
@@ -211,5 +226,7 @@
     "fail": ReplicaStandIn._fail,
     "garbage": ReplicaStandIn._garbage,
     "late": ReplicaStandIn._late,
+    "torn": ReplicaStandIn._torn,
+    "flood": ReplicaStandIn._flood,
     "unframed": ReplicaStandIn._unframed,
 }
