Hold the splitter to its exact size limit, as the daemon's test did

Cause: when the daemon's own splitter went, its test that one byte beyond the limit is refused was replaced by one that allows two pieces of 4 KiB more.

Change: the exact test stands beside the new splitter; at the limit it takes the bytes.

--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -195,6 +195,13 @@
                     for _ in range(2):
                         splitter.feed(data)
 
+    def test_an_event_without_end_is_bounded(self) -> None:
+        """An event that never ends raises an error right at the size limit."""
+        EventSplitter().feed(b"x" * EVENT_BYTES_MAX)
+        self.assertRaises(
+            RequestError, EventSplitter().feed, b"x" * (EVENT_BYTES_MAX + 1)
+        )
+
     def test_each_event_with_data_starts_the_count_anew(self) -> None:
         """A stream of events may have any length, and comments between them."""
         splitter = EventSplitter()
