Log attempts that the caller's leaving or deadline ends

Cause: an attempt that is cancelled left no attempt_ended line and did not count in hemlocktrestle_attempts_total. Change: the line is written when the attempt's slot is released. The new test failed before, as there was no line at all.

--- a/src/hemlocktrestle/edge/callers/_server.py
+++ b/src/hemlocktrestle/edge/callers/_server.py
@@ -195,7 +195,7 @@
                         report = attempt.report_cancelled()
                     self._part_gate.on_attempt_ended(job, report)
                     self._placer.release(job, attempt.placement, report)
-                self._record_end(job, attempt, report)
+                    self._record_end(job, attempt, report)
                 if report.end is AttemptEnd.RELAYED:
                     if attempt.sealed_answer is None:
                         return attempt.status
--- a/tests/edge/callers/test_server.py
+++ b/tests/edge/callers/test_server.py
@@ -270,6 +270,19 @@
         self.assertTrue(abs(gone_at[0] - started_s - 0.2) < 0.05, gone_at)
         self.assertEqual("caller_gone", harness.served[0].outcome)
 
+    async def test_an_attempt_that_its_caller_ends_is_logged(self) -> None:
+        """Guards against slot time that no log line accounts for."""
+        harness = EdgeHarness(self, {"r1": never_answer}, found=ONCE)
+        for leave_after_ms in (200, None):
+            with self.assertLogs("hemlocktrestle.edge.callers._server") as logs:
+                await harness.send(
+                    method="POST", body=b"wipe", leave_after_ms=leave_after_ms
+                )
+            ended = [record for record in logs.records if record.msg == "attempt_ended"]
+            self.assertEqual(
+                ["r1"], [getattr(record, "replica", "") for record in ended]
+            )
+
 
 STREAM = route(
     "/advice/",
